Set down the slices, the core types and the messages

Cause: the shape (vertical slices by duty; one task for each connection and each peer) has to stand before any slice is filled. Not yet: no path runs from end to end.

--- /dev/null
+++ b/internal/enforce/enforce.go
@@ -0,0 +1,227 @@
+package enforce
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+// Fold turns records into configuration by rules that are equal everywhere.
+type Fold interface {
+	// Apply folds the next record. The verdict is nil when the record is not
+	// a publication. An error means that the record could not be folded by
+	// this binary; the state is then unchanged.
+	Apply(record platform.Record) (*publish.Verdict, error)
+	// Configuration returns the immutable configuration at Offset.
+	Configuration() *publish.Configuration
+	// Offset is the highest offset folded, 0 for none.
+	Offset() uint64
+	// Digest is a digest of the state at Offset.
+	Digest() []byte
+	// Verdicts returns the verdicts still kept, oldest first.
+	Verdicts() []publish.Verdict
+	// Snapshot encodes the state. Equal states have equal snapshots.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state. The state is unchanged on an error.
+	Restore(snapshot []byte) error
+}
+
+// GapError says that records do not follow the offset already folded.
+type GapError struct {
+	Have uint64
+	Got  uint64
+}
+
+func (e *GapError) Error() string {
+	return fmt.Sprintf("record %d does not follow offset %d", e.Got, e.Have)
+}
+
+// Enforcer owns the fold of one daemon and the table in force. Its offset
+// never falls while the process lives, and it has no table in force below
+// the floor that peers remember of this host.
+type Enforcer struct {
+	events timeline.Recorder
+
+	mu      sync.Mutex
+	fold    Fold
+	floor   uint64
+	stopped error
+	changed chan struct{}
+
+	table atomic.Pointer[Table]
+}
+
+// New returns an enforcer without a table in force.
+func New(fold Fold, events timeline.Recorder) *Enforcer {
+	return &Enforcer{fold: fold, events: events, changed: make(chan struct{})}
+}
+
+// Table returns the table in force, nil when there is none yet.
+func (e *Enforcer) Table() *Table { return e.table.Load() }
+
+// Position returns the highest offset folded and the digest there.
+func (e *Enforcer) Position() (uint64, []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fold.Offset(), e.fold.Digest()
+}
+
+// Stopped returns why folding stopped for good, nil while it goes on.
+func (e *Enforcer) Stopped() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stopped
+}
+
+// RaiseFloor forbids tables below an offset.
+func (e *Enforcer) RaiseFloor(offset uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.floor = max(e.floor, offset)
+}
+
+// Floor returns the lowest offset that may be in force.
+func (e *Enforcer) Floor() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.floor
+}
+
+// Apply folds records in order. Records at or below the offset are skipped;
+// a gap is a GapError and nothing after it is folded.
+func (e *Enforcer) Apply(records []platform.Record) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before := e.fold.Offset()
+	err := e.applyAll(records)
+	if e.fold.Offset() > before {
+		e.swap()
+	}
+	return err
+}
+
+func (e *Enforcer) applyAll(records []platform.Record) error {
+	for _, record := range records {
+		if e.stopped != nil {
+			return e.stopped
+		}
+		have := e.fold.Offset()
+		if record.Offset <= have {
+			continue
+		}
+		if record.Offset != have+1 {
+			return &GapError{Have: have, Got: record.Offset}
+		}
+		if err := e.applyOne(record); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Enforcer) applyOne(record platform.Record) error {
+	verdict, err := e.fold.Apply(record)
+	if err != nil {
+		e.stopped = fmt.Errorf("fold record %d: %w", record.Offset, err)
+		e.events.Record(timeline.Event{Kind: timeline.SchemaUnknown, Offset: record.Offset, Detail: err.Error()})
+		return e.stopped
+	}
+	if verdict != nil {
+		e.events.Record(timeline.Event{
+			Kind:    timeline.VerdictReached,
+			Offset:  verdict.Offset,
+			Version: uint64(verdict.Version),
+			Outcome: verdict.Outcome.String(),
+			Detail:  verdict.ID,
+		})
+	}
+	return nil
+}
+
+// Restore replaces the fold by a snapshot that is newer than it. An older
+// snapshot changes nothing.
+func (e *Enforcer) Restore(snapshot []byte, offset uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if offset <= e.fold.Offset() {
+		return nil
+	}
+	if err := e.fold.Restore(snapshot); err != nil {
+		return fmt.Errorf("restore snapshot at %d: %w", offset, err)
+	}
+	e.swap()
+	return nil
+}
+
+// Snapshot encodes the fold and returns the offset it stands for.
+func (e *Enforcer) Snapshot() ([]byte, uint64, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	snapshot, err := e.fold.Snapshot()
+	return snapshot, e.fold.Offset(), err
+}
+
+// Verdicts returns the verdicts still kept, oldest first.
+func (e *Enforcer) Verdicts() []publish.Verdict {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fold.Verdicts()
+}
+
+// Changed returns a channel that is closed when the offset next grows.
+func (e *Enforcer) Changed() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.changed
+}
+
+// Wait returns when the offset has reached one, or ctx has ended.
+func (e *Enforcer) Wait(ctx context.Context, offset uint64) error {
+	for {
+		changed := e.Changed()
+		if have, _ := e.Position(); have >= offset {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fmt.Errorf("wait for offset %d: %w", offset, ctx.Err())
+		}
+	}
+}
+
+// swap puts the fold's state in force, unless it lies below the floor.
+func (e *Enforcer) swap() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+	offset := e.fold.Offset()
+	if offset < e.floor {
+		return
+	}
+	config := e.fold.Configuration()
+	e.table.Store(&Table{Offset: offset, Digest: e.fold.Digest(), Config: config})
+	e.events.Record(timeline.Event{
+		Kind:     timeline.InForce,
+		Offset:   offset,
+		Version:  uint64(config.Version),
+		Routes:   len(config.Routes),
+		Dangling: dangling(config),
+		Digest:   fmt.Sprintf("%x", e.fold.Digest()),
+	})
+}
+
+// dangling counts the routes whose service the table lacks.
+func dangling(config *publish.Configuration) int {
+	count := 0
+	for _, route := range config.Routes {
+		if config.Services[route.Service] == nil {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/publish/configuration.go
@@ -0,0 +1,127 @@
+// Package publish holds the rules by which publications become configuration.
+//
+// Every daemon folds the same records in the same order with these rules, so
+// every daemon reaches the same verdicts and the same configuration.
+package publish
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/once"
+)
+
+// Schema is the newest schema number of an Entry that this binary can fold.
+const Schema = 1
+
+// Version is the offset of the record that a configuration stands for.
+type Version uint64
+
+// Configuration is what a prefix of the log means. It is immutable.
+type Configuration struct {
+	// Version is the offset of the last accepted publication.
+	Version Version
+	// Workspaces by name.
+	Workspaces map[string]*Workspace
+	// Services by full name, "workspace/service".
+	Services map[string]*Service
+	// Routes by full name, "workspace/route".
+	Routes map[string]*Route
+	// Grants assign keys of calls that may not be repeated to homes.
+	Grants once.Grants
+}
+
+// Workspace is the rendered configuration of one team.
+type Workspace struct {
+	Name     string
+	Version  Version
+	Services []*Service
+	Routes   []*Route
+}
+
+// Service is a set of targets that run the same program.
+type Service struct {
+	// Name is the full name, "workspace/service".
+	Name string
+	// Slots is how many requests one target runs at once.
+	Slots int
+	// Queue is how many requests may wait for a slot.
+	Queue int
+	// Connections is how many connections a daemon keeps to its target.
+	Connections int
+	// QueueTimeout is how long a request may wait for a slot.
+	QueueTimeout time.Duration
+	// SlowStart is how long a cold target takes to reach its full share.
+	SlowStart time.Duration
+}
+
+// Route names a service to callers.
+type Route struct {
+	// Name is the full name, "workspace/route".
+	Name string
+	// Service is the full name of the service, maybe of another workspace.
+	Service string
+	// Idempotent says that a call may be run again.
+	Idempotent bool
+	// Deadline bounds each call that carries none.
+	Deadline time.Duration
+	// Retries is how many more attempts one call may take.
+	Retries int
+	// RetryBudget is the share of calls that may be retries, from 0 to 1.
+	RetryBudget float64
+	// Hedge is the delay after which an idempotent call is sent to a second
+	// target, 0 for never.
+	Hedge time.Duration
+}
+
+// Outcome says what a fold did with a publication.
+type Outcome int
+
+// Outcomes of a publication.
+const (
+	Accepted Outcome = iota + 1
+	Conflict
+	Refused
+	Duplicate
+)
+
+func (o Outcome) String() string {
+	switch o {
+	case Accepted:
+		return "accepted"
+	case Conflict:
+		return "conflict"
+	case Refused:
+		return "refused"
+	case Duplicate:
+		return "duplicate"
+	default:
+		return fmt.Sprintf("outcome(%d)", int(o))
+	}
+}
+
+// Problem is one reason why a publication is refused.
+type Problem struct {
+	// Place is the template, parameter, service or route at fault.
+	Place string `json:"place"`
+	// Reason says what was found and what is allowed.
+	Reason string `json:"reason"`
+}
+
+func (p Problem) String() string { return p.Place + ": " + p.Reason }
+
+// Verdict is the outcome of one publication, equal on every daemon.
+type Verdict struct {
+	Offset    uint64
+	ID        string
+	Workspace string
+	Author    string
+	Reason    string
+	Outcome   Outcome
+	// Version is set when accepted.
+	Version Version
+	// ConflictVersion and ConflictAuthor name the winner of a conflict.
+	ConflictVersion Version
+	ConflictAuthor  string
+	Problems        []Problem
+}
