membership: keep a table of hosts by heartbeats, probes and bridges

Daemons had types for members but nothing that filled them. Entries are written by their own daemon only and merge by position, so tables that saw the same entries are equal. Each daemon dials three ring neighbours of its zone; two bridges a zone carry entries between zones and regions. Changes are pushed at once, the interval only bounds silence.

Ruled out: reach as statements that peers overwrite, which needs refutation floods after every cut; lists in the observer's own entry end with the observer.

--- /dev/null
+++ b/internal/membership/age.go
@@ -0,0 +1,182 @@
+package membership
+
+import (
+	"strings"
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+const (
+	// unreachableRetention is how long hosts without contact are kept.
+	unreachableRetention = 24 * time.Hour
+	// leftRetention is how long hosts that left in order are kept.
+	leftRetention = time.Hour
+	// tombstoneRetention is how long positions of dropped entries are kept.
+	tombstoneRetention = 48 * time.Hour
+	// contactRetention is how long the state of a contact is kept.
+	contactRetention = 10 * time.Minute
+)
+
+// age moves on what depends on time alone.
+func (m *Membership) age(now time.Time) {
+	m.mu.Lock()
+	m.checkSilence(now)
+	m.forget(now)
+	stale := m.isStale(m.view.current.Load().Members, now)
+	refresh := m.overridden || stale != m.view.current.Load().Stale
+	m.mu.Unlock()
+	if refresh {
+		m.askRebuild()
+	}
+	m.rewrite(nil)
+}
+
+// checkSilence updates the watches of a bridge over other zones.
+func (m *Membership) checkSilence(now time.Time) {
+	if len(m.watches) == 0 {
+		return
+	}
+	heard := m.heardByZone()
+	for name, watch := range m.watches {
+		limit := silenceTime
+		if strings.HasPrefix(name, regionMark("")) {
+			limit = farSilenceTime
+		}
+		since := now.Sub(heard[name])
+		silent := since >= limit && (watch.silent || now.Sub(watch.began) >= limit)
+		if silent != watch.silent {
+			watch.silent = silent
+			m.recordSilence(name, silent)
+		}
+	}
+}
+
+// heardByZone returns when each zone and region was heard directly last.
+func (m *Membership) heardByZone() map[string]time.Time {
+	heard := make(map[string]time.Time)
+	for host, c := range m.contacts {
+		r, ok := m.table.rows[host]
+		if !ok {
+			continue
+		}
+		for _, name := range []string{r.zone, regionMark(r.region)} {
+			if c.heard.After(heard[name]) {
+				heard[name] = c.heard
+			}
+		}
+	}
+	return heard
+}
+
+func (m *Membership) recordSilence(name string, silent bool) {
+	event := timeline.Event{Kind: timeline.Recovered, Detail: name}
+	if silent {
+		event.Kind = timeline.Unreachable
+	}
+	m.log.Infof("%s is %s", name, event.Kind)
+	m.options.Events.Record(event)
+}
+
+// forget drops entries of hosts that have been gone for long.
+func (m *Membership) forget(now time.Time) {
+	for host, r := range m.table.rows {
+		retention := unreachableRetention
+		if r.state == Left {
+			retention = leftRetention
+		}
+		if !r.gone.IsZero() && now.Sub(r.gone) >= retention {
+			m.table.drop(host, now)
+			delete(m.lost, host)
+			delete(m.floors, host)
+			m.askRebuild()
+		}
+	}
+	for host, stone := range m.table.forgotten {
+		if now.Sub(stone.dropped) >= tombstoneRetention {
+			delete(m.table.forgotten, host)
+		}
+	}
+	for host, c := range m.contacts {
+		if now.Sub(c.heard) >= contactRetention {
+			delete(m.contacts, host)
+		}
+	}
+}
+
+// publishLocked builds the view anew. The caller holds the mutex.
+func (m *Membership) publishLocked(now time.Time) {
+	own := m.options.Self
+	m.listed = listedReach(m.table.rows)
+	zones := livingZones(m.table.rows, m.listed)
+	m.silent = silentZones(own.Zone, own.Region, zones, m.table.rows)
+	m.overridden = false
+	members := make(map[string]Member, len(m.table.rows))
+	for host, r := range m.table.rows {
+		member := r.member()
+		if host != own.Host {
+			m.describeContact(&member, now)
+		}
+		m.noteGone(r, member, now)
+		members[host] = member
+	}
+	view := newView(own.Host, members)
+	view.Stale = m.isStale(members, now)
+	m.view.set(view)
+}
+
+// describeContact sets what this daemon knows of its contact with a member.
+func (m *Membership) describeContact(member *Member, now time.Time) {
+	member.Reach = m.listed[member.Host]
+	if m.silent[member.Zone] || m.silent[regionMark(member.Region)] {
+		member.Reach = Unreachable
+	}
+	if c, ok := m.contacts[member.Host]; ok {
+		if c.heard.After(member.Heard) {
+			member.Heard = c.heard
+		}
+		member.InForce = max(member.InForce, c.offset)
+	}
+	if member.Reach != Reachable && m.heardWithin(member.Host, directTime, now) {
+		member.Reach = Reachable
+		m.overridden = true
+	}
+}
+
+// noteGone keeps the time since when a host has been gone.
+func (m *Membership) noteGone(r *row, member Member, now time.Time) {
+	gone := member.State == Left || member.Reach == Unreachable
+	switch {
+	case !gone:
+		r.gone = time.Time{}
+	case r.gone.IsZero():
+		r.gone = now
+	}
+}
+
+// isStale reports whether this daemon has reason to doubt its own links: it
+// talks with nobody, or most hosts are unreachable.
+func (m *Membership) isStale(members map[string]Member, now time.Time) bool {
+	others, unreachable := 0, 0
+	for host, member := range members {
+		if host == m.options.Self.Host || member.State == Left {
+			continue
+		}
+		others++
+		if member.Reach == Unreachable {
+			unreachable++
+		}
+	}
+	if others == 0 {
+		return false
+	}
+	if 2*unreachable > others {
+		return true
+	}
+	for host := range m.contacts {
+		if m.inContact(host, now) {
+			return false
+		}
+	}
+	return now.Sub(m.started) >= contactTime
+}
--- /dev/null
+++ b/internal/membership/encoding.go
@@ -0,0 +1,61 @@
+package membership
+
+import "time"
+
+// encodeEntry returns the message of a row.
+func encodeEntry(r *row, now time.Time) *Entry {
+	message := &Entry{
+		Host:           r.host,
+		Zone:           r.zone,
+		Region:         r.region,
+		Incarnation:    r.position.Incarnation,
+		Counter:        r.position.Counter,
+		State:          uint32(r.state),
+		ControlAddress: r.controlAddress,
+		CallsAddress:   r.callsAddress,
+		Service:        r.service,
+		Slots:          uint32(r.slots),
+		TargetState:    uint32(r.targetState),
+		InForce:        r.inForce,
+		Suspects:       r.suspects,
+		Unreachable:    r.unreachable,
+		SilentZones:    r.silentZones,
+	}
+	if !r.gone.IsZero() {
+		message.GoneSeconds = uint32(now.Sub(r.gone) / time.Second)
+	}
+	return message
+}
+
+func encodeEntries(rows []*row, now time.Time) []*Entry {
+	messages := make([]*Entry, 0, len(rows))
+	for _, r := range rows {
+		messages = append(messages, encodeEntry(r, now))
+	}
+	return messages
+}
+
+// decodeEntry returns the entry of a message and how long its daemon has been
+// known as gone.
+func decodeEntry(message *Entry) (entry, time.Duration) {
+	decoded := entry{
+		host:   message.GetHost(),
+		zone:   message.GetZone(),
+		region: message.GetRegion(),
+		position: Position{
+			Incarnation: message.GetIncarnation(),
+			Counter:     message.GetCounter(),
+		},
+		state:          State(message.GetState()),
+		controlAddress: message.GetControlAddress(),
+		callsAddress:   message.GetCallsAddress(),
+		service:        message.GetService(),
+		slots:          int(message.GetSlots()),
+		targetState:    TargetState(message.GetTargetState()),
+		inForce:        message.GetInForce(),
+		suspects:       message.GetSuspects(),
+		unreachable:    message.GetUnreachable(),
+		silentZones:    message.GetSilentZones(),
+	}
+	return decoded, time.Duration(message.GetGoneSeconds()) * time.Second
+}
--- /dev/null
+++ b/internal/membership/floor.go
@@ -0,0 +1,111 @@
+package membership
+
+import (
+	"context"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+)
+
+// floorPeers bounds the peers asked for the floor.
+const floorPeers = 8
+
+// floorAnswer is what one peer answered.
+type floorAnswer struct {
+	floor    uint64
+	answered bool
+}
+
+// Floor asks peers for the highest offset that they saw in force on this host
+// and returns it with the number of peers that answered. It asks the seeds,
+// learns from them who observed this host, and asks these.
+func (m *Membership) Floor(ctx context.Context) (offset uint64, answered int) {
+	asked := make(map[string]bool)
+	for _, peers := range []func() []wantedPeer{m.seedPeers, m.observers} {
+		var group []wantedPeer
+		for _, candidate := range peers() {
+			if !asked[candidate.address] {
+				asked[candidate.address] = true
+				group = append(group, candidate)
+			}
+		}
+		floor, count := m.askFloor(ctx, group)
+		offset = max(offset, floor)
+		answered += count
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(offset, m.floors[m.options.Self.Host]), answered
+}
+
+// seedPeers returns the seeds as peers.
+func (m *Membership) seedPeers() []wantedPeer {
+	var peers []wantedPeer
+	for _, address := range m.options.Seeds {
+		if address != m.options.Self.ControlAddress {
+			peers = append(peers, wantedPeer{address: address, role: seedRole})
+		}
+	}
+	return peers[:min(floorPeers, len(peers))]
+}
+
+// observers returns the members of the zone that dial this host or that it dials.
+func (m *Membership) observers() []wantedPeer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := m.options.Self.Host
+	own := livingZones(m.table.rows, m.listed)[m.options.Self.Zone].members
+	near := append(ringNeighbours(self, own), ringObservers(self, own)...)
+	var peers []wantedPeer
+	for _, member := range near {
+		if member.Host != self && len(peers) < floorPeers {
+			peers = append(peers, wantedPeer{address: member.ControlAddress, host: member.Host})
+		}
+	}
+	return peers
+}
+
+// askFloor asks some peers at once.
+func (m *Membership) askFloor(ctx context.Context, peers []wantedPeer) (offset uint64, answered int) {
+	answers := pool.NewWithResults[floorAnswer]()
+	for _, candidate := range peers {
+		answers.Go(func() floorAnswer { return m.askPeerFloor(ctx, candidate) })
+	}
+	for _, answer := range answers.Wait() {
+		if answer.answered {
+			offset = max(offset, answer.floor)
+			answered++
+		}
+	}
+	return offset, answered
+}
+
+// askPeerFloor exchanges heartbeats with one peer until it has no more entries.
+func (m *Membership) askPeerFloor(ctx context.Context, candidate wantedPeer) floorAnswer {
+	conn, err := m.dial(ctx, candidate.host, candidate.address)
+	if err != nil {
+		m.log.WithError(err).Debugf("ask floor")
+		return floorAnswer{}
+	}
+	defer conn.Close()
+	n := &neighbour{wantedPeer: candidate}
+	client := NewDRPCMembershipClient(conn)
+	return m.askUntilComplete(ctx, client, conn.Peer, n)
+}
+
+func (m *Membership) askUntilComplete(ctx context.Context, client DRPCMembershipClient, remote peer.Identity, n *neighbour) floorAnswer {
+	var result floorAnswer
+	for {
+		more, err := m.beat(ctx, client, remote, n, !result.answered)
+		if err != nil {
+			return result
+		}
+		m.mu.Lock()
+		result = floorAnswer{floor: m.floors[m.options.Self.Host], answered: true}
+		m.mu.Unlock()
+		if !more {
+			return result
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/http.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+const (
+	announcePath = "/announce"
+	// maxAnnouncementBytes bounds the body of an announcement.
+	maxAnnouncementBytes = 16 << 10
+)
+
+// AnnounceHandler serves the target on this host. POST /announce renews its
+// lease and DELETE /announce ends it.
+func (m *Membership) AnnounceHandler() http.Handler {
+	router := httprouter.New()
+	router.POST(announcePath, m.serveAnnounce)
+	router.DELETE(announcePath, m.serveWithdraw)
+	return router
+}
+
+func (m *Membership) serveAnnounce(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	announcement, err := decodeAnnouncement(w, r)
+	if err == nil {
+		err = m.Announce(announcement)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (m *Membership) serveWithdraw(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	m.Withdraw()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decodeAnnouncement(w http.ResponseWriter, r *http.Request) (Announcement, error) {
+	var announcement Announcement
+	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
+	if err := json.NewDecoder(body).Decode(&announcement); err != nil {
+		return Announcement{}, fmt.Errorf("%w: decode: %w", ErrAnnouncement, err)
+	}
+	return announcement, nil
+}
+
+// Announce renews the lease of the target on this host. The error wraps
+// ErrAnnouncement.
+func (m *Membership) Announce(a Announcement) error {
+	m.mu.Lock()
+	err := m.lease.renew(a, time.Now())
+	m.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	m.rewrite(nil)
+	return nil
+}
+
+// Withdraw ends the lease of the target on this host.
+func (m *Membership) Withdraw() {
+	m.mu.Lock()
+	m.lease.withdraw(time.Now())
+	m.mu.Unlock()
+	m.rewrite(nil)
+}
--- /dev/null
+++ b/internal/membership/lease.go
@@ -0,0 +1,103 @@
+package membership
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+)
+
+const (
+	// announcementLease is how long an announcement holds without renewal.
+	announcementLease = 3 * time.Second
+	// withdrawalTime is how long a withdrawn target is shown as draining.
+	withdrawalTime = 3 * time.Second
+)
+
+// ErrAnnouncement is wrapped by every refusal of an announcement.
+var ErrAnnouncement = errors.New("announcement refused")
+
+// targetStates are the states that a target may announce.
+var targetStates = map[string]TargetState{
+	"cold":     Cold,
+	"ready":    Ready,
+	"draining": Draining,
+}
+
+// lease is the state of the target on this host.
+type lease struct {
+	announcement Announcement
+	state        TargetState
+	renewed      time.Time
+	// withdrawn is when the target withdrew or its announcement lapsed.
+	withdrawn time.Time
+	// drained is set by the operator or by a stop of the daemon.
+	drained bool
+}
+
+// check returns the target state of an announcement.
+func check(a Announcement) (TargetState, error) {
+	state, ok := targetStates[a.State]
+	if !ok {
+		return NoTarget, fmt.Errorf("%w: state %q is not cold, ready or draining", ErrAnnouncement, a.State)
+	}
+	workspace, name, found := strings.Cut(a.Service, "/")
+	if !found || workspace == "" || name == "" {
+		return NoTarget, fmt.Errorf("%w: service %q is not workspace/service", ErrAnnouncement, a.Service)
+	}
+	if a.Address == "" {
+		return NoTarget, fmt.Errorf("%w: no address", ErrAnnouncement)
+	}
+	if a.Slots < 1 {
+		return NoTarget, fmt.Errorf("%w: %d slots", ErrAnnouncement, a.Slots)
+	}
+	return state, nil
+}
+
+// renew takes an announcement.
+func (l *lease) renew(a Announcement, now time.Time) error {
+	state, err := check(a)
+	if err != nil {
+		return err
+	}
+	l.announcement = a
+	l.state = state
+	l.renewed = now
+	l.withdrawn = time.Time{}
+	return nil
+}
+
+// withdraw takes the target out.
+func (l *lease) withdraw(now time.Time) {
+	if l.state == NoTarget || !l.withdrawn.IsZero() {
+		return
+	}
+	l.withdrawn = now
+}
+
+// expire moves the lease on with time and reports whether it lapsed just now.
+func (l *lease) expire(now time.Time) (lapsed bool) {
+	if l.state == NoTarget {
+		return false
+	}
+	if l.withdrawn.IsZero() && now.Sub(l.renewed) >= announcementLease {
+		l.withdrawn = now
+		lapsed = true
+	}
+	if !l.withdrawn.IsZero() && now.Sub(l.withdrawn) >= withdrawalTime {
+		l.state = NoTarget
+		l.announcement = Announcement{}
+	}
+	return lapsed
+}
+
+// current is the target state that the daemon tells others.
+func (l *lease) current() TargetState {
+	if l.state == NoTarget {
+		return NoTarget
+	}
+	if l.drained || !l.withdrawn.IsZero() {
+		return Draining
+	}
+	return l.state
+}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -88,6 +88,9 @@
 	Members map[string]Member
 	// ByService lists members with a target by the service's full name, sorted by host.
 	ByService map[string][]Member
+	// Stale is set while this daemon hears of nobody or finds most hosts
+	// unreachable, which says more of its own links than of the hosts.
+	Stale bool
 }
 
 // Directory is what other slices ask of membership.
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,120 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// startZones starts a mesh of two regions with three zones each.
+func startZones(t *testing.T, perZone int) (*mesh, int) {
+	m := newMesh(t)
+	for _, region := range []string{"north", "south"} {
+		for zone := range 3 {
+			m.startZone(region, zone, perZone, 1)
+		}
+	}
+	return m, 6 * perZone
+}
+
+func hostName(region string, zone, number int) string {
+	return fmt.Sprintf("%s-%d-%d", region, zone, number)
+}
+
+// startZone starts all daemons of a zone.
+func (m *mesh) startZone(region string, zone, count int, incarnation uint64) {
+	for number := range count {
+		host := hostName(region, zone, number)
+		m.start(region, fmt.Sprintf("%s-%d", region, zone), host, incarnation, hostName("north", 0, 0), hostName("south", 0, 0))
+	}
+}
+
+func announce(t *testing.T, d *daemon, state string) {
+	t.Helper()
+	assert.NilError(t, d.Announce(Announcement{Service: "w/s", Address: "127.0.0.1:1", Slots: 4, State: state}))
+}
+
+func TestDrainingIsSeenEverywhereWithinTwoSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, count := startZones(t, 5)
+		defer m.killAll()
+		m.settle(15*time.Second, "complete", knowsAll(count))
+		host := hostName("south", 2, 3)
+		announce(t, m.daemons[host], "ready")
+		m.settle(2*time.Second, "ready", seesTarget(host, Ready))
+		m.daemons[host].Drain()
+		took := m.settle(2*time.Second, "draining", seesTarget(host, Draining))
+		t.Logf("draining seen by %d daemons after %s", count, took)
+	})
+}
+
+func seesTarget(host string, state TargetState) func(*daemon) bool {
+	return func(d *daemon) bool { return d.View().Members[host].TargetState == state }
+}
+
+func TestLapsedAnnouncementTakesNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		d := m.start("r", "z", "a", 1)
+		announce(t, d, "ready")
+		assert.Equal(t, d.View().Self.TargetState, Ready)
+		time.Sleep(announcementLease - time.Second)
+		announce(t, d, "ready")
+		time.Sleep(announcementLease - time.Second)
+		synctest.Wait()
+		assert.Equal(t, d.View().Self.TargetState, Ready)
+		m.settle(2*time.Second, "draining", seesTarget("a", Draining))
+		m.settle(withdrawalTime+time.Second, "without target", seesTarget("a", NoTarget))
+		assert.Equal(t, len(d.View().ByService["w/s"]), 0)
+	})
+}
+
+func TestLeaveTellsNeighbours(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		a := m.start("r", "z", "a", 1)
+		b := m.start("r", "z", "b", 1, "a")
+		m.settle(5*time.Second, "complete", knowsAll(2))
+		assert.NilError(t, b.Leave(t.Context()))
+		synctest.Wait()
+		time.Sleep(viewInterval)
+		synctest.Wait()
+		assert.Equal(t, a.View().Members["b"].State, Leaving)
+		assert.NilError(t, b.Depart(t.Context()))
+		time.Sleep(viewInterval)
+		synctest.Wait()
+		assert.Equal(t, a.View().Members["b"].State, Left)
+	})
+}
+
+func TestFloorComesFromObservers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		for number := range 8 {
+			options := Options{Position: func() (uint64, []byte) { return 41, []byte("d") }}
+			options.Identity.Host = hostName("r", 0, number)
+			options.Identity.Zone, options.Identity.Region = "z", "r"
+			options.Identity.Incarnation = 1
+			options.Seeds = []string{hostName("r", 0, 0)}
+			m.startWith(options)
+		}
+		m.settle(10*time.Second, "complete", knowsAll(8))
+		time.Sleep(3 * time.Second)
+		host := hostName("r", 0, 5)
+		m.kill(host)
+		m.kill(hostName("r", 0, 6))
+		returned := m.start("r", "z", host, 2, hostName("r", 0, 0))
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		offset, answered := returned.Floor(ctx)
+		assert.Equal(t, offset, uint64(41))
+		assert.Assert(t, answered >= 3, "answered by %d", answered)
+	})
+}
--- /dev/null
+++ b/internal/membership/mesh_test.go
@@ -0,0 +1,305 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/mulberrybank/mulberrybank/internal/logging"
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+)
+
+const (
+	zoneLatency   = 500 * time.Microsecond
+	regionLatency = 20 * time.Millisecond
+)
+
+// mesh runs daemons in memory.
+type mesh struct {
+	t       *testing.T
+	net     *fakeNetwork
+	daemons map[string]*daemon
+}
+
+// daemon is one process of a mesh.
+type daemon struct {
+	*Membership
+	identity peer.Identity
+	stop     context.CancelFunc
+	tasks    conc.WaitGroup
+}
+
+func newMesh(t *testing.T) *mesh {
+	return &mesh{t: t, net: newFakeNetwork(), daemons: make(map[string]*daemon)}
+}
+
+// start runs a daemon on a host, named "region/zone/number".
+func (m *mesh) start(region, zone, host string, incarnation uint64, seeds ...string) *daemon {
+	return m.startWith(Options{
+		Identity: peer.Identity{Host: host, Zone: zone, Region: region, Incarnation: incarnation},
+		Seeds:    seeds,
+	})
+}
+
+func (m *mesh) startWith(options Options) *daemon {
+	id := options.Identity
+	options.Self = Member{Host: id.Host, Zone: id.Zone, Region: id.Region, ControlAddress: id.Host, CallsAddress: id.Host}
+	traffic := peer.NewTraffic()
+	options.Dialer = peer.NewDialer(id, traffic, m.net.dialFrom(id))
+	d := &daemon{Membership: New(options), identity: id}
+	log := logging.Part(logrus.New(), "peer")
+	server := peer.NewServer(id, traffic, log)
+	if err := d.Register(server.Mux()); err != nil {
+		m.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(m.t.Context())
+	d.stop = cancel
+	listener := m.net.listen(id)
+	d.tasks.Go(func() { _ = server.Serve(ctx, listener) })
+	d.tasks.Go(func() { _ = d.Run(ctx) })
+	m.daemons[id.Host] = d
+	return d
+}
+
+// kill ends a daemon without a word to its peers.
+func (m *mesh) kill(host string) {
+	d := m.daemons[host]
+	delete(m.daemons, host)
+	d.stop()
+	d.tasks.Wait()
+}
+
+func (m *mesh) killAll() {
+	for host := range m.daemons {
+		m.daemons[host].stop()
+	}
+	for host := range m.daemons {
+		m.kill(host)
+	}
+	m.net.tasks.Wait()
+}
+
+// settle waits in virtual time until a condition holds on all daemons.
+func (m *mesh) settle(limit time.Duration, what string, holds func(d *daemon) bool) time.Duration {
+	m.t.Helper()
+	start := time.Now()
+	for time.Since(start) <= limit {
+		synctest.Wait()
+		if m.all(holds) {
+			return time.Since(start)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for host, d := range m.daemons {
+		if !holds(d) {
+			m.t.Fatalf("%s: not %s after %s: %s", host, what, limit, describe(d.View()))
+		}
+	}
+	m.t.Fatalf("not all %s at one time within %s", what, limit)
+	return 0
+}
+
+func (m *mesh) all(holds func(d *daemon) bool) bool {
+	for _, d := range m.daemons {
+		if !holds(d) {
+			return false
+		}
+	}
+	return true
+}
+
+func describe(view *View) string {
+	text := fmt.Sprintf("stale=%t", view.Stale)
+	for host, member := range view.Members {
+		text += fmt.Sprintf(" %s:state=%d,target=%d,reach=%d,pos=%v", host, member.State, member.TargetState, member.Reach, member.Position)
+	}
+	return text
+}
+
+// knowsAll reports whether a view holds so many hosts, all in reach.
+func knowsAll(count int) func(d *daemon) bool {
+	return func(d *daemon) bool {
+		return len(d.View().Members) == count && d.View().reachable() == count
+	}
+}
+
+// fakeNetwork connects daemons through pipes with latency and faults.
+type fakeNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*fakeListener
+	// cut tells whether traffic from one daemon to another is lost.
+	cut func(from, to peer.Identity) bool
+	// silent tells whether bytes are lost on connections opened up to silentUntil.
+	silent      func(from, to peer.Identity) bool
+	silentUntil time.Time
+	// dials counts connections opened.
+	dials int
+	tasks conc.WaitGroup
+}
+
+func newFakeNetwork() *fakeNetwork {
+	never := func(peer.Identity, peer.Identity) bool { return false }
+	return &fakeNetwork{listeners: make(map[string]*fakeListener), cut: never, silent: never}
+}
+
+func (f *fakeNetwork) setCut(cut func(from, to peer.Identity) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+// silence makes open connections lose bytes. New ones work.
+func (f *fakeNetwork) silence(silent func(from, to peer.Identity) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+	f.silentUntil = time.Now()
+}
+
+func (f *fakeNetwork) heal() {
+	never := func(peer.Identity, peer.Identity) bool { return false }
+	f.setCut(never)
+	f.silence(never)
+}
+
+func (f *fakeNetwork) isCut(from, to peer.Identity) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut(from, to)
+}
+
+func (f *fakeNetwork) isSilent(from, to peer.Identity, opened time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut(from, to) || !opened.After(f.silentUntil) && f.silent(from, to)
+}
+
+func (f *fakeNetwork) listen(id peer.Identity) net.Listener {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listener := &fakeListener{id: id, conns: make(chan net.Conn), closed: make(chan struct{}), network: f}
+	f.listeners[id.Host] = listener
+	return listener
+}
+
+func (f *fakeNetwork) dialFrom(from peer.Identity) peer.DialFunc {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		f.mu.Lock()
+		listener, ok := f.listeners[address]
+		f.dials++
+		f.mu.Unlock()
+		if !ok {
+			return nil, errors.New("connection refused")
+		}
+		if f.isCut(from, listener.id) || f.isCut(listener.id, from) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		near, far := f.pipe(from, listener.id)
+		select {
+		case listener.conns <- far:
+			return near, nil
+		case <-listener.closed:
+		case <-ctx.Done():
+		}
+		_ = near.Close()
+		_ = far.Close()
+		return nil, errors.New("connection refused")
+	}
+}
+
+// pipe returns both ends of a connection with latency.
+func (f *fakeNetwork) pipe(from, to peer.Identity) (near, far net.Conn) {
+	near, nearWire := net.Pipe()
+	far, farWire := net.Pipe()
+	f.tasks.Go(func() { f.carry(nearWire, farWire, from, to) })
+	f.tasks.Go(func() { f.carry(farWire, nearWire, to, from) })
+	return near, far
+}
+
+// carry copies one direction of a connection.
+func (f *fakeNetwork) carry(in, out net.Conn, from, to peer.Identity) {
+	type chunk struct {
+		data []byte
+		due  time.Time
+	}
+	opened := time.Now()
+	chunks := make(chan chunk, 64)
+	f.tasks.Go(func() {
+		defer out.Close()
+		for c := range chunks {
+			time.Sleep(time.Until(c.due))
+			if f.isSilent(from, to, opened) {
+				continue
+			}
+			if _, err := out.Write(c.data); err != nil {
+				_ = in.Close()
+			}
+		}
+	})
+	defer close(chunks)
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := in.Read(buffer)
+		if n > 0 {
+			chunks <- chunk{data: append([]byte(nil), buffer[:n]...), due: time.Now().Add(latency(from, to))}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func latency(from, to peer.Identity) time.Duration {
+	if from.Region != to.Region {
+		return regionLatency
+	}
+	return zoneLatency
+}
+
+type fakeListener struct {
+	id      peer.Identity
+	conns   chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+	network *fakeNetwork
+}
+
+func (l *fakeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *fakeListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[l.id.Host] == l {
+			delete(l.network.listeners, l.id.Host)
+		}
+	})
+	return nil
+}
+
+func (l *fakeListener) Addr() net.Addr { return fakeAddr(l.id.Host) }
+
+type fakeAddr string
+
+func (fakeAddr) Network() string  { return "fake" }
+func (a fakeAddr) String() string { return string(a) }
+
+var _ io.Closer = (*fakeListener)(nil)
--- /dev/null
+++ b/internal/membership/metrics.go
@@ -0,0 +1,43 @@
+package membership
+
+import "github.com/VictoriaMetrics/metrics"
+
+// counts are the metrics of this slice.
+type counts struct {
+	heartbeats         *metrics.Counter
+	failures           *metrics.Counter
+	entriesSent        *metrics.Counter
+	entriesTaken       *metrics.Counter
+	comparisons        *metrics.Counter
+	comparisonsRefused *metrics.Counter
+	probes             *metrics.Counter
+}
+
+func newCounts(set *metrics.Set, m *Membership) *counts {
+	set.NewGauge("mulberrybank_membership_hosts", func() float64 {
+		return float64(len(m.View().Members))
+	})
+	set.NewGauge("mulberrybank_membership_hosts_reachable", func() float64 {
+		return float64(m.View().reachable())
+	})
+	return &counts{
+		heartbeats:         set.NewCounter("mulberrybank_membership_heartbeats_total"),
+		failures:           set.NewCounter("mulberrybank_membership_contact_failures_total"),
+		entriesSent:        set.NewCounter("mulberrybank_membership_entries_sent_total"),
+		entriesTaken:       set.NewCounter("mulberrybank_membership_entries_taken_total"),
+		comparisons:        set.NewCounter("mulberrybank_membership_comparisons_total"),
+		comparisonsRefused: set.NewCounter("mulberrybank_membership_comparisons_refused_total"),
+		probes:             set.NewCounter("mulberrybank_membership_probes_total"),
+	}
+}
+
+// reachable counts the members in reach.
+func (v *View) reachable() int {
+	count := 0
+	for _, member := range v.Members {
+		if member.Reach == Reachable && member.State != Left {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/membership/neighbour.go
@@ -0,0 +1,245 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/sourcegraph/conc"
+
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+)
+
+const (
+	// heartbeatInterval is the time between heartbeats to a peer of the region.
+	heartbeatInterval = time.Second
+	// farHeartbeatInterval is the time between heartbeats to another region.
+	farHeartbeatInterval = 2 * time.Second
+	// heartbeatTimeout bounds one heartbeat.
+	heartbeatTimeout = time.Second
+	// pushInterval is the least time between two messages to one peer.
+	pushInterval = 5 * time.Millisecond
+	// redialInterval and maxRedialInterval bound the time between dials.
+	redialInterval    = 200 * time.Millisecond
+	maxRedialInterval = 5 * time.Second
+	// startSpread is the span over which first dials are spread.
+	startSpread = 100 * time.Millisecond
+	// choiceInterval is the least time between two choices of neighbours.
+	choiceInterval = 100 * time.Millisecond
+	// reconcileInterval is the longest time between two choices of neighbours.
+	reconcileInterval = time.Second
+	// kind names this slice in the byte counts.
+	kind = "membership"
+)
+
+// errOtherHost is returned when another host answers at an address.
+var errOtherHost = errors.New("another host answered")
+
+// wantedPeer is a daemon that this one should talk with.
+type wantedPeer struct {
+	address string
+	// host is empty for a seed.
+	host  string
+	scope peer.Scope
+	role  role
+}
+
+// role says why a peer is wanted.
+type role int
+
+const (
+	// zoneRole peers are observed for the zone.
+	zoneRole role = iota
+	bridgeRole
+	seedRole
+)
+
+// neighbour is a peer that this daemon dials and its task's state. connected
+// and sent are guarded by the mutex of Membership, the rest is the task's.
+type neighbour struct {
+	wantedPeer
+	cancel    context.CancelFunc
+	wake      chan struct{}
+	connected bool
+	// sent is the sequence number up to which entries were sent.
+	sent uint64
+	toldState
+	failures int
+	// unequal counts heartbeats in a row with different summaries.
+	unequal int
+	compare time.Time
+	// owed are hosts whose entries the peer lacks.
+	owed []string
+}
+
+// keepNeighbours is the task that starts and ends the tasks of neighbours.
+func (m *Membership) keepNeighbours(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	for {
+		changed := m.Changed()
+		m.reconcile(ctx, &tasks)
+		timer := time.NewTimer(jitter(reconcileInterval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-changed:
+		case <-m.reconsider:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if !pause(ctx, choiceInterval) {
+			return
+		}
+	}
+}
+
+// reconcile makes the running tasks those of the wanted peers.
+func (m *Membership) reconcile(ctx context.Context, tasks *conc.WaitGroup) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wanted := m.wantedPeers()
+	for address, n := range m.neighbours {
+		want, ok := wanted[address]
+		if !ok || want != n.wantedPeer {
+			n.cancel()
+			delete(m.neighbours, address)
+		}
+	}
+	for address, want := range wanted {
+		if _, ok := m.neighbours[address]; ok {
+			continue
+		}
+		n := &neighbour{wantedPeer: want, wake: make(chan struct{}, 1), sent: m.table.sequence}
+		peerCtx, cancel := context.WithCancel(ctx)
+		n.cancel = cancel
+		m.neighbours[address] = n
+		tasks.Go(func() { m.runNeighbour(peerCtx, n) })
+	}
+}
+
+// runNeighbour is the task of one neighbour. It keeps a connection open.
+func (m *Membership) runNeighbour(ctx context.Context, n *neighbour) {
+	defer n.cancel()
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = redialInterval
+	retry.MaxInterval = maxRedialInterval
+	if !pause(ctx, jitter(startSpread)) {
+		return
+	}
+	for ctx.Err() == nil {
+		beats, err := m.connect(ctx, n)
+		if ctx.Err() != nil {
+			return
+		}
+		if beats > 0 {
+			retry.Reset()
+		}
+		m.log.WithError(err).Debugf("no contact with %s at %s", n.host, n.address)
+		m.counts.failures.Inc()
+		m.failed(ctx, n)
+		timer := time.NewTimer(retry.NextBackOff())
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-n.wake:
+		}
+		timer.Stop()
+	}
+}
+
+// connect opens a connection and sends heartbeats until one fails. It returns
+// the number of heartbeats that were answered.
+func (m *Membership) connect(ctx context.Context, n *neighbour) (beats int, err error) {
+	conn, err := m.dial(ctx, n.host, n.address)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	defer m.setConnected(n, false)
+	client := NewDRPCMembershipClient(conn)
+	for {
+		more, err := m.beat(ctx, client, conn.Peer, n, beats == 0)
+		if err != nil {
+			return beats, fmt.Errorf("heartbeat to %s: %w", conn.Peer.Host, err)
+		}
+		beats++
+		if !m.awaitBeat(ctx, n, more) {
+			return beats, ctx.Err()
+		}
+	}
+}
+
+// dial connects to a host. An empty host stands for whoever answers.
+func (m *Membership) dial(ctx context.Context, host, address string) (*peer.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	conn, err := m.options.Dialer.Dial(ctx, kind, address)
+	if err != nil {
+		return nil, err
+	}
+	if host != "" && conn.Peer.Host != host {
+		_ = conn.Close()
+		return nil, fmt.Errorf("dial %s at %s: %w: %s", host, address, errOtherHost, conn.Peer.Host)
+	}
+	return conn, nil
+}
+
+// awaitBeat waits until the next heartbeat is due and reports false when ctx
+// ended first.
+func (m *Membership) awaitBeat(ctx context.Context, n *neighbour, more bool) bool {
+	if !pause(ctx, pushInterval) {
+		return false
+	}
+	if more {
+		return true
+	}
+	interval := heartbeatInterval
+	if n.scope == peer.BetweenRegions {
+		interval = farHeartbeatInterval
+	}
+	timer := time.NewTimer(interval - interval/10 + jitter(interval/10))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-n.wake:
+	}
+	return true
+}
+
+func (m *Membership) setConnected(n *neighbour, connected bool) {
+	m.mu.Lock()
+	n.connected = connected
+	m.mu.Unlock()
+	m.told.notify()
+}
+
+// wakeNeighbours makes all neighbours but one send at once.
+func (m *Membership) wakeNeighbours(except string) {
+	for _, n := range m.neighbours {
+		if n.host != except || except == "" {
+			n.wakeUp()
+		}
+	}
+}
+
+// wakeHost makes the tasks of one host act at once.
+func (m *Membership) wakeHost(host string) {
+	for _, n := range m.neighbours {
+		if n.host == host {
+			n.wakeUp()
+		}
+	}
+}
+
+func (n *neighbour) wakeUp() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/membership/ring.go
@@ -0,0 +1,135 @@
+package membership
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// ringDegree is the number of zone neighbours that a daemon dials.
+	ringDegree = 3
+	// bridgesPerZone is the number of daemons that connect a zone to others.
+	bridgesPerZone = 2
+	// regionLinks is the number of zones that connect a region to another.
+	regionLinks = 2
+)
+
+// ranked is a value with its place by hash.
+type ranked[T any] struct {
+	value T
+	hash  uint64
+}
+
+// byHash sorts values by the hash of their names, highest first.
+func byHash[T any](values []T, name func(T) string) []T {
+	places := make([]ranked[T], 0, len(values))
+	for _, value := range values {
+		places = append(places, ranked[T]{value: value, hash: xxhash.Sum64String(name(value))})
+	}
+	slices.SortFunc(places, func(a, b ranked[T]) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(name(a.value), name(b.value)))
+	})
+	sorted := make([]T, 0, len(places))
+	for _, place := range places {
+		sorted = append(sorted, place.value)
+	}
+	return sorted
+}
+
+func hostOf(m Member) string { return m.Host }
+
+// ringOffsets returns how far along the ring the neighbours of a daemon lie.
+// Steps of growing length keep the number of hops to any member small.
+func ringOffsets(size int) []int {
+	step := math.Cbrt(float64(size))
+	offsets := make([]int, 0, ringDegree)
+	distance := 1.0
+	for range ringDegree {
+		offset := max(int(math.Round(distance)), len(offsets)+1)
+		if offset < size {
+			offsets = append(offsets, offset)
+		}
+		distance *= step
+	}
+	return offsets
+}
+
+// ringNeighbours returns the members that self dials in its zone. members
+// are the living ones of the zone and include self.
+func ringNeighbours(self string, members []Member) []Member {
+	return ringMembers(self, members, 1)
+}
+
+// ringObservers returns the members of the zone that dial self.
+func ringObservers(self string, members []Member) []Member {
+	return ringMembers(self, members, -1)
+}
+
+// ringMembers returns the members at the ring's offsets from self, forwards
+// for direction 1 and backwards for -1.
+func ringMembers(self string, members []Member, direction int) []Member {
+	ring := byHash(members, hostOf)
+	index := slices.IndexFunc(ring, func(m Member) bool { return m.Host == self })
+	if index < 0 {
+		return nil
+	}
+	var found []Member
+	for _, offset := range ringOffsets(len(ring)) {
+		found = append(found, ring[(index+direction*offset+len(ring))%len(ring)])
+	}
+	return found
+}
+
+// bridgeOrder returns members in the order in which they serve as bridges.
+func bridgeOrder(members []Member) []Member {
+	return byHash(members, func(m Member) string { return "bridge/" + m.Host })
+}
+
+// bridgesOf returns the daemons that connect a zone, the first choice first.
+func bridgesOf(members []Member) []Member {
+	ordered := bridgeOrder(members)
+	return ordered[:min(bridgesPerZone, len(ordered))]
+}
+
+// bridgeRank returns the rank of a host among the bridges of its zone.
+func bridgeRank(self string, members []Member) (rank int, ok bool) {
+	rank = slices.IndexFunc(bridgesOf(members), func(m Member) bool { return m.Host == self })
+	return rank, rank >= 0
+}
+
+// zoneMembers are the living members of one zone.
+type zoneMembers struct {
+	zone    string
+	region  string
+	members []Member
+}
+
+// linkOrder returns zones in the order in which they link regions.
+func linkOrder(zones []*zoneMembers) []*zoneMembers {
+	return byHash(zones, func(z *zoneMembers) string { return "link/" + z.zone })
+}
+
+// linkZones returns the zones that link their region to others.
+func linkZones(zones []*zoneMembers) []*zoneMembers {
+	ordered := linkOrder(zones)
+	return ordered[:min(regionLinks, len(ordered))]
+}
+
+// bridgeAt returns the member that a bridge of some rank dials in a zone after
+// so many attempts at others.
+func bridgeAt(zone *zoneMembers, rank, attempt int) Member {
+	ordered := bridgeOrder(zone.members)
+	return ordered[(rank+attempt)%len(ordered)]
+}
+
+// linkAt returns the member of another region that a bridge of some rank
+// dials after so many attempts at others. link is the rank of its zone among
+// the zones that link its region.
+func linkAt(zones []*zoneMembers, link, rank, attempt int) Member {
+	ordered := linkOrder(zones)
+	zone := ordered[(link+attempt)%len(ordered)]
+	return bridgeAt(zone, rank, attempt/len(ordered))
+}
--- /dev/null
+++ b/internal/membership/server.go
@@ -0,0 +1,99 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+)
+
+// errNoIdentity is returned to a request from outside a peer connection.
+var errNoIdentity = errors.New("connection without hello")
+
+// server answers the requests of other daemons.
+type server struct {
+	membership *Membership
+}
+
+// Heartbeat takes what a peer tells and answers with what it lacks.
+func (s *server) Heartbeat(ctx context.Context, request *HeartbeatRequest) (*HeartbeatAnswer, error) {
+	remote, ok := peer.FromContext(ctx)
+	if !ok {
+		return nil, errNoIdentity
+	}
+	m := s.membership
+	m.take(request.GetEntries(), remote.Host)
+	answer := m.answer(remote, request)
+	m.reportPosition(remote.Host)
+	return answer, nil
+}
+
+// answer returns the answer to a heartbeat whose entries have been taken.
+func (m *Membership) answer(remote peer.Identity, request *HeartbeatRequest) *HeartbeatAnswer {
+	offset, digest := m.options.Position()
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.hear(remote, request.GetOffset(), request.GetDigest(), now)
+	answer := &HeartbeatAnswer{}
+	if request.GetFirst() {
+		c.told = toldState{sent: m.table.sequence}
+		answer.Floor = m.floors[remote.Host]
+	}
+	rows, sent := m.table.changedAfter(c.told.sent, remote.Host, maxEntries)
+	if request.GetFirst() {
+		rows = append(rows, m.self())
+	}
+	if r, ok := m.table.rows[remote.Host]; ok && isOutdated(request.GetEntries(), r) {
+		rows = append(rows, r)
+	}
+	c.told.sent = sent
+	if len(request.GetBuckets()) > 0 {
+		rows = append(rows, m.compare(request.GetBuckets(), answer)...)
+	}
+	answer.Entries = encodeEntries(rows, now)
+	answer.Offset, answer.Digest = c.told.position(offset, digest)
+	answer.Summary = m.table.summary()
+	m.counts.entriesSent.Add(len(rows))
+	return answer
+}
+
+// isOutdated reports whether entries hold an older one of a row's host.
+func isOutdated(messages []*Entry, r *row) bool {
+	for _, message := range messages {
+		position := Position{Incarnation: message.GetIncarnation(), Counter: message.GetCounter()}
+		if message.GetHost() == r.host && r.position.After(position) {
+			return true
+		}
+	}
+	return false
+}
+
+// compare returns the rows of buckets that differ, and names the buckets in
+// the answer. It refuses when too many peers compare at once.
+func (m *Membership) compare(buckets []uint64, answer *HeartbeatAnswer) []*row {
+	if !m.comparisons.Allow() {
+		m.counts.comparisonsRefused.Inc()
+		answer.RetryMs = uint32(comparisonRetry / time.Millisecond)
+		return nil
+	}
+	m.counts.comparisons.Inc()
+	rows, covered, more := m.table.inDifferingBuckets(buckets, maxEntries)
+	answer.Wanted = covered
+	answer.More = more
+	return rows
+}
+
+// Probe dials another daemon for a peer that does not reach it.
+func (s *server) Probe(ctx context.Context, request *ProbeRequest) (*ProbeAnswer, error) {
+	m := s.membership
+	select {
+	case m.probes <- struct{}{}:
+		defer func() { <-m.probes }()
+	default:
+		return &ProbeAnswer{Refused: true}, nil
+	}
+	reached := m.dialHost(ctx, request.GetHost(), request.GetControlAddress()) == nil
+	return &ProbeAnswer{Reached: reached}, nil
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,77 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// publishedView is the view that others read.
+type publishedView struct {
+	current atomic.Pointer[View]
+	changed broadcast
+}
+
+func (p *publishedView) set(view *View) {
+	p.current.Store(view)
+	p.changed.notify()
+}
+
+// broadcast wakes all that wait for the next event.
+type broadcast struct {
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+// wait returns a channel that is closed at the next event.
+func (b *broadcast) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.next == nil {
+		b.next = make(chan struct{})
+	}
+	return b.next
+}
+
+// notify wakes all that wait.
+func (b *broadcast) notify() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.next != nil {
+		close(b.next)
+		b.next = nil
+	}
+}
+
+// member returns a row as others see it.
+func (r *row) member() Member {
+	return Member{
+		Host:           r.host,
+		Zone:           r.zone,
+		Region:         r.region,
+		Position:       r.position,
+		State:          r.state,
+		ControlAddress: r.controlAddress,
+		CallsAddress:   r.callsAddress,
+		Service:        r.service,
+		Slots:          r.slots,
+		TargetState:    r.targetState,
+		Since:          r.since,
+		Heard:          r.heard,
+	}
+}
+
+// newView returns a view of members.
+func newView(self string, members map[string]Member) *View {
+	services := make(map[string][]Member)
+	for _, member := range members {
+		if member.Service != "" && member.TargetState != NoTarget {
+			services[member.Service] = append(services[member.Service], member)
+		}
+	}
+	for _, targets := range services {
+		slices.SortFunc(targets, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
+	}
+	return &View{Self: members[self], Members: members, ByService: services}
+}
