--- /dev/null
+++ b/internal/distribute/client.go
@@ -0,0 +1,75 @@
+package distribute
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+)
+
+// openFollow dials a source and opens the stream.
+func (d *Distributor) openFollow(ctx context.Context, source Source) (upLink, error) {
+	conn, err := d.dialer.Dial(ctx, trafficKind, source.Address)
+	if err != nil {
+		return nil, fmt.Errorf("follow %s: %w", source, err)
+	}
+	stream, err := NewDRPCDistributeClient(conn).Follow(ctx)
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("follow %s: open stream: %w", source, err)
+	}
+	return &clientLink{conn: conn, stream: stream, decode: newDecoder(d.now)}, nil
+}
+
+// clientLink is the follower's end of a stream over drpc.
+type clientLink struct {
+	conn   *peer.Conn
+	stream DRPCDistribute_FollowClient
+	decode *wireDecoder
+}
+
+func (l *clientLink) Send(message ack) error {
+	return l.stream.Send(ackToWire(message, l.decode.now()))
+}
+
+func (l *clientLink) Recv() (update, error) {
+	message, err := l.stream.Recv()
+	if err != nil {
+		return update{}, err
+	}
+	return l.decode.update(message), nil
+}
+
+func (l *clientLink) Close() { _ = l.conn.Close() }
+
+// catchUp asks a peer once for what this daemon lacks.
+func (d *Distributor) catchUp(ctx context.Context, address string, offset uint64, digest []byte) (catchUpAnswer, error) {
+	conn, err := d.dialer.Dial(ctx, trafficKind, address)
+	if err != nil {
+		return catchUpAnswer{}, fmt.Errorf("catch up: %w", err)
+	}
+	defer conn.Close()
+	request := &CatchUpRequest{Offset: offset, Digest: digest}
+	answer, err := NewDRPCDistributeClient(conn).CatchUp(ctx, request)
+	if err != nil {
+		return catchUpAnswer{}, fmt.Errorf("catch up from %s: %w", conn.Peer.Host, err)
+	}
+	return catchUpFromWire(answer), nil
+}
+
+// exchange trades summaries with the reader of another region.
+func (d *Distributor) exchange(ctx context.Context, address string, own []RegionSummary) ([]RegionSummary, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	conn, err := d.dialer.Dial(ctx, trafficKind, address)
+	if err != nil {
+		return nil, fmt.Errorf("exchange summaries: %w", err)
+	}
+	defer conn.Close()
+	request := &ExchangeRequest{Regions: regionsToWire(own, d.now())}
+	answer, err := NewDRPCDistributeClient(conn).Exchange(ctx, request)
+	if err != nil {
+		return nil, fmt.Errorf("exchange summaries with %s: %w", conn.Peer.Host, err)
+	}
+	return newDecoder(d.now).regions(answer.GetRegions()), nil
+}
--- /dev/null
+++ b/internal/distribute/convergence.go
@@ -0,0 +1,108 @@
+package distribute
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+)
+
+// Convergence is what one daemon knows of the offsets in force everywhere.
+type Convergence struct {
+	// Offset is the highest offset known to be in force anywhere.
+	Offset uint64
+	// Daemons counts the daemons that ought to be at Offset, Reached those
+	// known to be.
+	Daemons int
+	Reached int
+	Zones   []ZoneSummary
+	// Missing names daemons that are not known to be at Offset.
+	Missing []LaggingHost
+	// ConfigurationAge is the time since this daemon's fold was known to be
+	// the newest of the log, -1 when it never was.
+	ConfigurationAge time.Duration
+	// KnowledgeAge is the age of the oldest summary used, -1 without any.
+	KnowledgeAge time.Duration
+}
+
+// Convergence returns what this daemon knows of the offsets in force.
+func (d *Distributor) Convergence() Convergence {
+	now := d.now()
+	known := d.regions.all()
+	own, _ := d.enforcer.Position()
+	if len(known) == 0 {
+		known = []RegionSummary{{Root: d.self.Host, Made: now, Zones: d.subtree()}}
+	}
+	status := converge(known, d.directory.View(), own)
+	status.ConfigurationAge = age(now, d.state.freshness())
+	status.KnowledgeAge = -1
+	for _, summary := range known {
+		status.KnowledgeAge = max(status.KnowledgeAge, now.Sub(summary.Made))
+	}
+	return status
+}
+
+func age(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at)
+}
+
+// converge joins summaries with the directory. own is the offset of the
+// daemon that asks, which counts as known.
+func converge(known []RegionSummary, view *membership.View, own uint64) Convergence {
+	var all []ZoneSummary
+	for _, summary := range known {
+		all = append(all, summary.Zones...)
+	}
+	status := Convergence{Offset: own, Zones: mergeZones(all)}
+	for _, zone := range status.Zones {
+		status.Offset = max(status.Offset, zone.Highest)
+	}
+	for _, zone := range status.Zones {
+		if zone.Highest == status.Offset {
+			status.Reached += zone.AtHighest
+		}
+	}
+	status.Daemons = max(expected(view), status.Reached)
+	if status.Reached < status.Daemons {
+		status.Missing = missing(status.Zones, view, status.Offset)
+	}
+	return status
+}
+
+// expected counts the daemons that did not leave in order.
+func expected(view *membership.View) int {
+	count := 0
+	for _, member := range view.Members {
+		if member.State != membership.Left {
+			count++
+		}
+	}
+	return count
+}
+
+// missing names the daemons below an offset: those that their parents name,
+// and those that the directory has lost contact with.
+func missing(zones []ZoneSummary, view *membership.View, offset uint64) []LaggingHost {
+	byHost := make(map[string]LaggingHost)
+	for _, zone := range zones {
+		for _, host := range zone.Behind {
+			if host.Offset < offset {
+				byHost[host.Host] = host
+			}
+		}
+	}
+	for _, member := range view.Members {
+		if member.State != membership.Left && member.Reach != membership.Reachable && member.InForce < offset {
+			byHost[member.Host] = LaggingHost{Host: member.Host, Offset: member.InForce, Heard: member.Heard}
+		}
+	}
+	hosts := make([]LaggingHost, 0, len(byHost))
+	for _, host := range byHost {
+		hosts = append(hosts, host)
+	}
+	slices.SortFunc(hosts, byOffset)
+	return hosts
+}
--- /dev/null
+++ b/internal/distribute/distribute_test.go
@@ -0,0 +1,41 @@
+package distribute
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// threeRegions is a mesh of three regions with two zones each.
+func threeRegions(t *testing.T, perZone int) *mesh {
+	m := newMesh(t)
+	for _, region := range []string{"greater-accra", "ashanti", "northern"} {
+		m.zone(region, region+"-a", perZone)
+		m.zone(region, region+"-b", perZone)
+	}
+	return m
+}
+
+func TestRecordsReachEveryDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := threeRegions(t, 8)
+		m.log.add("1", "2", "3")
+		m.startAll()
+		m.waitFor(3, 10*time.Second)
+		// After a minute the sources have settled.
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(m.rooted()), 3, "one reader of the log for each region")
+		began := time.Now()
+		m.log.add("4")
+		m.waitFor(4, time.Second)
+		assert.Assert(t, time.Since(began) < 100*time.Millisecond, "pushed, not polled")
+		_, digest := m.nodes["ashanti-a-0"].enforcer.Position()
+		for host, n := range m.nodes {
+			_, other := n.enforcer.Position()
+			assert.DeepEqual(t, other, digest)
+			assert.Equal(t, n.dist.Convergence().Daemons, 48, host)
+		}
+	})
+}
--- /dev/null
+++ b/internal/distribute/divergence.go
@@ -0,0 +1,52 @@
+package distribute
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+// divergedPeers remembers the peers whose digest differed, to tell of each
+// once.
+type divergedPeers struct {
+	mu    sync.Mutex
+	peers map[string]bool
+}
+
+func newDivergedPeers() *divergedPeers { return &divergedPeers{peers: make(map[string]bool)} }
+
+// first reports whether a peer has not been told of before.
+func (p *divergedPeers) first(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	told := p.peers[name]
+	p.peers[name] = true
+	return !told
+}
+
+// Compare checks the digest of a peer. Two daemons at one offset whose digests
+// differ have folded the same records to different configurations.
+func (d *Distributor) Compare(host string, offset uint64, digest []byte) {
+	d.compare(host, offset, digest)
+}
+
+func (d *Distributor) compare(name string, offset uint64, digest []byte) {
+	own, ownDigest := d.enforcer.Position()
+	if len(digest) == 0 || own != offset || bytes.Equal(digest, ownDigest) {
+		return
+	}
+	if !d.diverged.first(name) {
+		return
+	}
+	d.counters.divergences.Inc()
+	d.logger.Errorf("Configuration of %s differs at offset %d: %x here, %x there.", name, offset, ownDigest, digest)
+	d.events.Record(timeline.Event{
+		Kind:   timeline.Diverged,
+		Offset: offset,
+		Peer:   name,
+		Digest: fmt.Sprintf("%x", ownDigest),
+		Detail: fmt.Sprintf("%x", digest),
+	})
+}
--- /dev/null
+++ b/internal/distribute/encoding.go
@@ -0,0 +1,188 @@
+package distribute
+
+import (
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+)
+
+// Times cross the wire as ages, so that clocks need not agree.
+
+// ageToWire returns the age of a time plus one millisecond, 0 for no time.
+func ageToWire(at, now time.Time) uint64 {
+	if at.IsZero() {
+		return 0
+	}
+	return uint64(max(0, now.Sub(at).Milliseconds())) + 1
+}
+
+// ageFromWire reverses ageToWire.
+func ageFromWire(ms uint64, now time.Time) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ms-1) * time.Millisecond)
+}
+
+func ackToWire(message ack, now time.Time) *FollowRequest {
+	return &FollowRequest{
+		Offset: message.Offset,
+		Digest: message.Digest,
+		Zones:  zonesToWire(message.Zones, now),
+	}
+}
+
+func updateToWire(message update, now time.Time) *FollowAnswer {
+	return &FollowAnswer{
+		Records:     platform.RecordsToWire(message.Records),
+		Snapshot:    snapshotToWire(message.Snapshot),
+		Offset:      message.Offset,
+		Digest:      message.Digest,
+		AgeMs:       ageToWire(message.Fresh, now),
+		Path:        message.Path,
+		PathChanged: message.Path != nil,
+		Stopped:     message.Stopped,
+		Regions:     regionsToWire(message.Regions, now),
+	}
+}
+
+func snapshotToWire(snap *snapshot) *CompressedSnapshot {
+	if snap == nil {
+		return nil
+	}
+	return &CompressedSnapshot{Offset: snap.Offset, Digest: snap.Digest, State: snap.State}
+}
+
+func snapshotFromWire(wire *CompressedSnapshot) *snapshot {
+	if wire == nil {
+		return nil
+	}
+	return &snapshot{Offset: wire.GetOffset(), Digest: wire.GetDigest(), State: wire.GetState()}
+}
+
+func catchUpToWire(answer catchUpAnswer) *CatchUpAnswer {
+	return &CatchUpAnswer{
+		Records:      platform.RecordsToWire(answer.Records),
+		Snapshot:     snapshotToWire(answer.Snapshot),
+		Offset:       answer.Offset,
+		Digest:       answer.Digest,
+		RetryAfterMs: uint32(answer.RetryAfter.Milliseconds()),
+		Elsewhere:    answer.Elsewhere,
+	}
+}
+
+func catchUpFromWire(wire *CatchUpAnswer) catchUpAnswer {
+	return catchUpAnswer{
+		Records:    platform.RecordsFromWire(wire.GetRecords()),
+		Snapshot:   snapshotFromWire(wire.GetSnapshot()),
+		Offset:     wire.GetOffset(),
+		Digest:     wire.GetDigest(),
+		RetryAfter: time.Duration(wire.GetRetryAfterMs()) * time.Millisecond,
+		Elsewhere:  wire.GetElsewhere(),
+	}
+}
+
+func zonesToWire(zones []ZoneSummary, now time.Time) []*ZoneSummaryMessage {
+	wire := make([]*ZoneSummaryMessage, 0, len(zones))
+	for _, zone := range zones {
+		wire = append(wire, &ZoneSummaryMessage{
+			Zone:      zone.Zone,
+			Region:    zone.Region,
+			Daemons:   uint32(zone.Daemons),
+			Lowest:    zone.Lowest,
+			Highest:   zone.Highest,
+			AtHighest: uint32(zone.AtHighest),
+			Behind:    behindToWire(zone.Behind, now),
+		})
+	}
+	return wire
+}
+
+func behindToWire(hosts []LaggingHost, now time.Time) []*LaggingHostMessage {
+	wire := make([]*LaggingHostMessage, 0, len(hosts))
+	for _, host := range hosts {
+		wire = append(wire, &LaggingHostMessage{
+			Host:    host.Host,
+			Offset:  host.Offset,
+			HeardMs: ageToWire(host.Heard, now),
+		})
+	}
+	return wire
+}
+
+func regionsToWire(regions []RegionSummary, now time.Time) []*RegionSummaryMessage {
+	wire := make([]*RegionSummaryMessage, 0, len(regions))
+	for _, region := range regions {
+		wire = append(wire, &RegionSummaryMessage{
+			Root:  region.Root,
+			AgeMs: ageToWire(region.Made, now),
+			Zones: zonesToWire(region.Zones, now),
+		})
+	}
+	return wire
+}
+
+// wireDecoder decodes messages by the receiver's clock.
+type wireDecoder struct{ now func() time.Time }
+
+func newDecoder(now func() time.Time) *wireDecoder { return &wireDecoder{now: now} }
+
+func (d *wireDecoder) ack(wire *FollowRequest) ack {
+	return ack{Offset: wire.GetOffset(), Digest: wire.GetDigest(), Zones: d.zones(wire.GetZones())}
+}
+
+func (d *wireDecoder) update(wire *FollowAnswer) update {
+	message := update{
+		Records:  platform.RecordsFromWire(wire.GetRecords()),
+		Snapshot: snapshotFromWire(wire.GetSnapshot()),
+		Offset:   wire.GetOffset(),
+		Digest:   wire.GetDigest(),
+		Fresh:    ageFromWire(wire.GetAgeMs(), d.now()),
+		Stopped:  wire.GetStopped(),
+		Regions:  d.regions(wire.GetRegions()),
+	}
+	if wire.GetPathChanged() {
+		message.Path = append([]string{}, wire.GetPath()...)
+	}
+	return message
+}
+
+func (d *wireDecoder) zones(wire []*ZoneSummaryMessage) []ZoneSummary {
+	zones := make([]ZoneSummary, 0, len(wire))
+	for _, zone := range wire {
+		zones = append(zones, ZoneSummary{
+			Zone:      zone.GetZone(),
+			Region:    zone.GetRegion(),
+			Daemons:   int(zone.GetDaemons()),
+			Lowest:    zone.GetLowest(),
+			Highest:   zone.GetHighest(),
+			AtHighest: int(zone.GetAtHighest()),
+			Behind:    d.behind(zone.GetBehind()),
+		})
+	}
+	return zones
+}
+
+func (d *wireDecoder) behind(wire []*LaggingHostMessage) []LaggingHost {
+	hosts := make([]LaggingHost, 0, len(wire))
+	for _, host := range wire {
+		hosts = append(hosts, LaggingHost{
+			Host:   host.GetHost(),
+			Offset: host.GetOffset(),
+			Heard:  ageFromWire(host.GetHeardMs(), d.now()),
+		})
+	}
+	return hosts
+}
+
+func (d *wireDecoder) regions(wire []*RegionSummaryMessage) []RegionSummary {
+	regions := make([]RegionSummary, 0, len(wire))
+	for _, region := range wire {
+		regions = append(regions, RegionSummary{
+			Root:  region.GetRoot(),
+			Made:  ageFromWire(region.GetAgeMs(), d.now()),
+			Zones: d.zones(region.GetZones()),
+		})
+	}
+	return regions
+}
--- /dev/null
+++ b/internal/distribute/failure_test.go
@@ -0,0 +1,373 @@
+package distribute
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+// settle is long enough for every daemon to be at its preferred source.
+const settle = time.Minute
+
+// hostsOf returns the hosts of zones.
+func (m *mesh) hostsOf(zones ...string) []string {
+	var hosts []string
+	for host, member := range m.members {
+		if slices.Contains(zones, member.Zone) {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// except returns the hosts of all other zones.
+func (m *mesh) except(zones ...string) []string {
+	var hosts []string
+	for host, member := range m.members {
+		if !slices.Contains(zones, member.Zone) {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// parentOf returns the host that a daemon follows.
+func (m *mesh) parentOf(host string) string {
+	path := m.nodes[host].dist.state.path()
+	if len(path) < 2 {
+		return ""
+	}
+	return path[1]
+}
+
+func TestAnotherSourceIsTaken(t *testing.T) {
+	failures := map[string]func(m *mesh, reader string){
+		"reader dies":            func(m *mesh, reader string) { m.kill(reader) },
+		"reader loses the log":   func(m *mesh, reader string) { m.log.setOut(true, reader) },
+		"reader is paused":       func(m *mesh, reader string) { m.t.Cleanup(m.net.pause(reader)) },
+		"reader stops folding":   func(m *mesh, reader string) { m.nodes[reader].fold.refuse = "2" },
+		"reader and log go out":  func(m *mesh, reader string) { m.kill(reader); m.flapLog(4 * time.Second) },
+		"the log answers slowly": func(m *mesh, _ string) { m.log.slow = time.Second },
+	}
+	for name, fail := range failures {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := threeRegions(t, 6)
+				m.log.add("1")
+				m.startAll()
+				m.waitFor(1, 10*time.Second)
+				time.Sleep(settle)
+				reader := m.readerOf("ashanti")
+				fail(m, reader)
+				last := m.log.add("2", "3")
+				m.waitForOthers(reader, last, 12*time.Second)
+			})
+		})
+	}
+}
+
+// flapLog takes the log out for a while.
+func (m *mesh) flapLog(outage time.Duration) {
+	m.log.setOut(true)
+	time.AfterFunc(outage, func() { m.log.setOut(false) })
+}
+
+// readerOf returns the host that reads the log for a region.
+func (m *mesh) readerOf(region string) string {
+	for _, host := range m.rooted() {
+		if m.members[host].Region == region {
+			return host
+		}
+	}
+	m.t.Fatalf("no reader in %s", region)
+	return ""
+}
+
+// waitForOthers waits for all daemons but one.
+func (m *mesh) waitForOthers(but string, offset uint64, within time.Duration) {
+	m.t.Helper()
+	kept := m.nodes[but]
+	delete(m.nodes, but)
+	m.waitFor(offset, within)
+	if kept != nil {
+		m.nodes[but] = kept
+	}
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := threeRegions(t, 6)
+		m.log.add("1")
+		m.startAll()
+		m.waitFor(1, 10*time.Second)
+		time.Sleep(settle)
+		reader := m.readerOf("northern")
+		for host := range m.nodes {
+			m.net.silence(reader, host)
+		}
+		last := m.log.add("2")
+		m.waitFor(last, 6*time.Second)
+		silent := 0
+		for _, n := range m.nodes {
+			silent += int(n.metrics.GetOrCreateCounter(`mulberrybank_sources_left_total{source="peer",cause="silent"}`).Get())
+		}
+		assert.Assert(t, silent > 0, "found by its silence")
+	})
+}
+
+func TestZoneCutOffFromPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := threeRegions(t, 6)
+		m.log.add("1")
+		m.startAll()
+		m.waitFor(1, 10*time.Second)
+		time.Sleep(settle)
+		// The zone reaches no log and, of the other zones, only one.
+		hosts := m.hostsOf("ashanti-a")
+		m.log.setOut(true, hosts...)
+		m.net.separate(true, hosts, m.except("ashanti-a", "northern-b"))
+		last := m.log.add("2")
+		m.waitFor(last, 30*time.Second)
+	})
+}
+
+func TestRegionCutAndHealed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := threeRegions(t, 6)
+		m.log.add("1")
+		m.startAll()
+		m.waitFor(1, 10*time.Second)
+		time.Sleep(settle)
+		zones := []string{"northern-a", "northern-b"}
+		cut, others := m.hostsOf(zones...), m.except(zones...)
+		m.log.setOut(true, cut...)
+		m.net.separate(true, cut, others)
+		last := m.log.add("2")
+		time.Sleep(5 * time.Minute)
+		for host, n := range m.nodes {
+			offset, _ := n.enforcer.Position()
+			if slices.Contains(cut, host) {
+				assert.Equal(t, offset, uint64(1), host)
+				assert.Assert(t, n.dist.Convergence().ConfigurationAge > 4*time.Minute, "%s knows that it is stale", host)
+				continue
+			}
+			assert.Equal(t, offset, last, host)
+		}
+		m.log.setOut(false, cut...)
+		m.net.separate(false, cut, others)
+		m.waitFor(last, time.Minute)
+		time.Sleep(settle)
+		assert.Equal(t, len(m.rooted()), 3)
+	})
+}
+
+func TestZoneRestartsWhilePlatformIsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := threeRegions(t, 6)
+		last := m.log.add("1", "2", "3")
+		m.startAll()
+		m.waitFor(last, 10*time.Second)
+		time.Sleep(settle)
+		m.log.setOut(true)
+		zone := m.hostsOf("ashanti-b")
+		for _, host := range zone {
+			m.kill(host)
+		}
+		m.start(zone...)
+		m.waitFor(last, 20*time.Second)
+	})
+}
+
+func TestStormKeepsPlatformReadsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := threeRegions(t, 30)
+		last := m.log.add("1", "2", "3")
+		m.startAll()
+		m.waitFor(last, 30*time.Second)
+		// Three readers wait 2 s for each read; others read while the tree is
+		// not there yet.
+		perSecond := float64(m.log.readCount()) / 30
+		assert.Assert(t, perSecond < 20, "%.1f reads a second", perSecond)
+		before := m.log.readCount()
+		time.Sleep(settle)
+		idle := float64(m.log.readCount()-before) / settle.Seconds()
+		assert.Assert(t, idle < 3, "%.1f reads a second when idle", idle)
+	})
+}
+
+func TestPlatformOutageCostsFewReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := threeRegions(t, 20)
+		last := m.log.add("1")
+		m.startAll()
+		m.waitFor(last, 30*time.Second)
+		time.Sleep(settle)
+		m.log.setOut(true)
+		before := m.log.readCount()
+		time.Sleep(2 * time.Minute)
+		perSecond := float64(m.log.readCount()-before) / 120
+		assert.Assert(t, perSecond < 20, "%.1f reads a second during the outage", perSecond)
+		m.log.setOut(false)
+		m.waitFor(m.log.add("2"), time.Minute)
+	})
+}
+
+func TestExpiredOffsetResumesAtSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		m.options.Snapshots = SnapshotPolicy{Records: 3, Age: time.Hour}
+		m.zone("greater-accra", "a", 1)
+		m.log.add("1", "2", "3", "4")
+		m.start("a-0")
+		m.waitFor(4, 10*time.Second)
+		time.Sleep(settle)
+		assert.Equal(t, m.nodes["a-0"].events.count(timeline.SnapshotWritten), 1)
+		digest := m.nodes["a-0"].fold.Digest()
+		m.kill("a-0")
+		m.log.expire(platform.ConfigurationStream, 5)
+		// A newer snapshot is damaged, another one is of no use.
+		m.log.put(platform.SnapshotStream, []byte("damaged"))
+		useless, err := compress([]byte("no fold"))
+		assert.NilError(t, err)
+		m.log.put(platform.SnapshotStream, mustMarshal(t, &CompressedSnapshot{Offset: 9, State: useless}))
+		m.start("a-0")
+		m.waitFor(4, 20*time.Second)
+		assert.Equal(t, m.nodes["a-0"].events.count(timeline.SnapshotSkipped), 2)
+		assert.DeepEqual(t, m.nodes["a-0"].fold.Digest(), digest)
+		m.waitFor(m.log.add("5"), 10*time.Second)
+	})
+}
+
+func mustMarshal(t *testing.T, message proto.Message) []byte {
+	payload, err := proto.Marshal(message)
+	assert.NilError(t, err)
+	return payload
+}
+
+func TestOneDaemonWritesSnapshots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := threeRegions(t, 4)
+		m.options.Snapshots = SnapshotPolicy{Records: 100, Age: 10 * time.Minute}
+		m.log.add("1")
+		m.startAll()
+		time.Sleep(time.Hour)
+		written := make(map[string]int)
+		total := 0
+		for host, n := range m.nodes {
+			if count := n.events.count(timeline.SnapshotWritten); count > 0 {
+				written[host] = count
+				total += count
+			}
+		}
+		assert.Equal(t, len(written), 1, "%v", written)
+		assert.Assert(t, total >= 5, "%d snapshots in an hour", total)
+		// Another one takes over from a writer that dies.
+		for host := range written {
+			m.kill(host)
+			m.lost(membership.Unreachable, host)
+		}
+		before := m.log.streamLength(platform.SnapshotStream)
+		time.Sleep(time.Hour)
+		assert.Assert(t, m.log.streamLength(platform.SnapshotStream) >= before+4)
+	})
+}
+
+func (l *fakeLog) streamLength(stream string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.streams[stream])
+}
+
+func TestDivergenceIsToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		m.zone("greater-accra", "a", 2)
+		m.log.add("1")
+		m.startNode("a-0", &fakeFold{})
+		m.startNode("a-1", &fakeFold{skew: 1})
+		m.waitFor(1, 10*time.Second)
+		time.Sleep(settle)
+		m.waitFor(m.log.add("2"), 10*time.Second)
+		time.Sleep(settle)
+		for host, n := range m.nodes {
+			assert.Equal(t, n.events.count(timeline.Diverged), 1, host)
+		}
+	})
+}
+
+func TestHintPullsWhatThePushDidNotBring(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		m.zone("greater-accra", "a", 2)
+		last := m.log.add("1", "2")
+		m.start("a-0")
+		m.waitFor(last, 10*time.Second)
+		m.log.setOut(true)
+		// The second daemon knows nobody; it hears of the first only by a hint.
+		alone := map[string]membership.Member{"a-1": m.members["a-1"]}
+		m.members = alone
+		m.start("a-1")
+		time.Sleep(time.Second)
+		m.nodes["a-1"].dist.Hint("a-0", "a-0", last)
+		m.waitFor(last, 3*time.Second)
+	})
+}
+
+func TestConvergenceNamesTheMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := threeRegions(t, 6)
+		m.log.add("1")
+		m.startAll()
+		m.waitFor(1, 10*time.Second)
+		time.Sleep(settle)
+		dead, stuck := "northern-b-4", "ashanti-a-5"
+		m.kill(dead)
+		m.lost(membership.Unreachable, dead)
+		m.nodes[stuck].fold.refuse = "2"
+		last := m.log.add("2")
+		m.waitForOthers(stuck, last, 10*time.Second)
+		time.Sleep(settle)
+		for host, n := range m.nodes {
+			status := n.dist.Convergence()
+			assert.Equal(t, status.Offset, last, host)
+			assert.Equal(t, status.Daemons, 36, host)
+			assert.Equal(t, status.Reached, 34, host)
+			assert.DeepEqual(t, hostsIn(status.Missing), []string{stuck, dead})
+			assert.Assert(t, status.KnowledgeAge < 30*time.Second, host)
+		}
+	})
+}
+
+func hostsIn(missing []LaggingHost) []string {
+	var hosts []string
+	for _, host := range missing {
+		hosts = append(hosts, host.Host)
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+func TestStartWithPeersOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		m.zone("greater-accra", "a", 3)
+		last := m.log.add("1", "2")
+		m.start("a-0", "a-1")
+		m.waitFor(last, 10*time.Second)
+		m.log.setOut(true)
+		m.members = map[string]membership.Member{"a-2": m.members["a-2"]}
+		m.options.Peers = []string{"nobody", "a-1"}
+		m.start("a-2")
+		m.waitFor(last, 10*time.Second)
+		assert.Equal(t, m.parentOf("a-2"), "a-1")
+	})
+}
--- /dev/null
+++ b/internal/distribute/fakes_test.go
@@ -0,0 +1,558 @@
+package distribute
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/enforce"
+	"github.com/mulberrybank/mulberrybank/internal/logging"
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+// fakeFold digests the payloads of the records.
+type fakeFold struct {
+	offset uint64
+	sum    uint64
+	// skew makes the digest differ from that of other folds.
+	skew byte
+	// refuse is the payload that this fold cannot read.
+	refuse string
+}
+
+func (f *fakeFold) Apply(record platform.Record) (*publish.Verdict, error) {
+	if f.refuse != "" && string(record.Payload) == f.refuse {
+		return nil, errors.New("unknown schema")
+	}
+	f.offset = record.Offset
+	f.sum = xxhash.Sum64(append(binary.BigEndian.AppendUint64(nil, f.sum), record.Payload...))
+	return nil, nil
+}
+
+func (f *fakeFold) Configuration() *publish.Configuration {
+	return &publish.Configuration{Version: publish.Version(f.offset)}
+}
+func (f *fakeFold) Offset() uint64              { return f.offset }
+func (f *fakeFold) Verdicts() []publish.Verdict { return nil }
+func (f *fakeFold) Digest() []byte {
+	return append(binary.BigEndian.AppendUint64(nil, f.sum), f.skew)
+}
+
+func (f *fakeFold) Snapshot() ([]byte, error) {
+	state := binary.BigEndian.AppendUint64(nil, f.offset)
+	state = binary.BigEndian.AppendUint64(state, f.sum)
+	return binary.BigEndian.AppendUint64(state, xxhash.Sum64(state)), nil
+}
+
+func (f *fakeFold) Restore(state []byte) error {
+	if len(state) != 24 || xxhash.Sum64(state[:16]) != binary.BigEndian.Uint64(state[16:]) {
+		return errors.New("damaged")
+	}
+	f.offset = binary.BigEndian.Uint64(state)
+	f.sum = binary.BigEndian.Uint64(state[8:])
+	return nil
+}
+
+// fakeLog is a log in memory that can be out or slow.
+type fakeLog struct {
+	mu      sync.Mutex
+	streams map[string][]platform.Record
+	oldest  map[string]uint64
+	changed chan struct{}
+	out     map[string]bool
+	slow    time.Duration
+	reads   int
+}
+
+func newFakeLog() *fakeLog {
+	return &fakeLog{
+		streams: make(map[string][]platform.Record),
+		oldest:  make(map[string]uint64),
+		changed: make(chan struct{}),
+		out:     make(map[string]bool),
+	}
+}
+
+// from is the log as one host reaches it.
+func (l *fakeLog) from(host string, net *fakeNet) platform.Log {
+	return &hostLog{fakeLog: l, host: host, net: net}
+}
+
+type hostLog struct {
+	*fakeLog
+	host string
+	net  *fakeNet
+}
+
+var errLogOut = errors.New("connection refused")
+
+// setOut cuts hosts off from the log; no host means all.
+func (l *fakeLog) setOut(out bool, hosts ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(hosts) == 0 {
+		hosts = []string{""}
+	}
+	for _, host := range hosts {
+		l.out[host] = out
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *fakeLog) add(payloads ...string) uint64 {
+	var last uint64
+	for _, payload := range payloads {
+		last = l.put(platform.ConfigurationStream, []byte(payload))
+	}
+	return last
+}
+
+func (l *fakeLog) put(stream string, payload []byte) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offset := uint64(len(l.streams[stream])) + 1
+	l.streams[stream] = append(l.streams[stream], platform.Record{Offset: offset, Appended: time.Now(), Payload: payload})
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return offset
+}
+
+// expire drops the records before an offset.
+func (l *fakeLog) expire(stream string, oldest uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.oldest[stream] = oldest
+}
+
+func (l *fakeLog) readCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
+func (l *hostLog) Append(ctx context.Context, stream string, payload []byte) (uint64, error) {
+	if l.isOut() {
+		return 0, errLogOut
+	}
+	return l.put(stream, payload), nil
+}
+
+func (l *hostLog) isOut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.out[l.host] || l.out[""]
+}
+
+func (l *hostLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (platform.ReadResult, error) {
+	defer l.net.gate(l.host)
+	l.mu.Lock()
+	l.reads++
+	slow := l.slow
+	l.mu.Unlock()
+	if slow > 0 {
+		select {
+		case <-time.After(slow):
+		case <-ctx.Done():
+			return platform.ReadResult{}, ctx.Err()
+		}
+	}
+	deadline := time.After(wait)
+	for {
+		result, changed, err := l.readNow(stream, from)
+		if err != nil || len(result.Records) > 0 || wait == 0 {
+			return result, err
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return result, nil
+		case <-ctx.Done():
+			return platform.ReadResult{}, ctx.Err()
+		}
+	}
+}
+
+func (l *hostLog) readNow(stream string, from uint64) (platform.ReadResult, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.out[l.host] || l.out[""] {
+		return platform.ReadResult{}, nil, errLogOut
+	}
+	records := l.streams[stream]
+	oldest := max(1, l.oldest[stream])
+	if from < oldest {
+		return platform.ReadResult{}, nil, &platform.ExpiredError{Stream: stream, From: from, Oldest: oldest}
+	}
+	result := platform.ReadResult{Oldest: oldest, Next: uint64(len(records)) + 1}
+	if from <= uint64(len(records)) {
+		result.Records = records[from-1:]
+	}
+	return result, l.changed, nil
+}
+
+// fakeNet joins daemons by pipes that can be cut or fall silent.
+type fakeNet struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	cut       map[string]bool
+	conns     map[*pipeConn]struct{}
+	paused    map[string]chan struct{}
+}
+
+func newFakeNet() *fakeNet {
+	return &fakeNet{
+		listeners: make(map[string]*pipeListener),
+		cut:       make(map[string]bool),
+		conns:     make(map[*pipeConn]struct{}),
+		paused:    make(map[string]chan struct{}),
+	}
+}
+
+// pause stops a host from reading and writing until resume is called.
+func (n *fakeNet) pause(host string) (resume func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	gate := make(chan struct{})
+	n.paused[host] = gate
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.paused, host)
+		close(gate)
+	}
+}
+
+// gate blocks while a host is paused.
+func (n *fakeNet) gate(host string) {
+	n.mu.Lock()
+	gate := n.paused[host]
+	n.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+}
+
+// separate cuts or heals what runs between two groups of hosts. Open
+// connections across a cut carry nothing more and stay open.
+func (n *fakeNet) separate(cut bool, one, other []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, a := range one {
+		for _, b := range other {
+			n.cut[a+"|"+b] = cut
+			n.cut[b+"|"+a] = cut
+		}
+	}
+	if !cut {
+		return
+	}
+	for conn := range n.conns {
+		if n.cut[conn.from+"|"+conn.to] {
+			conn.silence()
+		}
+	}
+}
+
+// silence makes the open connections between two hosts carry nothing more;
+// new ones work.
+func (n *fakeNet) silence(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for conn := range n.conns {
+		if conn.from == a && conn.to == b || conn.from == b && conn.to == a {
+			conn.silence()
+		}
+	}
+}
+
+func (n *fakeNet) dialer(from string) peer.DialFunc {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		n.gate(from)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		listener := n.listeners[address]
+		if listener == nil || n.cut[from+"|"+address] {
+			return nil, errors.New("unreachable")
+		}
+		a, b := net.Pipe()
+		near := &pipeConn{Conn: a, net: n, from: from, to: address, silent: make(chan struct{})}
+		far := &pipeConn{Conn: b, net: n, from: address, to: from, silent: make(chan struct{})}
+		n.conns[near] = struct{}{}
+		n.conns[far] = struct{}{}
+		select {
+		case listener.accepted <- far:
+			return near, nil
+		case <-listener.closed:
+			return nil, errors.New("refused")
+		}
+	}
+}
+
+func (n *fakeNet) listen(address string) net.Listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	listener := &pipeListener{accepted: make(chan net.Conn, 1000), closed: make(chan struct{})}
+	n.listeners[address] = listener
+	return listener
+}
+
+// pipeConn is one end of a pipe. A silent end swallows what is written.
+type pipeConn struct {
+	net.Conn
+	net      *fakeNet
+	from, to string
+	once     sync.Once
+	silent   chan struct{}
+}
+
+func (c *pipeConn) silence() { c.once.Do(func() { close(c.silent) }) }
+
+func (c *pipeConn) Read(p []byte) (int, error) {
+	count, err := c.Conn.Read(p)
+	c.net.gate(c.from)
+	return count, err
+}
+
+func (c *pipeConn) Write(p []byte) (int, error) {
+	c.net.gate(c.from)
+	select {
+	case <-c.silent:
+		return len(p), nil
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+func (c *pipeConn) Close() error {
+	c.net.mu.Lock()
+	delete(c.net.conns, c)
+	c.net.mu.Unlock()
+	select {
+	case <-c.silent:
+		// The other end does not learn of it.
+		return c.SetDeadline(time.Now())
+	default:
+		return c.Conn.Close()
+	}
+}
+
+type pipeListener struct {
+	accepted chan net.Conn
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+// fakeDirectory holds a view that tests set.
+type fakeDirectory struct {
+	mu   sync.Mutex
+	view *membership.View
+}
+
+func (d *fakeDirectory) View() *membership.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view
+}
+
+func (d *fakeDirectory) Changed() <-chan struct{} { return make(chan struct{}) }
+
+func (d *fakeDirectory) set(self string, members map[string]membership.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view = &membership.View{Self: members[self], Members: members}
+}
+
+// eventLog keeps the events of a daemon.
+type eventLog struct {
+	mu     sync.Mutex
+	events []timeline.Event
+}
+
+func (l *eventLog) Record(event timeline.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.events = append(l.events, event)
+}
+
+func (l *eventLog) count(kind timeline.Kind) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, event := range l.events {
+		if event.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+// node is one daemon of a test.
+type node struct {
+	member    membership.Member
+	fold      *fakeFold
+	enforcer  *enforce.Enforcer
+	dist      *Distributor
+	directory *fakeDirectory
+	events    *eventLog
+	metrics   *metrics.Set
+	traffic   *peer.Traffic
+	cancel    context.CancelFunc
+	tasks     *conc.WaitGroup
+}
+
+// mesh is a set of daemons over one fake network and one fake log.
+type mesh struct {
+	t       *testing.T
+	net     *fakeNet
+	log     *fakeLog
+	members map[string]membership.Member
+	nodes   map[string]*node
+	options Options
+}
+
+func newMesh(t *testing.T) *mesh {
+	m := &mesh{t: t, net: newFakeNet(), log: newFakeLog(), members: make(map[string]membership.Member), nodes: make(map[string]*node)}
+	t.Cleanup(m.stopAll)
+	return m
+}
+
+// zone adds members "zone-0" and so on without starting them.
+func (m *mesh) zone(region, zone string, count int) []string {
+	var hosts []string
+	for i := range count {
+		host := fmt.Sprintf("%s-%d", zone, i)
+		m.members[host] = membership.Member{Host: host, Zone: zone, Region: region, ControlAddress: host, State: membership.Alive}
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+// start starts daemons that know all members.
+func (m *mesh) start(hosts ...string) {
+	for _, host := range hosts {
+		m.startNode(host, &fakeFold{})
+	}
+}
+
+func (m *mesh) startAll() {
+	for host := range m.members {
+		m.start(host)
+	}
+}
+
+func (m *mesh) startNode(host string, fold *fakeFold) *node {
+	member := m.members[host]
+	n := &node{member: member, fold: fold, events: &eventLog{}, directory: &fakeDirectory{}, metrics: metrics.NewSet(), traffic: peer.NewTraffic(), tasks: &conc.WaitGroup{}}
+	n.enforcer = enforce.New(fold, n.events)
+	n.directory.set(host, m.members)
+	self := peer.Identity{Host: host, Zone: member.Zone, Region: member.Region, Incarnation: 1}
+	options := m.options
+	options.Self = self
+	options.Log = m.log.from(host, m.net)
+	options.Enforcer = n.enforcer
+	options.Directory = n.directory
+	options.Dialer = peer.NewDialer(self, n.traffic, m.net.dialer(host))
+	options.Events = n.events
+	options.Metrics = n.metrics
+	n.dist = New(options)
+	server := peer.NewServer(self, n.traffic, logging.Part(logging.Discard(), "peer"))
+	assert.NilError(m.t, n.dist.Register(server.Mux()))
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	listener := m.net.listen(member.ControlAddress)
+	n.tasks.Go(func() { _ = server.Serve(ctx, listener) })
+	n.tasks.Go(func() { _ = n.dist.Run(ctx) })
+	m.nodes[host] = n
+	return n
+}
+
+// kill ends a daemon and its connections.
+func (m *mesh) kill(host string) {
+	n := m.nodes[host]
+	delete(m.nodes, host)
+	n.cancel()
+	n.tasks.Wait()
+	m.net.mu.Lock()
+	delete(m.net.listeners, host)
+	m.net.mu.Unlock()
+}
+
+func (m *mesh) stopAll() {
+	for _, n := range m.nodes {
+		n.cancel()
+	}
+	for _, n := range m.nodes {
+		n.tasks.Wait()
+	}
+}
+
+// lost marks members as unreachable in the view of every daemon.
+func (m *mesh) lost(reach membership.Reach, hosts ...string) {
+	members := make(map[string]membership.Member, len(m.members))
+	for host, member := range m.members {
+		members[host] = member
+	}
+	for _, host := range hosts {
+		member := members[host]
+		member.Reach = reach
+		members[host] = member
+	}
+	m.members = members
+	for host, n := range m.nodes {
+		n.directory.set(host, members)
+	}
+}
+
+// waitFor returns when every daemon has reached an offset.
+func (m *mesh) waitFor(offset uint64, within time.Duration) {
+	m.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	for host, n := range m.nodes {
+		err := n.enforcer.Wait(ctx, offset)
+		have, _ := n.enforcer.Position()
+		assert.NilError(m.t, err, "%s has %d", host, have)
+	}
+}
+
+// rooted returns the hosts that read the log at present.
+func (m *mesh) rooted() []string {
+	var hosts []string
+	for host, n := range m.nodes {
+		if n.dist.state.isRooted() {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/internal/distribute/feed.go
@@ -0,0 +1,118 @@
+package distribute
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+)
+
+// feed serves one follower until ctx ends or the stream fails. It sends in
+// one task and receives acknowledgements in another.
+func (d *Distributor) feed(parent context.Context, child peer.Identity, stream downLink) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return fmt.Errorf("receive position of %s: %w", child.Host, ended(err))
+	}
+	follower := d.followers.add(child, first)
+	defer d.followers.remove(follower)
+	ctx, cancel := context.WithCancelCause(parent)
+	stop := context.AfterFunc(ctx, stream.Close)
+	defer stop()
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { cancel(d.receiveAcks(follower, stream, cancel)) })
+	err = d.sendUpdates(ctx, first.Offset, stream)
+	cancel(err)
+	return fmt.Errorf("feed %s: %w", child.Host, context.Cause(ctx))
+}
+
+// receiveAcks takes acknowledgements; it ends the stream when they stop.
+func (d *Distributor) receiveAcks(f *follower, stream downLink, cancel context.CancelCauseFunc) error {
+	watch := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
+	defer watch.Stop()
+	for {
+		message, err := stream.Recv()
+		if err != nil {
+			return ended(err)
+		}
+		watch.Reset(silenceLimit)
+		d.followers.acknowledge(f, message)
+		d.compare(f.identity.Host, message.Offset, message.Digest)
+	}
+}
+
+// sendUpdates sends records after an offset as they are folded, and
+// heartbeats while there are none.
+func (d *Distributor) sendUpdates(ctx context.Context, sent uint64, stream downLink) error {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	var last update
+	var seen uint64
+	for {
+		changed := d.enforcer.Changed()
+		next, err := d.nextUpdate(sent)
+		if err != nil {
+			return err
+		}
+		next.Regions, seen = d.regions.since(seen)
+		if err := stream.Send(changedUpdate(next, last)); err != nil {
+			return fmt.Errorf("send update: %w", err)
+		}
+		last = next
+		sent = reached(next, sent)
+		if sent < next.Offset {
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// nextUpdate builds what a follower at an offset lacks.
+func (d *Distributor) nextUpdate(sent uint64) (update, error) {
+	snap, records, err := d.state.after(sent)
+	if err != nil {
+		return update{}, err
+	}
+	offset, digest := d.enforcer.Position()
+	return update{
+		Snapshot: snap,
+		Records:  records,
+		Offset:   offset,
+		Digest:   digest,
+		Fresh:    d.state.freshness(),
+		Path:     d.state.path(),
+		Stopped:  d.enforcer.Stopped() != nil,
+	}, nil
+}
+
+// reached returns the offset of a follower after an update.
+func reached(message update, before uint64) uint64 {
+	if message.Snapshot != nil {
+		before = max(before, message.Snapshot.Offset)
+	}
+	if n := len(message.Records); n > 0 {
+		before = max(before, message.Records[n-1].Offset)
+	}
+	return before
+}
+
+// changedUpdate leaves out what the last message has said already.
+func changedUpdate(next, last update) update {
+	if next.Offset == last.Offset {
+		next.Digest = nil
+	}
+	if slices.Equal(next.Path, last.Path) {
+		next.Path = nil
+	}
+	return next
+}
--- /dev/null
+++ b/internal/distribute/follow.go
@@ -0,0 +1,127 @@
+package distribute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+)
+
+// Times of the heartbeats on a stream between two daemons.
+const (
+	heartbeatInterval = time.Second
+	// silenceLimit is how long a stream may carry nothing.
+	silenceLimit = 3500 * time.Millisecond
+)
+
+// follow gets records from a peer until ctx ends or the stream fails.
+func (d *Distributor) follow(ctx context.Context, up *upstream, source Source) error {
+	stream, err := d.openFollow(ctx, source)
+	if err != nil {
+		return err
+	}
+	err = d.followStream(ctx, up, source, stream)
+	return fmt.Errorf("follow %s: %w", source, err)
+}
+
+// followStream acknowledges in one task and receives in another.
+func (d *Distributor) followStream(parent context.Context, up *upstream, source Source, stream upLink) error {
+	ctx, cancel := context.WithCancelCause(parent)
+	stop := context.AfterFunc(ctx, stream.Close)
+	defer stop()
+	watch := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
+	defer watch.Stop()
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { cancel(d.sendAcks(ctx, stream)) })
+	for {
+		message, err := stream.Recv()
+		if err == nil {
+			watch.Reset(silenceLimit)
+			err = d.takeUpdate(source, message)
+		}
+		if err != nil {
+			cancel(ended(err))
+			return context.Cause(ctx)
+		}
+		up.worked(source)
+	}
+}
+
+// ended names an orderly end of a stream.
+func ended(err error) error {
+	if errors.Is(err, io.EOF) {
+		return errEnded
+	}
+	return err
+}
+
+// sendAcks tells the parent the state of this daemon and its subtree, at once
+// when it has changed and as a heartbeat when it has not.
+func (d *Distributor) sendAcks(ctx context.Context, stream upLink) error {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	var sent ack
+	for {
+		offset, digest := d.enforcer.Position()
+		zones := d.subtree()
+		if err := stream.Send(changedAck(ack{Offset: offset, Digest: digest, Zones: zones}, sent)); err != nil {
+			return fmt.Errorf("send acknowledgement: %w", err)
+		}
+		sent = ack{Offset: offset, Digest: digest, Zones: zones}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// changedAck leaves out what the last message has said already.
+func changedAck(next, last ack) ack {
+	if next.Offset == last.Offset {
+		next.Digest = nil
+	}
+	if slices.EqualFunc(next.Zones, last.Zones, ZoneSummary.equal) {
+		next.Zones = nil
+	}
+	return next
+}
+
+// takeUpdate folds what a parent sent.
+func (d *Distributor) takeUpdate(source Source, message update) error {
+	if message.Path != nil {
+		if slices.Contains(message.Path, d.self.Host) {
+			return errLoop
+		}
+		d.state.setVia(message.Path)
+	}
+	if err := d.take(message.Snapshot, message.Records); err != nil {
+		return err
+	}
+	if message.Stopped {
+		return errStopped
+	}
+	d.regions.merge(message.Regions)
+	d.compare(source.String(), message.Offset, message.Digest)
+	if offset, _ := d.enforcer.Position(); offset >= message.Offset {
+		d.state.confirm(message.Fresh)
+	}
+	return nil
+}
+
+// take folds a snapshot and the records after it.
+func (d *Distributor) take(snap *snapshot, records []platform.Record) error {
+	if snap != nil {
+		if err := d.state.restore(snap); err != nil {
+			return err
+		}
+	}
+	return d.state.apply(records)
+}
--- /dev/null
+++ b/internal/distribute/followers.go
@@ -0,0 +1,87 @@
+package distribute
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+)
+
+// follower is a daemon that gets its records from this one.
+type follower struct {
+	identity peer.Identity
+	offset   uint64
+	zones    []ZoneSummary
+	heard    time.Time
+}
+
+// followers are the daemons that follow this one at present.
+type followers struct {
+	now  func() time.Time
+	mu   sync.Mutex
+	list map[*follower]struct{}
+}
+
+func newFollowers(now func() time.Time) *followers {
+	return &followers{now: now, list: make(map[*follower]struct{})}
+}
+
+// add registers a follower by its first message.
+func (f *followers) add(identity peer.Identity, first ack) *follower {
+	added := &follower{identity: identity}
+	f.mu.Lock()
+	f.list[added] = struct{}{}
+	f.mu.Unlock()
+	f.acknowledge(added, first)
+	return added
+}
+
+// remove forgets a follower.
+func (f *followers) remove(gone *follower) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.list, gone)
+}
+
+// acknowledge notes what a follower says of its subtree.
+func (f *followers) acknowledge(from *follower, message ack) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	from.offset = message.Offset
+	from.heard = f.now()
+	if len(message.Zones) > 0 {
+		from.zones = message.Zones
+	}
+}
+
+// summaries returns what the followers said of their subtrees, and names
+// those below an offset.
+func (f *followers) summaries(offset uint64) []ZoneSummary {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []ZoneSummary
+	for known := range f.list {
+		all = append(all, known.zones...)
+		if known.offset < offset {
+			all = append(all, known.lagging())
+		}
+	}
+	return all
+}
+
+// lagging names the follower without counting it again.
+func (f *follower) lagging() ZoneSummary {
+	return ZoneSummary{
+		Zone:   f.identity.Zone,
+		Region: f.identity.Region,
+		Lowest: f.offset,
+		Behind: []LaggingHost{{Host: f.identity.Host, Offset: f.offset, Heard: f.heard}},
+	}
+}
+
+// subtree sums up this daemon and all that get their records through it.
+func (d *Distributor) subtree() []ZoneSummary {
+	offset, _ := d.enforcer.Position()
+	all := d.followers.summaries(offset)
+	return mergeZones(append(all, single(d.self.Zone, d.self.Region, offset)))
+}
--- /dev/null
+++ b/internal/distribute/hints.go
@@ -0,0 +1,125 @@
+package distribute
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Times of pulls from peers that are ahead.
+const (
+	pullInterval = 500 * time.Millisecond
+	// pullAfter is how long a peer must have been ahead, so that the push
+	// along the tree goes first.
+	pullAfter = time.Second
+	// pullTimeout bounds one pull.
+	pullTimeout = 5 * time.Second
+)
+
+// hint says that a peer was seen ahead.
+type hint struct {
+	host    string
+	address string
+	offset  uint64
+	since   time.Time
+}
+
+// hints holds the peer that is furthest ahead.
+type hints struct {
+	now func() time.Time
+	mu  sync.Mutex
+	// best is the hint with the highest offset; since is that of the first
+	// hint above the offset of this daemon.
+	best *hint
+}
+
+func newHints(now func() time.Time) *hints { return &hints{now: now} }
+
+// Hint notes that a heartbeat showed a peer at an offset. It never blocks.
+func (d *Distributor) Hint(host, controlAddress string, offset uint64) {
+	if own, _ := d.enforcer.Position(); offset > own && controlAddress != "" {
+		d.hints.add(hint{host: host, address: controlAddress, offset: offset})
+	}
+}
+
+func (h *hints) add(next hint) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next.since = h.now()
+	if h.best != nil {
+		if next.offset <= h.best.offset {
+			return
+		}
+		next.since = h.best.since
+	}
+	h.best = &next
+}
+
+// due returns the peer to pull from, if this daemon at an offset has been
+// behind it for long enough.
+func (h *hints) due(offset uint64) (hint, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.best == nil {
+		return hint{}, false
+	}
+	if h.best.offset <= offset {
+		h.best = nil
+		return hint{}, false
+	}
+	return *h.best, h.now().Sub(h.best.since) >= pullAfter
+}
+
+// clear forgets the present hint; a later heartbeat gives another one.
+func (h *hints) clear() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.best = nil
+}
+
+// runPulls asks peers for what the push did not bring.
+func (d *Distributor) runPulls(ctx context.Context) {
+	ticker := time.NewTicker(pullInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		offset, _ := d.enforcer.Position()
+		ahead, ok := d.hints.due(offset)
+		if !ok {
+			continue
+		}
+		if err := d.pull(ctx, ahead); err != nil {
+			d.logger.WithError(err).Debugf("Pull from %s failed.", ahead.host)
+			d.hints.clear()
+		}
+	}
+}
+
+// pull asks one peer until this daemon is level with it.
+func (d *Distributor) pull(ctx context.Context, ahead hint) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	d.counters.pulls.Inc()
+	for {
+		before, digest := d.enforcer.Position()
+		answer, err := d.catchUp(ctx, ahead.address, before, digest)
+		if err != nil {
+			return err
+		}
+		if answer.RetryAfter > 0 {
+			return &shedError{peer: ahead.host, retryAfter: answer.RetryAfter}
+		}
+		if err := d.take(answer.Snapshot, answer.Records); err != nil {
+			return err
+		}
+		d.compare(ahead.host, answer.Offset, answer.Digest)
+		offset, _ := d.enforcer.Position()
+		if offset >= answer.Offset || offset == before {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/distribute/messages.go
@@ -0,0 +1,68 @@
+package distribute
+
+import (
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+)
+
+// ack is what a follower tells its parent. The first one opens the stream.
+type ack struct {
+	Offset uint64
+	// Digest is empty when Offset has not changed.
+	Digest []byte
+	// Zones is empty when nothing changed in the follower's subtree.
+	Zones []ZoneSummary
+}
+
+// update is what a parent tells a follower.
+type update struct {
+	Records  []platform.Record
+	Snapshot *snapshot
+	Offset   uint64
+	// Digest is empty when Offset has not changed.
+	Digest []byte
+	// Fresh is when the sender's state was last the newest of the log, by the
+	// receiver's clock; zero when it never was.
+	Fresh time.Time
+	// Path leads from the sender to the reader of the log; nil when it has not
+	// changed.
+	Path []string
+	// Stopped says that the sender cannot fold what comes next.
+	Stopped bool
+	// Regions holds summaries that changed.
+	Regions []RegionSummary
+}
+
+// snapshot is the state of a fold, compressed.
+type snapshot struct {
+	Offset uint64
+	Digest []byte
+	State  []byte
+}
+
+// catchUpAnswer is the answer to a daemon that asks once.
+type catchUpAnswer struct {
+	Records  []platform.Record
+	Snapshot *snapshot
+	Offset   uint64
+	Digest   []byte
+	// RetryAfter is set when the peer sheds the request.
+	RetryAfter time.Duration
+	// Elsewhere names control addresses to ask instead.
+	Elsewhere []string
+}
+
+// link is one end of a stream between two daemons.
+type link[Out, In any] interface {
+	Send(message Out) error
+	Recv() (In, error)
+	// Close cuts the connection without waiting for the peer.
+	Close()
+}
+
+// upLink is the follower's end, downLink the parent's.
+type (
+	upLink   = link[ack, update]
+	downLink = link[update, ack]
+)
--- /dev/null
+++ b/internal/distribute/metrics.go
@@ -0,0 +1,57 @@
+package distribute
+
+import (
+	"errors"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// counters are the metrics of this slice.
+type counters struct {
+	set         *metrics.Set
+	reads       *metrics.Counter
+	pulls       *metrics.Counter
+	shed        *metrics.Counter
+	divergences *metrics.Counter
+}
+
+func newCounters(set *metrics.Set) *counters {
+	return &counters{
+		set:         set,
+		reads:       set.GetOrCreateCounter("mulberrybank_log_reads_total"),
+		pulls:       set.GetOrCreateCounter("mulberrybank_pulls_total"),
+		shed:        set.GetOrCreateCounter("mulberrybank_catch_ups_shed_total"),
+		divergences: set.GetOrCreateCounter("mulberrybank_divergences_total"),
+	}
+}
+
+// left counts the end of the use of a source by its cause.
+func (c *counters) left(source Source, err error) {
+	kind := "peer"
+	if source.Log {
+		kind = "log"
+	}
+	name := `mulberrybank_sources_left_total{source="` + kind + `",cause="` + cause(err) + `"}`
+	c.set.GetOrCreateCounter(name).Inc()
+}
+
+// cause names the cause of the end of a source.
+func cause(err error) string {
+	var shed *shedError
+	switch {
+	case errors.Is(err, errSilent):
+		return "silent"
+	case errors.Is(err, errEnded):
+		return "ended"
+	case errors.Is(err, errLoop):
+		return "loop"
+	case errors.Is(err, errStopped):
+		return "stopped"
+	case errors.Is(err, errBetter):
+		return "better"
+	case errors.As(err, &shed):
+		return "shed"
+	default:
+		return "error"
+	}
+}
--- /dev/null
+++ b/internal/distribute/parents.go
@@ -0,0 +1,208 @@
+package distribute
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+)
+
+// readersPerZone is how many daemons of a zone may read the log.
+const readersPerZone = 2
+
+// fallbackRanks is how many daemons at the head of a zone a follower tries
+// when its parents in the tree have failed.
+const fallbackRanks = 4
+
+// Source is where a daemon gets records from: the log, or another daemon.
+type Source struct {
+	// Log says that the source is the log itself.
+	Log bool
+	// Host is empty for a peer that is known only by its address.
+	Host    string
+	Address string
+}
+
+func (s Source) String() string {
+	switch {
+	case s.Log:
+		return "the log"
+	case s.Host != "":
+		return s.Host
+	default:
+		return s.Address
+	}
+}
+
+// logSource is the log itself.
+var logSource = Source{Log: true}
+
+// candidates returns the sources of one daemon, the preferred one first.
+func candidates(view *membership.View, peers []string) []Source {
+	var list sourceList
+	self := view.Self.Host
+	zones := rankZones(view)
+	own := zones[view.Self.Zone]
+	rank := slices.IndexFunc(own, func(m membership.Member) bool { return m.Host == self })
+	switch {
+	case rank >= readersPerZone:
+		list.addTree(own, rank)
+	case rank >= 0 && len(view.Members) > 1:
+		list.addRegionReader(zones, view.Self)
+		list.addLog()
+	}
+	list.addOtherZones(zones, view.Self)
+	if len(view.Members) <= 1 {
+		list.addPeers(peers)
+	}
+	list.addLog()
+	return list.without(self)
+}
+
+// rankZones returns the living daemons of each zone, the zone's readers first.
+// The order of two daemons depends on nothing but their names, so daemons
+// with different views never follow each other within a zone.
+func rankZones(view *membership.View) map[string][]membership.Member {
+	zones := make(map[string][]membership.Member)
+	for _, member := range view.Members {
+		if living(member) || member.Host == view.Self.Host {
+			zones[member.Zone] = append(zones[member.Zone], member)
+		}
+	}
+	if _, ok := view.Members[view.Self.Host]; !ok {
+		zones[view.Self.Zone] = append(zones[view.Self.Zone], view.Self)
+	}
+	for zone, members := range zones {
+		sortByScore(zone, members)
+	}
+	return zones
+}
+
+// living reports whether a daemon may serve as a source.
+func living(member membership.Member) bool {
+	return member.State == membership.Alive && member.Reach != membership.Unreachable
+}
+
+// regionReaders returns the readers of a region's zones, the one that reads
+// the log first.
+func regionReaders(zones map[string][]membership.Member, region string) []membership.Member {
+	var readers []membership.Member
+	for _, members := range zones {
+		if members[0].Region == region {
+			readers = append(readers, members[:min(readersPerZone, len(members))]...)
+		}
+	}
+	sortByScore(region, readers)
+	return readers
+}
+
+// treeParent returns the place of the parent of the daemon at a rank of its
+// zone. Below the readers lies one level of about the square root of the
+// zone's size; all others follow that level.
+func treeParent(members []membership.Member, rank int) int {
+	host := members[rank].Host
+	middle := readersPerZone + int(math.Ceil(math.Sqrt(float64(len(members)))))
+	if rank < middle {
+		return highest(host, members[:readersPerZone])
+	}
+	return readersPerZone + highest(host, members[readersPerZone:middle])
+}
+
+// highest returns the index of the member with the highest score for a key.
+func highest(key string, members []membership.Member) int {
+	best := 0
+	for i := range members {
+		if byScore(key, members[i], members[best]) < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+// sortByScore sorts members by rendezvous hash, the highest first.
+func sortByScore(key string, members []membership.Member) {
+	slices.SortFunc(members, func(a, b membership.Member) int { return byScore(key, a, b) })
+}
+
+func byScore(key string, a, b membership.Member) int {
+	if order := cmp.Compare(score(key, b.Host), score(key, a.Host)); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.Host, b.Host)
+}
+
+func score(key, host string) uint64 { return xxhash.Sum64String(key + "\x00" + host) }
+
+// sourceList is a list of sources without repetition.
+type sourceList struct{ sources []Source }
+
+func (l *sourceList) add(source Source) {
+	if !slices.Contains(l.sources, source) {
+		l.sources = append(l.sources, source)
+	}
+}
+
+func (l *sourceList) addLog() { l.add(logSource) }
+
+func (l *sourceList) addMember(member membership.Member) {
+	l.add(Source{Host: member.Host, Address: member.ControlAddress})
+}
+
+// addTree adds the parents in the tree, then the head of the zone.
+func (l *sourceList) addTree(members []membership.Member, rank int) {
+	parent := treeParent(members, rank)
+	l.addMember(members[parent])
+	if parent >= readersPerZone {
+		l.addMember(members[treeParent(members, parent)])
+	}
+	for _, member := range members[:min(fallbackRanks, rank)] {
+		l.addMember(member)
+	}
+}
+
+// addRegionReader adds the daemon that reads the log for a region, unless it
+// is self, which then reads the log.
+func (l *sourceList) addRegionReader(zones map[string][]membership.Member, self membership.Member) {
+	first := regionReaders(zones, self.Region)[0]
+	if first.Host != self.Host {
+		l.addMember(first)
+	}
+}
+
+// addOtherZones adds the readers of the other zones, own region first.
+func (l *sourceList) addOtherZones(zones map[string][]membership.Member, self membership.Member) {
+	for _, reader := range regionReaders(zones, self.Region) {
+		l.addMember(reader)
+	}
+	for _, region := range otherRegions(zones, self.Region) {
+		for _, reader := range regionReaders(zones, region) {
+			l.addMember(reader)
+		}
+	}
+}
+
+func (l *sourceList) addPeers(addresses []string) {
+	for _, address := range addresses {
+		l.add(Source{Address: address})
+	}
+}
+
+// without returns the sources but for one host.
+func (l *sourceList) without(host string) []Source {
+	return slices.DeleteFunc(l.sources, func(s Source) bool { return !s.Log && s.Host == host })
+}
+
+// otherRegions returns the names of the regions but for one, sorted.
+func otherRegions(zones map[string][]membership.Member, region string) []string {
+	var regions []string
+	for _, members := range zones {
+		if name := members[0].Region; name != region && !slices.Contains(regions, name) {
+			regions = append(regions, name)
+		}
+	}
+	slices.Sort(regions)
+	return regions
+}
--- /dev/null
+++ b/internal/distribute/summary.go
@@ -0,0 +1,91 @@
+package distribute
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxBehind bounds the hosts that a summary names.
+const maxBehind = 8
+
+// ZoneSummary sums up daemons of one availability zone.
+type ZoneSummary struct {
+	Zone    string
+	Region  string
+	Daemons int
+	// Lowest and Highest bound the offsets of the daemons.
+	Lowest  uint64
+	Highest uint64
+	// AtHighest counts the daemons at Highest.
+	AtHighest int
+	// Behind names some of the daemons below Highest.
+	Behind []LaggingHost
+}
+
+// LaggingHost is a host whose daemon has not reached the highest offset.
+type LaggingHost struct {
+	Host   string
+	Offset uint64
+	// Heard is when its daemon was last heard of, by this daemon's clock.
+	Heard time.Time
+}
+
+// equal compares all but the times of contact.
+func (s ZoneSummary) equal(other ZoneSummary) bool {
+	return s.Zone == other.Zone && s.Daemons == other.Daemons &&
+		s.Lowest == other.Lowest && s.Highest == other.Highest && s.AtHighest == other.AtHighest &&
+		slices.EqualFunc(s.Behind, other.Behind, func(a, b LaggingHost) bool {
+			return a.Host == b.Host && a.Offset == b.Offset
+		})
+}
+
+// single is the summary of one daemon.
+func single(zone, region string, offset uint64) ZoneSummary {
+	return ZoneSummary{Zone: zone, Region: region, Daemons: 1, Lowest: offset, Highest: offset, AtHighest: 1}
+}
+
+// merge adds the daemons of other, which are of the same zone.
+func (s ZoneSummary) merge(other ZoneSummary) ZoneSummary {
+	merged := ZoneSummary{
+		Zone:    s.Zone,
+		Region:  s.Region,
+		Daemons: s.Daemons + other.Daemons,
+		Lowest:  min(s.Lowest, other.Lowest),
+		Highest: max(s.Highest, other.Highest),
+	}
+	for _, part := range []ZoneSummary{s, other} {
+		if part.Highest == merged.Highest {
+			merged.AtHighest += part.AtHighest
+		}
+		merged.Behind = append(merged.Behind, part.Behind...)
+	}
+	slices.SortFunc(merged.Behind, byOffset)
+	merged.Behind = merged.Behind[:min(maxBehind, len(merged.Behind))]
+	return merged
+}
+
+func byOffset(a, b LaggingHost) int {
+	if a.Offset != b.Offset {
+		return cmp.Compare(a.Offset, b.Offset)
+	}
+	return cmp.Compare(a.Host, b.Host)
+}
+
+// mergeZones adds up summaries by zone, sorted by zone.
+func mergeZones(summaries []ZoneSummary) []ZoneSummary {
+	byZone := make(map[string]ZoneSummary)
+	for _, summary := range summaries {
+		known, ok := byZone[summary.Zone]
+		if ok {
+			summary = known.merge(summary)
+		}
+		byZone[summary.Zone] = summary
+	}
+	merged := make([]ZoneSummary, 0, len(byZone))
+	for _, summary := range byZone {
+		merged = append(merged, summary)
+	}
+	slices.SortFunc(merged, func(a, b ZoneSummary) int { return cmp.Compare(a.Zone, b.Zone) })
+	return merged
+}
--- /dev/null
+++ b/internal/distribute/tail.go
@@ -0,0 +1,62 @@
+package distribute
+
+import "github.com/mulberrybank/mulberrybank/internal/platform"
+
+// Limits of the records kept in memory for followers.
+const (
+	tailBytes   = 8 << 20
+	tailRecords = 8192
+)
+
+// tail holds the newest records without gaps. It is not safe for concurrent
+// use.
+type tail struct {
+	records []platform.Record
+	bytes   int
+	// end is the offset of the last record, or the offset of the state that
+	// the tail follows on when it is empty.
+	end uint64
+}
+
+// reset empties the tail; the next record is the one after end.
+func (t *tail) reset(end uint64) {
+	t.records = nil
+	t.bytes = 0
+	t.end = end
+}
+
+// add appends the next record and drops the oldest ones over the limits.
+func (t *tail) add(record platform.Record) {
+	t.records = append(t.records, record)
+	t.bytes += len(record.Payload)
+	t.end = record.Offset
+	for len(t.records) > tailRecords || (t.bytes > tailBytes && len(t.records) > 1) {
+		t.bytes -= len(t.records[0].Payload)
+		t.records[0].Payload = nil
+		t.records = t.records[1:]
+	}
+}
+
+// covers reports whether the tail holds every record after an offset.
+func (t *tail) covers(offset uint64) bool {
+	return offset >= t.end-uint64(len(t.records))
+}
+
+// after returns records that follow an offset that the tail covers, up to a
+// number of bytes but at least one.
+func (t *tail) after(offset uint64, maxBytes int) []platform.Record {
+	if offset >= t.end {
+		return nil
+	}
+	first := t.end - uint64(len(t.records))
+	var batch []platform.Record
+	size := 0
+	for _, record := range t.records[offset-first:] {
+		size += len(record.Payload)
+		if len(batch) > 0 && size > maxBytes {
+			break
+		}
+		batch = append(batch, record)
+	}
+	return batch
+}
--- /dev/null
+++ b/internal/distribute/upstream.go
@@ -0,0 +1,184 @@
+package distribute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+// reconsiderInterval is how often a daemon asks whether a better source than
+// its present one is there.
+const reconsiderInterval = time.Second
+
+// Errors that end the use of a source.
+var (
+	// errSilent says that nothing arrived for silenceLimit on an open
+	// connection.
+	errSilent = errors.New("heartbeats stopped")
+	// errEnded says that the peer ended the stream.
+	errEnded = errors.New("the peer ended the stream")
+	// errLoop says that the peer gets its records from this daemon.
+	errLoop = errors.New("the peer follows this daemon")
+	// errStopped says that the peer cannot fold what comes next.
+	errStopped = errors.New("the peer has stopped folding")
+	// errBetter says that a better source is there.
+	errBetter = errors.New("a better source is there")
+)
+
+// upstream is the choice of sources of one daemon.
+type upstream struct {
+	mu     sync.Mutex
+	health *health
+}
+
+// runUpstream uses one source after the other until ctx ends.
+func (d *Distributor) runUpstream(ctx context.Context) {
+	up := &upstream{health: newHealth(d.now)}
+	for ctx.Err() == nil {
+		source, wait, ok := up.choose(d.sources())
+		if !ok {
+			d.sleep(ctx, wait)
+			continue
+		}
+		d.events.Record(timeline.Event{Kind: timeline.UpstreamChosen, Peer: source.String()})
+		err := d.use(ctx, up, source)
+		d.state.setVia(nil)
+		if ctx.Err() == nil {
+			d.left(up, source, err)
+		}
+	}
+}
+
+// sources returns the candidates under the present view.
+func (d *Distributor) sources() []Source {
+	return candidates(d.directory.View(), d.peers)
+}
+
+// choose picks the source to use next.
+func (u *upstream) choose(sources []Source) (Source, time.Duration, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.health.forget(sources)
+	return u.health.choose(sources)
+}
+
+// use gets records from one source until it fails or a better one is there.
+func (d *Distributor) use(parent context.Context, up *upstream, source Source) error {
+	ctx, cancel := context.WithCancelCause(parent)
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer cancel(nil)
+	tasks.Go(func() { d.watchSources(ctx, up, source, cancel) })
+	err := d.get(ctx, up, source)
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+func (d *Distributor) get(ctx context.Context, up *upstream, source Source) error {
+	if source.Log {
+		return d.readLog(ctx, up)
+	}
+	return d.follow(ctx, up, source)
+}
+
+// watchSources ends the use of a source when a better one is there.
+func (d *Distributor) watchSources(ctx context.Context, up *upstream, source Source, end context.CancelCauseFunc) {
+	ticker := time.NewTicker(reconsiderInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		better, ok := d.better(up, source)
+		if !ok {
+			continue
+		}
+		if better.Log && !d.probeLog(ctx, up) {
+			continue
+		}
+		end(errBetter)
+		return
+	}
+}
+
+// probeLog tries the log before a source that works is left for it.
+func (d *Distributor) probeLog(ctx context.Context, up *upstream) bool {
+	offset, _ := d.enforcer.Position()
+	_, err := d.readOnce(ctx, platform.ConfigurationStream, offset+1, 0)
+	var expired *platform.ExpiredError
+	if err == nil || errors.As(err, &expired) {
+		return true
+	}
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.health.failed(logSource)
+	return false
+}
+
+// better marks the current source when it has grown stale and returns the
+// source to use in its place, if there is one.
+func (d *Distributor) better(up *upstream, current Source) (Source, bool) {
+	sources := d.sources()
+	stale := d.now().Sub(d.state.freshness()) > staleLimit
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	if !current.Log {
+		up.health.observe(current, stale)
+	}
+	best, _, ok := up.health.choose(sources)
+	return best, ok && best != current
+}
+
+// left notes why the use of a source ended.
+func (d *Distributor) left(up *upstream, source Source, err error) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	var shed *shedError
+	switch {
+	case errors.Is(err, errBetter):
+	case errors.As(err, &shed):
+		up.health.shed(source, shed.retryAfter)
+	default:
+		up.health.failed(source)
+	}
+	d.counters.left(source, err)
+	d.logger.WithError(err).Debugf("Left %s.", source)
+}
+
+// worked notes that a source has answered.
+func (u *upstream) worked(source Source) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.health.worked(source)
+}
+
+// sleep waits for a time or the end of ctx.
+func (d *Distributor) sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// shedError says that a peer has too much to do.
+type shedError struct {
+	peer       string
+	retryAfter time.Duration
+}
+
+func (e *shedError) Error() string {
+	return fmt.Sprintf("%s sheds requests for %s", e.peer, e.retryAfter)
+}
--- a/internal/enforce/enforce.go
+++ b/internal/enforce/enforce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -41,6 +42,16 @@
 	return fmt.Sprintf("record %d does not follow offset %d", e.Got, e.Have)
 }
 
+// OffsetError says that a snapshot does not stand for the offset it claims.
+type OffsetError struct {
+	Claimed uint64
+	Got     uint64
+}
+
+func (e *OffsetError) Error() string {
+	return fmt.Sprintf("snapshot claims offset %d and stands for %d", e.Claimed, e.Got)
+}
+
 // Enforcer owns the fold of one daemon and the table in force. Its offset
 // never falls while the process lives, and it has no table in force below
 // the floor that peers remember of this host.
@@ -78,11 +89,15 @@
 	return e.stopped
 }
 
-// RaiseFloor forbids tables below an offset.
+// RaiseFloor forbids tables below an offset. A table in force below it is
+// withdrawn until the fold has reached the floor.
 func (e *Enforcer) RaiseFloor(offset uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.floor = max(e.floor, offset)
+	if table := e.table.Load(); table != nil && table.Offset < e.floor {
+		e.table.Store(nil)
+	}
 }
 
 // Floor returns the lowest offset that may be in force.
@@ -144,16 +159,24 @@
 }
 
 // Restore replaces the fold by a snapshot that is newer than it. An older
-// snapshot changes nothing.
+// snapshot changes nothing, also when it claims a newer offset.
 func (e *Enforcer) Restore(snapshot []byte, offset uint64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if offset <= e.fold.Offset() {
+	have := e.fold.Offset()
+	if offset <= have {
 		return nil
 	}
+	before, err := e.fold.Snapshot()
+	if err != nil {
+		return fmt.Errorf("restore snapshot at %d: keep the state: %w", offset, err)
+	}
 	if err := e.fold.Restore(snapshot); err != nil {
 		return fmt.Errorf("restore snapshot at %d: %w", offset, err)
 	}
+	if got := e.fold.Offset(); got != offset {
+		return errors.Join(&OffsetError{Claimed: offset, Got: got}, e.fold.Restore(before))
+	}
 	e.swap()
 	return nil
 }
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -52,7 +52,7 @@
 		return nil, fmt.Errorf("hello to %s: %w", address, err)
 	}
 	class := Class{Kind: kind, Scope: ScopeOf(d.self, remote)}
-	counted := d.traffic.Count(raw, class)
+	counted := d.traffic.Count(timedConn{raw}, class)
 	return &Conn{Conn: drpcconn.New(counted), Peer: remote}, nil
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -57,8 +57,8 @@
 		return
 	}
 	class := Class{Kind: kind, Scope: ScopeOf(s.self, remote)}
-	ctx = WithIdentity(ctx, remote)
-	err = drpcserver.New(s.mux).ServeOne(ctx, s.traffic.Count(raw, class))
+	ctx = withCloser(WithIdentity(ctx, remote), raw)
+	err = drpcserver.New(s.mux).ServeOne(ctx, s.traffic.Count(timedConn{raw}, class))
 	if err != nil && ctx.Err() == nil {
 		s.log.WithError(err).Debugf("connection from %s ended", remote.Host)
 	}
