Carry calls from callers to targets over at most one hop

Calls had headers and outcomes but nothing that carried them. The router chooses among two random targets of the own zone by load that comes with answers, spills to other zones when the own one is loaded, and ejects by its own calls' failures with a floor. The gate of each target admits up to its slots, queues shortly with a line for each workspace, and refuses what cannot meet its deadline. not-run is said only if the connection shows that no byte of the request was written; a connection found untouched is sealed, so that none can be written later. The transport's own replay of requests is ruled out by bodies that it cannot rewind, since it would run a GET twice.

The stand-in target announces itself, misbehaves on request and records what it ran, which is the ground truth for the outcomes.

--- /dev/null
+++ b/internal/call/carry.go
@@ -0,0 +1,314 @@
+package call
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/route"
+)
+
+const (
+	// homeBackoff is the wait before a refused call goes to its home again. It
+	// doubles.
+	homeBackoff = 5 * time.Millisecond
+	// minRetryTime is the least time left with which a retry is made.
+	minRetryTime = time.Millisecond
+)
+
+// outbound is one call of a caller on its way to a target.
+type outbound struct {
+	route *publish.Route
+	// request is the template of each attempt.
+	request request
+	// left is how many retries the call may still take.
+	left  int
+	trace *trace
+	// tried holds the hosts that failed this call.
+	tried map[string]bool
+	// mayHaveRun is set once an attempt that failed may have run.
+	mayHaveRun bool
+}
+
+// carry makes attempts until one is answered or none may be made any more.
+func (s *Server) carry(ctx context.Context, c *outbound) (*answer, *Error) {
+	service := c.request.service.Name
+	if !s.shares.take(service) {
+		return nil, s.fail(NotRun, StepAdmit, http.StatusServiceUnavailable, errTooManyCalls)
+	}
+	s.budgets.Deposit(c.route)
+	result, failure := s.attempts(ctx, c)
+	if failure != nil {
+		s.shares.give(service)
+		return nil, failure
+	}
+	result.onRelease(func(bool) { s.shares.give(service) })
+	return result, nil
+}
+
+func (s *Server) attempts(ctx context.Context, c *outbound) (*answer, *Error) {
+	var last *Error
+	for attempt := 1; ; attempt++ {
+		member, failure := s.choose(c)
+		if failure != nil {
+			return nil, c.conclude(last, failure)
+		}
+		result, failure := s.attempt(ctx, c, attempt, member)
+		if failure == nil && !c.shedByTarget(result) {
+			return result, nil
+		}
+		c.failed(member.Host, failure)
+		if !s.mayRetry(c, failure) || !s.pause(ctx, c, attempt) {
+			if failure == nil {
+				return result, nil
+			}
+			return nil, c.conclude(failure, failure)
+		}
+		if failure == nil {
+			result.discard()
+		}
+		last = failure
+		c.left--
+		s.counters.retries.Inc()
+	}
+}
+
+// shedByTarget reports whether the target itself turned an idempotent call away.
+func (c *outbound) shedByTarget(result *answer) bool {
+	return c.route.Idempotent && result.status == http.StatusServiceUnavailable
+}
+
+// failed notes an attempt that failed or was turned away.
+func (c *outbound) failed(host string, failure *Error) {
+	if c.tried == nil {
+		c.tried = make(map[string]bool)
+	}
+	c.tried[host] = true
+	if failure == nil || failure.Outcome != NotRun {
+		c.mayHaveRun = true
+	}
+}
+
+// conclude is the error of the whole call: not-run only if no attempt ran.
+// The last attempt's error says more than that no other target was left.
+func (c *outbound) conclude(last, failure *Error) *Error {
+	if last == nil {
+		last = failure
+	}
+	if !c.mayHaveRun || last.Outcome != NotRun {
+		return last
+	}
+	whole := *last
+	whole.Outcome = Unknown
+	return &whole
+}
+
+// choose returns the host for the next attempt.
+func (s *Server) choose(c *outbound) (membership.Member, *Error) {
+	if c.request.key != "" {
+		return s.home(c)
+	}
+	exclude := c.tried
+	if s.inflight.isDraining() {
+		exclude = with(exclude, s.self.Host)
+	}
+	member, err := s.router.Pick(c.request.service, exclude)
+	if err != nil {
+		return membership.Member{}, s.fail(NotRun, StepPick, http.StatusServiceUnavailable, err)
+	}
+	return member, nil
+}
+
+func with(hosts map[string]bool, host string) map[string]bool {
+	more := make(map[string]bool, len(hosts)+1)
+	for name := range hosts {
+		more[name] = true
+	}
+	more[host] = true
+	return more
+}
+
+// home returns the only host that may run the call's key.
+func (s *Server) home(c *outbound) (membership.Member, *Error) {
+	if s.keys == nil {
+		return membership.Member{}, s.fail(NotRun, StepHome, http.StatusServiceUnavailable, errNoKeys)
+	}
+	host, err := s.keys.Home(c.request.config, c.request.service.Name, c.request.key)
+	if err != nil {
+		return membership.Member{}, s.fail(NotRun, StepHome, http.StatusConflict, err)
+	}
+	member, found := s.directory.View().Members[host]
+	if !found || member.CallsAddress == "" && host != s.self.Host {
+		return membership.Member{}, s.fail(NotRun, StepHome, http.StatusServiceUnavailable, fmt.Errorf("%w: %s", errNoHome, host))
+	}
+	return member, nil
+}
+
+// mayRetry reports whether another attempt is true to the route and within
+// its budget. A nil failure stands for a target that turned the call away.
+func (s *Server) mayRetry(c *outbound, failure *Error) bool {
+	if c.left <= 0 || !c.request.body.repeatable() || !c.allows(failure) {
+		return false
+	}
+	if c.request.deadline.Sub(s.now()) < minRetryTime {
+		return false
+	}
+	if !s.budgets.Withdraw(c.route) {
+		s.counters.noBudget.Inc()
+		return false
+	}
+	return true
+}
+
+// allows reports whether a failure leaves room for another attempt.
+func (c *outbound) allows(failure *Error) bool {
+	if failure == nil {
+		return true
+	}
+	if failure.Status != http.StatusServiceUnavailable && failure.Status != http.StatusBadGateway {
+		return false
+	}
+	return c.route.Idempotent || failure.Outcome == NotRun
+}
+
+// pause waits before a call goes to the same home again. It reports whether
+// the call's time lasted.
+func (s *Server) pause(ctx context.Context, c *outbound, attempt int) bool {
+	if c.request.key == "" {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(homeBackoff << min(attempt-1, 6))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt makes one attempt on a host.
+func (s *Server) attempt(ctx context.Context, c *outbound, number int, member membership.Member) (*answer, *Error) {
+	q := c.request
+	q.attempt = number
+	q.retries = route.Below(c.left)
+	c.trace.sent(number, member.Host)
+	s.router.Begin(member.Host)
+	if member.Host == s.self.Host {
+		return s.attemptHere(ctx, &q)
+	}
+	return s.attemptThere(ctx, &q, member)
+}
+
+func (s *Server) attemptHere(ctx context.Context, q *request) (*answer, *Error) {
+	result, failure := s.serveTarget(ctx, q)
+	load := s.gate.load()
+	if failure != nil {
+		s.router.Done(s.self.Host, route.Result{Verdict: verdictOf(failure), Load: &load})
+		return nil, failure
+	}
+	result.onRelease(func(whole bool) {
+		s.router.Done(s.self.Host, route.Result{Verdict: result.verdict(whole), Load: &load})
+	})
+	return result, nil
+}
+
+// attemptThere hands an attempt to the daemon of another host.
+func (s *Server) attemptThere(ctx context.Context, q *request, member membership.Member) (*answer, *Error) {
+	q.header = s.hopHeader(q)
+	response, handed, err := s.exchange(ctx, s.peers, member.CallsAddress, q, func() {})
+	if err != nil {
+		failure := &Error{
+			Outcome: outcomeOf(handed),
+			Step:    StepPeer,
+			Peer:    member.Host,
+			Status:  statusOf(ctx, err),
+			Err:     err,
+		}
+		s.router.Done(member.Host, route.Result{Verdict: verdictOf(failure)})
+		return nil, failure
+	}
+	s.observeClock(response.Header)
+	load := loadOf(response.Header)
+	if failure := readError(member.Host, response); failure != nil {
+		_ = response.Body.Close()
+		s.router.Done(member.Host, route.Result{Verdict: verdictOf(failure), Load: load})
+		return nil, failure
+	}
+	return s.takeAnswer(ctx, member.Host, response, load)
+}
+
+func (s *Server) takeAnswer(ctx context.Context, host string, response *http.Response, load *route.Load) (*answer, *Error) {
+	status := response.StatusCode
+	result, err := newAnswer(response, func(whole bool) {
+		s.router.Done(host, route.Result{Verdict: answerVerdict(status, whole), Load: load})
+	})
+	if err != nil {
+		return nil, &Error{Outcome: Unknown, Step: StepAnswer, Peer: host, Status: statusOf(ctx, err), Err: err}
+	}
+	return result, nil
+}
+
+// hopHeader returns the headers for the daemon of another host.
+func (s *Server) hopHeader(q *request) http.Header {
+	header := q.header.Clone()
+	header.Set(HeaderService, q.service.Name)
+	header.Set(headerWorkspace, q.workspace)
+	header.Set(HeaderVersion, strconv.FormatUint(uint64(q.config.Version), 10))
+	if s.clock != nil {
+		header.Set(HeaderClock, s.clock.Now().String())
+	}
+	return header
+}
+
+// loadOf returns the load that came with an answer, nil for none.
+func loadOf(header http.Header) *route.Load {
+	text := header.Get(HeaderLoad)
+	if text == "" {
+		return nil
+	}
+	load, err := route.ParseLoad(text)
+	if err != nil {
+		return nil
+	}
+	return &load
+}
+
+// verdictOf says what a failed attempt shows of its host. Limits and drains
+// are no fault, nor is a caller that went away.
+func verdictOf(failure *Error) route.Verdict {
+	switch failure.Step {
+	case StepPeer, StepTarget, StepAnswer:
+		if failure.Status != statusCallerGone {
+			return route.Bad
+		}
+	}
+	return route.Neutral
+}
+
+// verdict says what an answer shows of its target.
+func (a *answer) verdict(whole bool) route.Verdict { return answerVerdict(a.status, whole) }
+
+func answerVerdict(status int, whole bool) route.Verdict {
+	switch {
+	case status >= http.StatusInternalServerError:
+		return route.Bad
+	case whole:
+		return route.Good
+	default:
+		return route.Neutral
+	}
+}
+
+// onRelease adds what is done when the answer has been read or given up.
+func (a *answer) onRelease(more func(whole bool)) {
+	before := a.release
+	a.release = func(whole bool) {
+		before(whole)
+		more(whole)
+	}
+}
--- /dev/null
+++ b/internal/call/http.go
@@ -0,0 +1,299 @@
+package call
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+const (
+	// headerWorkspace names the workspace of the caller's route between daemons.
+	headerWorkspace = "Mulberry-Workspace"
+	// defaultDeadline bounds calls of routes that name none.
+	defaultDeadline = 30 * time.Second
+	// writeGrace is how long after a call's deadline its connection may still
+	// be read or written.
+	writeGrace = 500 * time.Millisecond
+)
+
+// serveCaller carries one call of a caller.
+func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
+	end := s.inflight.begin()
+	defer end()
+	if s.inflight.isDraining() {
+		w.Header().Set("Connection", "close")
+	}
+	id := newCallID()
+	w.Header().Set(HeaderCall, id)
+	began := s.now()
+	defer func() { s.counters.durations.Update(s.now().Sub(began).Seconds()) }()
+	c, failure := s.parseCaller(w, r, id)
+	if failure != nil {
+		s.newTrace(id, "", "").failed(failure)
+		s.countFailure(failure)
+		writeError(w, id, failure)
+		return
+	}
+	defer bound(w, c.request.deadline)()
+	ctx, cancel := context.WithDeadline(r.Context(), c.request.deadline)
+	defer cancel()
+	s.answerCaller(ctx, w, c)
+}
+
+// answerCaller carries the call and writes its answer or error.
+func (s *Server) answerCaller(ctx context.Context, w http.ResponseWriter, c *outbound) {
+	result, failure := s.carry(ctx, c)
+	if failure != nil {
+		c.trace.failed(failure)
+		s.countFailure(failure)
+		writeError(w, c.request.id, failure)
+		return
+	}
+	if err := result.relay(w); err != nil {
+		c.trace.failed(s.fail(Unknown, StepAnswer, statusOf(ctx, err), err))
+		s.counters.cut.Inc()
+		panic(http.ErrAbortHandler)
+	}
+	c.trace.answered(result.status)
+	s.counters.answered.Inc()
+}
+
+func (s *Server) countFailure(failure *Error) {
+	if failure.Outcome == NotRun {
+		s.counters.notRun.Inc()
+		return
+	}
+	s.counters.unknown.Inc()
+}
+
+func newCallID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
+// bound ends reads and writes of a request's connection soon after a
+// deadline. The result lifts the bound for the next request.
+func bound(w http.ResponseWriter, deadline time.Time) (lift func()) {
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	_ = control.SetWriteDeadline(deadline.Add(writeGrace))
+	_ = control.SetReadDeadline(deadline.Add(writeGrace))
+	return func() {
+		_ = control.SetWriteDeadline(time.Time{})
+		_ = control.SetReadDeadline(time.Time{})
+	}
+}
+
+// parseCaller reads what a caller asks for. Errors are not-run.
+func (s *Server) parseCaller(w http.ResponseWriter, r *http.Request, id string) (*outbound, *Error) {
+	table := s.tables.Table()
+	if table == nil {
+		return nil, s.fail(NotRun, StepConfiguration, http.StatusServiceUnavailable, errNoConfiguration)
+	}
+	name, rest, err := splitPath(r.URL.EscapedPath())
+	if err != nil {
+		return nil, s.fail(NotRun, StepRoute, http.StatusNotFound, err)
+	}
+	route := table.Config.Routes[name]
+	if route == nil || table.Config.Services[route.Service] == nil {
+		return nil, s.fail(NotRun, StepRoute, http.StatusNotFound, errNoRoute)
+	}
+	terms, err := parseTerms(r.Header, route)
+	if err != nil {
+		return nil, s.fail(NotRun, StepRequest, http.StatusBadRequest, err)
+	}
+	deadline := s.now().Add(terms.left)
+	_ = http.NewResponseController(w).SetReadDeadline(deadline.Add(writeGrace))
+	body, err := readBody(r)
+	if err != nil {
+		return nil, s.fail(NotRun, StepRequest, http.StatusBadRequest, err)
+	}
+	workspace, _, _ := strings.Cut(name, "/")
+	c := &outbound{
+		route: route,
+		left:  terms.retries,
+		trace: s.newTrace(id, terms.key, route.Service),
+		request: request{
+			id:        id,
+			key:       terms.key,
+			service:   table.Config.Services[route.Service],
+			workspace: workspace,
+			config:    table.Config,
+			deadline:  deadline,
+			method:    r.Method,
+			host:      r.Host,
+			path:      rest,
+			query:     r.URL.RawQuery,
+			header:    passHeaders(r.Header),
+			body:      body,
+		},
+	}
+	c.trace.began(uint64(table.Config.Version), name)
+	return c, nil
+}
+
+// terms are what a caller may say about its call.
+type terms struct {
+	left    time.Duration
+	retries int
+	key     string
+}
+
+func parseTerms(header http.Header, route *publish.Route) (terms, error) {
+	left, err := parseDeadline(header.Get(HeaderDeadline))
+	if err != nil {
+		return terms{}, err
+	}
+	retries, err := parseCount(header, HeaderRetryBudget, maxRetryBudget, route.Retries)
+	if err != nil {
+		return terms{}, err
+	}
+	key, err := keyOf(header, route)
+	if err != nil {
+		return terms{}, err
+	}
+	allowed := route.Deadline
+	if allowed <= 0 {
+		allowed = defaultDeadline
+	}
+	if left > 0 {
+		allowed = min(allowed, left)
+	}
+	return terms{left: allowed, retries: min(retries, route.Retries), key: key}, nil
+}
+
+// keyOf returns the key of a call to a route that is not idempotent. On other
+// routes a key means nothing.
+func keyOf(header http.Header, route *publish.Route) (string, error) {
+	if route.Idempotent {
+		return "", nil
+	}
+	text := header.Get(HeaderKey)
+	if text == "" {
+		return "", errNoKey
+	}
+	return parseKey(text)
+}
+
+// servePeer serves one attempt that another daemon sent.
+func (s *Server) servePeer(w http.ResponseWriter, r *http.Request) {
+	end := s.inflight.begin()
+	defer end()
+	s.observeClock(r.Header)
+	q, failure := s.parsePeer(w, r)
+	if failure != nil {
+		s.answerPeer(w, r.Header.Get(HeaderCall), failure)
+		return
+	}
+	defer bound(w, q.deadline)()
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	result, failure := s.serveTarget(ctx, q)
+	if failure != nil {
+		s.answerPeer(w, q.id, failure)
+		return
+	}
+	s.setReports(w.Header())
+	if err := result.relay(w); err != nil {
+		s.counters.cut.Inc()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) answerPeer(w http.ResponseWriter, id string, failure *Error) {
+	s.setReports(w.Header())
+	writeError(w, id, failure)
+}
+
+// setReports adds what each answer between daemons carries.
+func (s *Server) setReports(header http.Header) {
+	header.Set(HeaderLoad, s.gate.load().String())
+	if s.clock != nil {
+		header.Set(HeaderClock, s.clock.Now().String())
+	}
+}
+
+func (s *Server) observeClock(header http.Header) {
+	text := header.Get(HeaderClock)
+	if s.clock == nil || text == "" {
+		return
+	}
+	if time, err := timeline.ParseTimestamp(text); err == nil {
+		s.clock.Observe(time)
+	}
+}
+
+// parsePeer reads an attempt that another daemon sent. Errors are not-run.
+func (s *Server) parsePeer(w http.ResponseWriter, r *http.Request) (*request, *Error) {
+	table := s.tables.Table()
+	if table == nil {
+		return nil, s.fail(NotRun, StepConfiguration, http.StatusServiceUnavailable, errNoConfiguration)
+	}
+	service := table.Config.Services[r.Header.Get(HeaderService)]
+	if service == nil {
+		return nil, s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errNoTargetHere)
+	}
+	q, left, err := parseAttempt(r)
+	if err != nil {
+		return nil, s.fail(NotRun, StepRequest, http.StatusBadRequest, err)
+	}
+	q.service = service
+	q.config = table.Config
+	q.deadline = s.now().Add(left)
+	_ = http.NewResponseController(w).SetReadDeadline(q.deadline.Add(writeGrace))
+	q.body, err = readBody(r)
+	if err != nil {
+		return nil, s.fail(NotRun, StepRequest, http.StatusBadRequest, err)
+	}
+	return q, nil
+}
+
+// parseAttempt reads the headers that daemons send to each other.
+func parseAttempt(r *http.Request) (*request, time.Duration, error) {
+	id, err := parseCall(r.Header.Get(HeaderCall))
+	if err != nil {
+		return nil, 0, err
+	}
+	left, err := parseDeadline(r.Header.Get(HeaderDeadline))
+	if err != nil {
+		return nil, 0, err
+	}
+	if left == 0 {
+		left = defaultDeadline
+	}
+	attempt, err := parseCount(r.Header, HeaderAttempt, maxAttempt, 1)
+	if err != nil {
+		return nil, 0, err
+	}
+	retries, err := parseCount(r.Header, HeaderRetryBudget, maxRetryBudget, 0)
+	if err != nil {
+		return nil, 0, err
+	}
+	key := r.Header.Get(HeaderKey)
+	if key != "" {
+		if key, err = parseKey(key); err != nil {
+			return nil, 0, err
+		}
+	}
+	return &request{
+		id:        id,
+		attempt:   attempt,
+		key:       key,
+		workspace: r.Header.Get(headerWorkspace),
+		retries:   retries,
+		method:    r.Method,
+		host:      r.Host,
+		path:      r.URL.EscapedPath(),
+		query:     r.URL.RawQuery,
+		header:    passHeaders(r.Header),
+	}, left, nil
+}
--- /dev/null
+++ b/internal/call/inflight.go
@@ -0,0 +1,71 @@
+package call
+
+import (
+	"context"
+	"fmt"
+	"sync"
+)
+
+// inflight counts calls in progress, those from before a drain apart from
+// those that came after.
+type inflight struct {
+	mu       sync.Mutex
+	draining bool
+	before   int
+	after    int
+	empty    chan struct{}
+}
+
+func newInflight() *inflight { return &inflight{empty: make(chan struct{})} }
+
+// begin counts a call and returns what ends it.
+func (f *inflight) begin() (end func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.draining {
+		f.after++
+		return func() { f.end(&f.after) }
+	}
+	f.before++
+	return func() { f.end(&f.before) }
+}
+
+func (f *inflight) end(count *int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*count--
+	if f.draining && f.before == 0 && count == &f.before {
+		close(f.empty)
+	}
+}
+
+func (f *inflight) isDraining() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.draining
+}
+
+// drain returns when the calls that had begun before it have ended.
+func (f *inflight) drain(ctx context.Context) error {
+	f.start()
+	select {
+	case <-f.empty:
+		return nil
+	case <-ctx.Done():
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return fmt.Errorf("drain: %d calls in progress: %w", f.before, ctx.Err())
+	}
+}
+
+func (f *inflight) start() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.draining {
+		return
+	}
+	f.draining = true
+	if f.before == 0 {
+		close(f.empty)
+	}
+}
--- /dev/null
+++ b/internal/call/keyed.go
@@ -0,0 +1,77 @@
+package call
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+)
+
+// maxStored bounds an answer that is kept for its key, in bytes.
+const maxStored = 1 << 20
+
+// errAnswerTooLong says that an answer cannot be kept for its key.
+var errAnswerTooLong = errors.New("answer is too long to be kept for its key")
+
+// runKeyed runs a call that may not be repeated, or replays its answer. Once
+// handed to the target the call goes on to its deadline even if the caller is
+// gone, so that a retry finds the answer.
+func (s *Server) runKeyed(ctx context.Context, q *request, self membership.Member) (*answer, *Error) {
+	s.counters.withKey.Inc()
+	if s.keys == nil {
+		return nil, s.fail(NotRun, StepKey, http.StatusServiceUnavailable, errNoKeys)
+	}
+	claim, err := s.keys.Begin(q.config, q.service.Name, q.key)
+	if err != nil {
+		return nil, s.fail(NotRun, StepKey, http.StatusConflict, err)
+	}
+	if stored, ok := claim.Replay(); ok {
+		s.counters.replayed.Inc()
+		return replay(stored), nil
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
+	defer cancel()
+	result, failure, handed := s.run(ctx, q, self)
+	if !handed {
+		claim.Abandon()
+	}
+	if failure != nil {
+		return nil, failure
+	}
+	stored, err := store(result)
+	if err != nil {
+		return nil, s.fail(Unknown, StepAnswer, statusOf(ctx, err), err)
+	}
+	claim.Finish(stored)
+	return replay(stored), nil
+}
+
+// store reads an answer whole.
+func store(result *answer) (*StoredAnswer, error) {
+	whole, err := io.ReadAll(io.LimitReader(result.body, maxStored+1))
+	_ = result.body.Close()
+	if err == nil && len(whole) > maxStored {
+		err = errAnswerTooLong
+	}
+	result.release(err == nil)
+	if err != nil {
+		return nil, err
+	}
+	return &StoredAnswer{Status: result.status, Header: result.header, Body: whole}, nil
+}
+
+// replay returns a stored answer as if it came from the target.
+func replay(stored *StoredAnswer) *answer {
+	header := stored.Header.Clone()
+	header.Del("Content-Length")
+	return &answer{
+		status:  stored.Status,
+		header:  header,
+		length:  int64(len(stored.Body)),
+		body:    io.NopCloser(bytes.NewReader(stored.Body)),
+		release: func(bool) {},
+	}
+}
--- /dev/null
+++ b/internal/call/server.go
@@ -0,0 +1,184 @@
+package call
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mulberrybank/mulberrybank/internal/enforce"
+	"github.com/mulberrybank/mulberrybank/internal/logging"
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/route"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+// Defaults of Options.
+const (
+	// DefaultTargetConnections bounds the connections to the own target.
+	DefaultTargetConnections = 100
+	// DefaultPeerConnections bounds the connections to one other daemon.
+	DefaultPeerConnections = 100
+	// DefaultMaxCalls bounds the calls of callers in progress.
+	DefaultMaxCalls = 4096
+)
+
+// Tables gives the configuration in force.
+type Tables interface {
+	// Table returns the table in force, nil when there is none yet.
+	Table() *enforce.Table
+}
+
+// TargetSource knows where the target of this host serves.
+type TargetSource interface {
+	// TargetAddress returns "IP:port", empty when no target has announced itself.
+	TargetAddress() string
+}
+
+// Options of a server.
+type Options struct {
+	Self      peer.Identity
+	Tables    Tables
+	Directory membership.Directory
+	Target    TargetSource
+	// Keys is nil where calls that may not be repeated are not served.
+	Keys   Keys
+	Router *route.Router
+	Events timeline.Recorder
+	// Clock stamps events and travels with calls; nil for none.
+	Clock   *timeline.Clock
+	Logger  *logrus.Logger
+	Metrics *metrics.Set
+	// Now is the clock, time.Now when nil.
+	Now func() time.Time
+	// Dial opens connections to targets and daemons, TCP when nil.
+	Dial DialFunc
+	// SampleShare is the share of calls, from 0 to 1, whose events are
+	// recorded. Calls that fail, are retried or carry a key always are.
+	SampleShare float64
+	// TargetConnections, PeerConnections and MaxCalls are bounds; 0 means
+	// the default.
+	TargetConnections int
+	PeerConnections   int
+	MaxCalls          int
+}
+
+// Server carries the calls of one daemon.
+type Server struct {
+	self      peer.Identity
+	tables    Tables
+	directory membership.Directory
+	target    TargetSource
+	keys      Keys
+	router    *route.Router
+	budgets   *route.Budgets
+	events    timeline.Recorder
+	clock     *timeline.Clock
+	log       *logrus.Entry
+	counters  counters
+	now       func() time.Time
+	sample    uint64
+
+	gate     *gate
+	inflight *inflight
+	shares   *shares
+	targets  *http.Transport
+	peers    *http.Transport
+}
+
+// New returns a server for one daemon.
+func New(options Options) *Server {
+	options = options.withDefaults()
+	return &Server{
+		self:      options.Self,
+		tables:    options.Tables,
+		directory: options.Directory,
+		target:    options.Target,
+		keys:      options.Keys,
+		router:    options.Router,
+		budgets:   route.NewBudgets(),
+		events:    options.Events,
+		clock:     options.Clock,
+		log:       logging.Part(options.Logger, "call"),
+		counters:  newCounters(options.Metrics),
+		now:       options.Now,
+		sample:    sampleLimit(options.SampleShare),
+		gate:      newGate(options.Now),
+		inflight:  newInflight(),
+		shares:    newShares(options.MaxCalls),
+		targets:   newTransport(options.Dial, options.TargetConnections),
+		peers:     newTransport(options.Dial, options.PeerConnections),
+	}
+}
+
+func (o Options) withDefaults() Options {
+	if o.Events == nil {
+		o.Events = timeline.Discard{}
+	}
+	if o.Logger == nil {
+		o.Logger = logging.Discard()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.TargetConnections <= 0 {
+		o.TargetConnections = DefaultTargetConnections
+	}
+	if o.PeerConnections <= 0 {
+		o.PeerConnections = DefaultPeerConnections
+	}
+	if o.MaxCalls <= 0 {
+		o.MaxCalls = DefaultMaxCalls
+	}
+	return o
+}
+
+// CallerHandler serves callers at "/{workspace}/{route}/{rest}", any method.
+func (s *Server) CallerHandler() http.Handler { return http.HandlerFunc(s.serveCaller) }
+
+// PeerHandler serves other daemons on behalf of the target of this host.
+func (s *Server) PeerHandler() http.Handler { return http.HandlerFunc(s.servePeer) }
+
+// Drain makes the server refuse new work for its target, truthfully as not
+// run, and returns once the calls that had begun before have ended. Calls of
+// callers that come later are passed on to other hosts. The error says how
+// many calls were left when ctx ended.
+func (s *Server) Drain(ctx context.Context) error {
+	s.log.Info("drain began")
+	if err := s.inflight.drain(ctx); err != nil {
+		s.log.WithError(err).Warn("drain ended early")
+		return err
+	}
+	s.log.Info("drain ended")
+	return nil
+}
+
+// Close closes idle connections.
+func (s *Server) Close() {
+	s.targets.CloseIdleConnections()
+	s.peers.CloseIdleConnections()
+}
+
+// fail returns an error of this host.
+func (s *Server) fail(outcome Outcome, step string, status int, err error) *Error {
+	return &Error{Outcome: outcome, Step: step, Peer: s.self.Host, Status: status, Err: err}
+}
+
+// limitsOf returns the limits of the gate for a service.
+func limitsOf(service *publish.Service, announced int) limits {
+	slots := service.Slots
+	if announced > 0 && (slots <= 0 || announced < slots) {
+		slots = announced
+	}
+	if service.Connections > 0 && slots > service.Connections {
+		slots = service.Connections
+	}
+	return limits{slots: max(slots, 1), queue: service.Queue, timeout: service.QueueTimeout}
+}
--- /dev/null
+++ b/internal/call/steps.go
@@ -0,0 +1,68 @@
+package call
+
+import (
+	"context"
+	"errors"
+	"net/http"
+)
+
+// Steps at which a call can fail.
+const (
+	// StepConfiguration fails while no configuration is in force.
+	StepConfiguration = "configuration"
+	// StepRequest fails when the request itself is at fault.
+	StepRequest = "request"
+	// StepRoute fails when there is no such route.
+	StepRoute = "route"
+	// StepPick fails when no target may take the call.
+	StepPick = "pick"
+	// StepHome fails when the home of a key is not known or not in contact.
+	StepHome = "home"
+	// StepKey fails when the home refuses a key.
+	StepKey = "key"
+	// StepAdmit fails when limits allow no more.
+	StepAdmit = "admit"
+	// StepDrain fails when the target or its daemon is leaving.
+	StepDrain = "drain"
+	// StepPeer fails on the way to another daemon.
+	StepPeer = "peer"
+	// StepTarget fails at the target or on the way to it.
+	StepTarget = "target"
+	// StepAnswer fails while an answer is read.
+	StepAnswer = "answer"
+)
+
+// statusCallerGone is for logs: the caller is no longer there to see it.
+const statusCallerGone = 499
+
+// Errors that are not those of a library.
+var (
+	errNoConfiguration = errors.New("no configuration is in force")
+	errNoRoute         = errors.New("no such route")
+	errNoKey           = errors.New("the route requires a key")
+	errNoKeys          = errors.New("calls with keys are not served here")
+	errNoHome          = errors.New("home is not known here")
+	errDraining        = errors.New("target takes no new calls")
+	errNoTargetHere    = errors.New("no such target on this host")
+	errTooManyCalls    = errors.New("too many calls in progress")
+)
+
+// statusOf returns the status of a call that a context or a connection ended.
+func statusOf(ctx context.Context, err error) int {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		return http.StatusGatewayTimeout
+	case ctx.Err() != nil:
+		return statusCallerGone
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// outcomeOf is the outcome of an attempt that failed after handing on, or not.
+func outcomeOf(handed bool) Outcome {
+	if handed {
+		return Unknown
+	}
+	return NotRun
+}
--- /dev/null
+++ b/internal/call/target.go
@@ -0,0 +1,101 @@
+package call
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+// serveTarget is the gate of the own target: it refuses, or runs the request
+// on the target. A refusal here is always not-run.
+func (s *Server) serveTarget(ctx context.Context, q *request) (*answer, *Error) {
+	self := s.directory.View().Self
+	if failure := s.refusal(q, self); failure != nil {
+		s.counters.refused.Inc()
+		return nil, failure
+	}
+	if q.key != "" {
+		return s.runKeyed(ctx, q, self)
+	}
+	result, failure, _ := s.run(ctx, q, self)
+	return result, failure
+}
+
+// refusal says why the target takes no such request now, nil when it does.
+func (s *Server) refusal(q *request, self membership.Member) *Error {
+	switch {
+	case self.Service != q.service.Name || self.TargetState == membership.NoTarget:
+		return s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errNoTargetHere)
+	case s.inflight.isDraining(), self.TargetState == membership.Draining, self.State != membership.Alive:
+		return s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, errDraining)
+	default:
+		return nil
+	}
+}
+
+// run admits a request, hands it to the target and takes the answer. It
+// reports whether a byte of the request may have been handed on.
+func (s *Server) run(ctx context.Context, q *request, self membership.Member) (*answer, *Error, bool) {
+	address := s.target.TargetAddress()
+	if address == "" {
+		return nil, s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errNoTargetHere), false
+	}
+	if err := s.gate.enter(ctx, q.workspace, q.deadline, limitsOf(q.service, self.Slots)); err != nil {
+		s.counters.refused.Inc()
+		return nil, s.fail(NotRun, StepAdmit, http.StatusServiceUnavailable, err), false
+	}
+	s.counters.admitted.Inc()
+	began := s.now()
+	leave := sync.OnceFunc(func() { s.gate.leave(s.now().Sub(began)) })
+	response, handed, err := s.exchange(ctx, s.targets, address, q, s.ranEvent(q))
+	if err != nil {
+		leave()
+		return nil, s.fail(outcomeOf(handed), StepTarget, statusOf(ctx, err), err), handed
+	}
+	result, err := newAnswer(response, func(bool) { leave() })
+	if err != nil {
+		return nil, s.fail(Unknown, StepAnswer, statusOf(ctx, err), err), true
+	}
+	return result, nil, true
+}
+
+// ranEvent returns what records, once, that a request was handed on.
+func (s *Server) ranEvent(q *request) func() {
+	if q.key == "" && q.attempt <= 1 && !s.sampled(q.id) {
+		return func() {}
+	}
+	return sync.OnceFunc(func() {
+		s.events.Record(timeline.Event{
+			Kind:    timeline.Ran,
+			Call:    q.id,
+			Attempt: q.attempt,
+			Key:     q.key,
+			Service: q.service.Name,
+			Peer:    s.self.Host,
+		})
+	})
+}
+
+// exchange sends an attempt to an address and returns the response. On an
+// error it reports whether a byte of the request may have been handed on.
+func (s *Server) exchange(ctx context.Context, transport *http.Transport, address string, q *request, onWrite func()) (*http.Response, bool, error) {
+	left := q.deadline.Sub(s.now())
+	out, err := q.outgoing(ctx, address, max(left, time.Nanosecond))
+	if err != nil {
+		return nil, false, err
+	}
+	var watch handover
+	response, err := transport.RoundTrip(out.WithContext(watch.trace(ctx, onWrite)))
+	if err == nil {
+		return response, true, nil
+	}
+	if watch.happened() {
+		onWrite()
+		return nil, true, err
+	}
+	return nil, false, err
+}
--- /dev/null
+++ b/internal/route/evidence.go
@@ -0,0 +1,148 @@
+package route
+
+import (
+	"time"
+)
+
+const (
+	// evidenceHalfLife is how long it takes until half of an outcome counts.
+	evidenceHalfLife = 5 * time.Second
+	// ejectFailures is the least weight of failures that ejects.
+	ejectFailures = 3
+	// ejectShare is the least share of failures that ejects.
+	ejectShare = 0.5
+	// ejectBase is the length of the first ejection. It doubles.
+	ejectBase = 2 * time.Second
+	// ejectMax bounds an ejection.
+	ejectMax = 30 * time.Second
+	// maxEjectedShare is the share of a service's targets that may be ejected.
+	// When more look bad the evidence is distrusted.
+	maxEjectedShare = 0.5
+	// forgetAfter is when a host without calls is forgotten.
+	forgetAfter = 5 * time.Minute
+)
+
+// Verdict is what one attempt shows of a target.
+type Verdict int
+
+// Verdicts of attempts.
+const (
+	// Neutral attempts show nothing: the caller went away, or a queue was full.
+	Neutral Verdict = iota
+	// Good attempts were answered.
+	Good
+	// Bad attempts failed at the target or on the way to it.
+	Bad
+)
+
+// Result is how one attempt ended.
+type Result struct {
+	Verdict Verdict
+	// Load is what the target's daemon reported, nil when it did not.
+	Load *Load
+}
+
+// Begin counts an attempt that is about to be sent to a host.
+func (r *Router) Begin(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	r.forget(now)
+	known := r.hosts[name]
+	if known == nil {
+		known = &host{counted: now, reported: now}
+		r.hosts[name] = known
+	}
+	known.outstanding++
+	known.used = now
+}
+
+// Done takes the result of an attempt that Begin counted.
+func (r *Router) Done(name string, result Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.hosts[name]
+	if known == nil {
+		return
+	}
+	now := r.now()
+	if result.Load != nil {
+		known.report(*result.Load, now)
+	}
+	known.outstanding = max(known.outstanding-1, 0)
+	if known.judge(result.Verdict, now) {
+		r.counters.ejections.Inc()
+	}
+}
+
+// judge adds one verdict and ejects the host when most of its recent attempts
+// were bad. It reports whether it ejected.
+func (h *host) judge(verdict Verdict, now time.Time) bool {
+	fade := decay(now.Sub(h.counted), evidenceHalfLife)
+	h.counted = now
+	h.successes *= fade
+	h.failures *= fade
+	switch verdict {
+	case Good:
+		h.successes++
+		h.recover(now)
+	case Bad:
+		h.failures++
+		return h.eject(now)
+	}
+	return false
+}
+
+// recover forgets past ejections once a host answers after one.
+func (h *host) recover(now time.Time) {
+	if h.ejections > 0 && now.After(h.ejectedUntil) && h.failures < 1 {
+		h.ejections = 0
+	}
+}
+
+func (h *host) eject(now time.Time) bool {
+	if now.Before(h.ejectedUntil) || h.failures < ejectFailures-ejectTolerance {
+		return false
+	}
+	if h.failures/(h.failures+h.successes) < ejectShare {
+		return false
+	}
+	length := min(ejectBase<<min(h.ejections, 4), ejectMax)
+	h.ejections++
+	h.ejectedUntil = now.Add(length)
+	return true
+}
+
+// ejectTolerance allows for the fading of failures that come in quick
+// succession.
+const ejectTolerance = 0.5
+
+// withoutEjected drops ejected targets unless more of them are ejected than
+// may be, in which case all stay.
+func (r *Router) withoutEjected(candidates []candidate) []candidate {
+	kept := make([]candidate, 0, len(candidates))
+	for _, one := range candidates {
+		if !one.ejected {
+			kept = append(kept, one)
+		}
+	}
+	ejected := len(candidates) - len(kept)
+	if float64(ejected) > maxEjectedShare*float64(len(candidates)) {
+		r.counters.distrusted.Inc()
+		return candidates
+	}
+	return kept
+}
+
+// forget drops hosts that have had no calls for long.
+func (r *Router) forget(now time.Time) {
+	if now.Sub(r.cleaned) < forgetAfter {
+		return
+	}
+	r.cleaned = now
+	for name, known := range r.hosts {
+		if known.outstanding == 0 && now.Sub(known.used) > forgetAfter {
+			delete(r.hosts, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,158 @@
+// Package route chooses the target that gets a call.
+//
+// Knowledge of targets is old, incomplete and sometimes false. The router
+// therefore weighs what membership says against the answers to this daemon's
+// own calls: load that is reported with answers, failures, and the calls that
+// are still outstanding.
+package route
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+)
+
+// ErrNoTarget says that no target of the service may take a new call.
+var ErrNoTarget = errors.New("no target takes new calls")
+
+// Rand is a source of random numbers. It need not be safe for concurrent use.
+type Rand interface {
+	IntN(n int) int
+	Float64() float64
+}
+
+// Options of a router.
+type Options struct {
+	Directory membership.Directory
+	Self      peer.Identity
+	// Now is the clock, time.Now when nil.
+	Now func() time.Time
+	// Rand chooses among targets, a random seed when nil.
+	Rand Rand
+	// Metrics takes the router's counters, none when nil.
+	Metrics *metrics.Set
+}
+
+// Router chooses targets for the calls of one daemon.
+type Router struct {
+	directory membership.Directory
+	self      peer.Identity
+	now       func() time.Time
+	counters  counters
+
+	mu    sync.Mutex
+	rand  Rand
+	hosts map[string]*host
+	// cleaned is when hosts without recent calls were last forgotten.
+	cleaned time.Time
+}
+
+// New returns a router that has seen no calls.
+func New(options Options) *Router {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Rand == nil {
+		options.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewSet()
+	}
+	return &Router{
+		directory: options.Directory,
+		self:      options.Self,
+		now:       options.Now,
+		rand:      options.Rand,
+		counters:  newCounters(options.Metrics),
+		hosts:     make(map[string]*host),
+	}
+}
+
+// Pick returns the target for the next attempt of a call, never one whose host
+// is excluded. The error is ErrNoTarget when there is none.
+func (r *Router) Pick(service *publish.Service, exclude map[string]bool) (membership.Member, error) {
+	members := r.directory.View().ByService[service.Name]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	healthy, doubtful := r.candidates(members, service, exclude, now)
+	if len(healthy) == 0 {
+		healthy = doubtful
+	}
+	if len(healthy) == 0 {
+		r.counters.noTarget.Inc()
+		return membership.Member{}, ErrNoTarget
+	}
+	healthy = r.withoutEjected(healthy)
+	return r.choose(healthy), nil
+}
+
+// candidate is a target that may take a call, with its weighed load.
+type candidate struct {
+	member  membership.Member
+	score   float64
+	share   float64
+	ejected bool
+}
+
+// candidates returns the targets in contact and those out of contact.
+func (r *Router) candidates(members []membership.Member, service *publish.Service, exclude map[string]bool, now time.Time) (healthy, doubtful []candidate) {
+	healthy = make([]candidate, 0, len(members))
+	for _, member := range members {
+		if exclude[member.Host] || !takesWork(member) {
+			continue
+		}
+		one := r.weigh(member, service, now)
+		if member.Reach == membership.Reachable {
+			healthy = append(healthy, one)
+		} else {
+			doubtful = append(doubtful, one)
+		}
+	}
+	return healthy, doubtful
+}
+
+// takesWork reports whether the target's daemon says it takes new calls.
+func takesWork(member membership.Member) bool {
+	if member.State != membership.Alive {
+		return false
+	}
+	return member.TargetState == membership.Cold || member.TargetState == membership.Ready
+}
+
+// weigh rates one target. A score of 1 means that all its slots are busy.
+func (r *Router) weigh(member membership.Member, service *publish.Service, now time.Time) candidate {
+	share := startShare(member, service, now)
+	slots := float64(slotsOf(member, service))
+	known, found := r.hosts[member.Host]
+	if !found {
+		return candidate{member: member, share: share}
+	}
+	return candidate{
+		member:  member,
+		score:   known.load(now) / (slots * share),
+		share:   share,
+		ejected: now.Before(known.ejectedUntil),
+	}
+}
+
+// defaultSlots stands for the slots of a target that nobody knows.
+const defaultSlots = 1
+
+func slotsOf(member membership.Member, service *publish.Service) int {
+	switch {
+	case member.Slots > 0:
+		return member.Slots
+	case service.Slots > 0:
+		return service.Slots
+	default:
+		return defaultSlots
+	}
+}
--- /dev/null
+++ b/internal/standin/target/behaviour.go
@@ -0,0 +1,66 @@
+package target
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/settings"
+)
+
+// States that a target announces.
+const (
+	StateCold     = "cold"
+	StateReady    = "ready"
+	StateDraining = "draining"
+)
+
+// Behaviour is how a target treats requests and what it says of itself.
+type Behaviour struct {
+	// State is the announced state: "cold", "ready" or "draining".
+	State string `json:"state"`
+	// Delay is how long each request takes.
+	Delay settings.Duration `json:"delay"`
+	// ColdDelay is added to Delay while State is "cold".
+	ColdDelay settings.Duration `json:"cold_delay"`
+	// Hang keeps each request until it is cancelled.
+	Hang bool `json:"hang"`
+	// Shed answers 503 without running the request.
+	Shed bool `json:"shed"`
+	// Fail answers 500 after running the request.
+	Fail bool `json:"fail"`
+	// CutBody breaks the connection after half of the answer.
+	CutBody bool `json:"cut_body"`
+	// LieHealthy and LieUnhealthy replace the true answer of /health.
+	LieHealthy   bool `json:"lie_healthy"`
+	LieUnhealthy bool `json:"lie_unhealthy"`
+}
+
+// Validate reports a state that no target can have.
+func (b Behaviour) Validate() error {
+	switch b.State {
+	case StateCold, StateReady, StateDraining:
+		return nil
+	default:
+		return fmt.Errorf("behaviour: state %q is not cold, ready or draining", b.State)
+	}
+}
+
+// serviceTime is how long one request takes.
+func (b Behaviour) serviceTime() time.Duration {
+	if b.State == StateCold {
+		return time.Duration(b.Delay + b.ColdDelay)
+	}
+	return time.Duration(b.Delay)
+}
+
+// healthy is what /health says.
+func (b Behaviour) healthy() bool {
+	switch {
+	case b.LieHealthy:
+		return true
+	case b.LieUnhealthy:
+		return false
+	default:
+		return !b.Hang && !b.Fail && !b.Shed && !b.CutBody
+	}
+}
--- /dev/null
+++ b/internal/standin/target/http.go
@@ -0,0 +1,199 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/mulberrybank/mulberrybank/internal/call"
+)
+
+const (
+	// SizeParameter asks for an answer of so many bytes.
+	SizeParameter = "size"
+	// AnswerTrailer is a trailer that bears the call id of each answer.
+	AnswerTrailer = "Target-Call"
+	// maxSize bounds SizeParameter in bytes.
+	maxSize = 1 << 30
+	// blockSize is the length of one write of an answer in bytes.
+	blockSize = 32 << 10
+)
+
+// handler serves the control paths; every other path is a request to run.
+func (t *Target) handler() http.Handler {
+	router := httprouter.New()
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
+	router.HandleMethodNotAllowed = false
+	router.GET("/health", t.serveHealth)
+	router.GET("/runs", t.serveRuns)
+	router.POST("/behaviour", t.serveBehaviour)
+	router.NotFound = http.HandlerFunc(t.serveRun)
+	return router
+}
+
+func (t *Target) serveHealth(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if !t.Behaviour().healthy() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (t *Target) serveRuns(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(t.Records())
+}
+
+func (t *Target) serveBehaviour(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var behaviour Behaviour
+	if err := json.NewDecoder(r.Body).Decode(&behaviour); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := t.Set(behaviour); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
+
+// serveRun runs a request. It answers with SizeParameter bytes, or else with
+// the request's own body.
+func (t *Target) serveRun(w http.ResponseWriter, r *http.Request) {
+	behaviour := t.Behaviour()
+	if behaviour.Shed {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	run := newRun(r)
+	index := t.runs.begin(run)
+	status := 0
+	defer func() {
+		t.runs.end(index, func(run *Run) {
+			run.Status = status
+			run.Finished = status != 0 && r.Context().Err() == nil && !behaviour.CutBody
+			run.Cancelled = r.Context().Err() != nil
+		})
+	}()
+	if !work(r.Context(), behaviour, run.Deadline) {
+		status = http.StatusGatewayTimeout
+		w.WriteHeader(status)
+		return
+	}
+	status = http.StatusOK
+	if behaviour.Fail {
+		status = http.StatusInternalServerError
+	}
+	answer(w, r, status, behaviour.CutBody)
+}
+
+func newRun(r *http.Request) Run {
+	attempt, _ := strconv.Atoi(r.Header.Get(call.HeaderAttempt))
+	deadline, _ := time.ParseDuration(r.Header.Get(call.HeaderDeadline))
+	return Run{
+		Call:     r.Header.Get(call.HeaderCall),
+		Key:      r.Header.Get(call.HeaderKey),
+		Attempt:  attempt,
+		Method:   r.Method,
+		Path:     r.URL.RequestURI(),
+		Began:    time.Now(),
+		Deadline: deadline,
+	}
+}
+
+// work spends the service time. It reports whether the request may be
+// answered: it was not cancelled and its deadline has not passed.
+func work(ctx context.Context, behaviour Behaviour, deadline time.Duration) bool {
+	if deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, deadline)
+		defer cancel()
+	}
+	if behaviour.Hang {
+		<-ctx.Done()
+		return false
+	}
+	duration := behaviour.serviceTime()
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func answer(w http.ResponseWriter, r *http.Request, status int, cut bool) {
+	id := r.Header.Get(call.HeaderCall)
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	w.Header().Set("Trailer", AnswerTrailer)
+	if sum := r.Header.Get("Content-Type"); sum != "" {
+		w.Header().Set("Content-Type", sum)
+	}
+	w.WriteHeader(status)
+	size, err := strconv.ParseInt(r.URL.Query().Get(SizeParameter), 10, 64)
+	switch {
+	case err == nil && size >= 0 && size <= maxSize:
+		writeBlocks(w, size, cut)
+	default:
+		echo(w, r.Body, cut)
+	}
+	w.Header().Set(AnswerTrailer, id)
+}
+
+// writeBlocks writes size bytes, or half of them and an abort.
+func writeBlocks(w http.ResponseWriter, size int64, cut bool) {
+	limit := size
+	if cut {
+		limit = size / 2
+	}
+	block := make([]byte, blockSize)
+	for i := range block {
+		block[i] = byte('a' + i%26)
+	}
+	for limit > 0 {
+		n, err := w.Write(block[:min(limit, blockSize)])
+		limit -= int64(n)
+		if err != nil {
+			return
+		}
+	}
+	abortIf(w, cut)
+}
+
+// echo returns the request's body piece by piece as it comes.
+func echo(w http.ResponseWriter, body io.Reader, cut bool) {
+	control := http.NewResponseController(w)
+	buffer := make([]byte, blockSize)
+	for {
+		n, err := body.Read(buffer)
+		if cut {
+			_, _ = w.Write(buffer[:n/2])
+			abortIf(w, cut)
+		}
+		if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+			return
+		}
+		_ = control.Flush()
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func abortIf(w http.ResponseWriter, cut bool) {
+	if !cut {
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
