Decode and check settings from JSON with comments

Settings were a struct without a reader. encoding/json was ruled out because its errors carry no line of a field.

--- /dev/null
+++ b/internal/settings/rule.go
@@ -0,0 +1,141 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"reflect"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/dustin/go-humanize"
+	"github.com/sirupsen/logrus"
+	"github.com/tailscale/hujson"
+)
+
+// rule says which values one field may hold.
+type rule struct {
+	form     string
+	min, max string
+	literal  hujson.Kind
+	kind     reflect.Type
+}
+
+var (
+	durationType = reflect.TypeFor[Duration]()
+	sizeType     = reflect.TypeFor[Size]()
+	namePattern  = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+)
+
+func ruleOf(field reflect.StructField) rule {
+	r := rule{
+		form:    field.Tag.Get("form"),
+		min:     field.Tag.Get("min"),
+		max:     field.Tag.Get("max"),
+		literal: '"',
+		kind:    field.Type,
+	}
+	if field.Type.Kind() == reflect.Int {
+		r.literal = '0'
+	}
+	return r
+}
+
+// allowed says in words which values the rule allows.
+func (r rule) allowed() string {
+	switch {
+	case r.kind == durationType:
+		return fmt.Sprintf(`a duration with a unit from %q to %q, such as "250ms"`, r.min, r.max)
+	case r.kind == sizeType:
+		return fmt.Sprintf(`a size with a unit from %q to %q, such as "64KiB"`, r.min, r.max)
+	case r.kind.Kind() == reflect.Int:
+		return fmt.Sprintf("a whole number from %s to %s", r.min, r.max)
+	}
+	return formText(r.form)
+}
+
+func formText(form string) string {
+	switch form {
+	case "name":
+		return "a name of 1 to 63 lower-case letters, digits, dots and hyphens"
+	case "address":
+		return `an IP address with a port, such as "10.0.0.7:7400"`
+	case "url":
+		return `an http or https URL without user, query or fragment, such as "http://10.0.0.1:7000"`
+	case "level":
+		return `"debug", "info", "warning" or "error"`
+	default:
+		return "a text"
+	}
+}
+
+// allows reports whether a decoded value keeps the rule.
+func (r rule) allows(v reflect.Value) bool {
+	switch {
+	case v.Type() == durationType:
+		d := time.Duration(v.Int())
+		return d >= mustDuration(r.min) && d <= mustDuration(r.max)
+	case v.Type() == sizeType:
+		return v.Uint() >= mustSize(r.min) && v.Uint() <= mustSize(r.max)
+	case v.Kind() == reflect.Int:
+		return v.Int() >= mustInt(r.min) && v.Int() <= mustInt(r.max)
+	}
+	return formAllows(r.form, v.String())
+}
+
+func formAllows(form, text string) bool {
+	switch form {
+	case "name":
+		return namePattern.MatchString(text)
+	case "address":
+		_, err := netip.ParseAddrPort(text)
+		return err == nil
+	case "url":
+		return isBaseURL(text)
+	case "level":
+		return text != "warn" && isLevel(text)
+	default:
+		return true
+	}
+}
+
+func isBaseURL(text string) bool {
+	parsed, err := url.Parse(text)
+	if err != nil || parsed.Host == "" || parsed.User != nil {
+		return false
+	}
+	if parsed.RawQuery != "" || parsed.Fragment != "" {
+		return false
+	}
+	return parsed.Scheme == "http" || parsed.Scheme == "https"
+}
+
+func isLevel(text string) bool {
+	level, err := logrus.ParseLevel(text)
+	return err == nil && level.String() == text && level >= logrus.ErrorLevel && level <= logrus.DebugLevel
+}
+
+func mustDuration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+func mustSize(text string) uint64 {
+	size, err := humanize.ParseBytes(text)
+	if err != nil {
+		panic(err)
+	}
+	return size
+}
+
+func mustInt(text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
