Buffer, merge and check the events of all processes

The events had types but nothing kept, ordered or judged them. A ring buffer keeps the newest events and says at its head how many it dropped; absence of an event is held against a process only when its start is in the trace and nothing was dropped. Eighteen planted violations cover the nine promises; each test fails with its check removed from CheckWithin, since nothing else reports its promise.

--- /dev/null
+++ b/internal/timeline/check_test.go
@@ -0,0 +1,147 @@
+package timeline
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// script builds events with times in milliseconds.
+type script struct{ events []Event }
+
+func (s *script) at(millis int64, host string, event Event) {
+	event.Time = Timestamp{Millis: millis}
+	event.Host = host
+	if event.Incarnation == 0 {
+		event.Incarnation = 1
+	}
+	s.events = append(s.events, event)
+}
+
+// clean returns a trace of two hosts that keeps every promise.
+func clean() *script {
+	s := &script{}
+	for _, host := range []string{"a", "b"} {
+		s.at(0, host, Event{Kind: Started})
+		s.at(1, host, Event{Kind: InForce, Offset: 1, Digest: "d1"})
+		s.at(2, host, Event{Kind: Announced, Service: "w/s"})
+		s.at(100, host, Event{Kind: VerdictReached, Offset: 2, Version: 2, Outcome: "accepted"})
+		s.at(101, host, Event{Kind: InForce, Offset: 2, Version: 2, Routes: 3, Digest: "d2"})
+		s.at(102, host, Event{Kind: VerdictReached, Offset: 3, Outcome: "refused"})
+		s.at(103, host, Event{Kind: InForce, Offset: 3, Version: 2, Routes: 3, Digest: "d3"})
+	}
+	s.at(200, "a", Event{Kind: CallBegan, Call: "c1", Key: "k1", Service: "w/s"})
+	s.at(201, "a", Event{Kind: Sent, Call: "c1", Attempt: 1, Peer: "b", Key: "k1", Service: "w/s"})
+	s.at(202, "b", Event{Kind: Failed, Call: "c1", Attempt: 1, Outcome: "not-run"})
+	s.at(203, "a", Event{Kind: Sent, Call: "c1", Attempt: 2, Peer: "b", Key: "k1", Service: "w/s"})
+	s.at(204, "b", Event{Kind: Ran, Call: "c1", Attempt: 2, Key: "k1", Service: "w/s"})
+	s.at(205, "b", Event{Kind: Answered, Call: "c1", Attempt: 2})
+	s.at(206, "a", Event{Kind: Answered, Call: "c1", Attempt: 2, Peer: "b", Key: "k1"})
+	s.at(300, "b", Event{Kind: Draining})
+	s.at(4000, "a", Event{Kind: Sent, Call: "c2", Attempt: 1, Peer: "b"})
+	s.at(30000, "b", Event{Kind: Stopping})
+	s.at(30001, "b", Event{Kind: Stopped})
+	s.at(30010, "b", Event{Kind: Started, Incarnation: 2})
+	s.at(30020, "b", Event{Kind: InForce, Incarnation: 2, Offset: 3, Version: 2, Routes: 3, Digest: "d3"})
+	s.at(30030, "b", Event{Kind: Announced, Incarnation: 2, Service: "w/s"})
+	s.at(30040, "a", Event{Kind: Sent, Call: "c3", Attempt: 1, Peer: "b"})
+	return s
+}
+
+func TestCheckPassesACleanTrace(t *testing.T) {
+	assert.DeepEqual(t, Check(Merge([][]Event{clean().events})), []Violation(nil))
+}
+
+func TestCheckFindsEachPlantedViolation(t *testing.T) {
+	cases := []struct {
+		name    string
+		promise Promise
+		plant   func(*script)
+	}{
+		{"offset falls", VersionsGrow, func(s *script) {
+			s.at(110, "a", Event{Kind: InForce, Offset: 2, Version: 2, Routes: 3, Digest: "d2"})
+		}},
+		{"offset falls over a restart", VersionsGrow, func(s *script) {
+			s.at(30015, "b", Event{Kind: InForce, Incarnation: 2, Offset: 1, Digest: "d1"})
+		}},
+		{"route without service", RoutesResolve, func(s *script) {
+			s.at(400, "a", Event{Kind: InForce, Offset: 4, Version: 2, Routes: 3, Dangling: 1, Digest: "d4"})
+		}},
+		{"digests differ", VersionsWhole, func(s *script) {
+			s.at(400, "a", Event{Kind: InForce, Offset: 3, Version: 2, Routes: 3, Digest: "other"})
+		}},
+		{"version without verdict", VersionsWhole, func(s *script) {
+			s.at(400, "a", Event{Kind: InForce, Offset: 4, Version: 4, Digest: "d4"})
+		}},
+		{"refused version in force", VersionsWhole, func(s *script) {
+			s.at(400, "a", Event{Kind: InForce, Offset: 4, Version: 3, Digest: "d4"})
+		}},
+		{"verdicts differ", VersionsWhole, func(s *script) {
+			s.at(104, "b", Event{Kind: VerdictReached, Offset: 3, Outcome: "conflict"})
+		}},
+		{"answered twice", AnswersMatch, func(s *script) {
+			s.at(207, "a", Event{Kind: Answered, Call: "c1", Attempt: 2, Peer: "b"})
+		}},
+		{"answer of another request", AnswersMatch, func(s *script) {
+			s.at(400, "a", Event{Kind: CallBegan, Call: "c9", Key: "k9"})
+			s.at(401, "a", Event{Kind: Answered, Call: "c9", Key: "k1"})
+		}},
+		{"answer of another peer", AnswersMatch, func(s *script) {
+			s.at(400, "a", Event{Kind: CallBegan, Call: "c9"})
+			s.at(401, "a", Event{Kind: Sent, Call: "c9", Attempt: 1, Peer: "b"})
+			s.at(402, "a", Event{Kind: Answered, Call: "c9", Attempt: 1, Peer: "z"})
+		}},
+		{"answer without a call", AnswersMatch, func(s *script) {
+			s.at(400, "a", Event{Kind: Answered, Call: "c9"})
+		}},
+		{"refused attempt ran", RefusalsTrue, func(s *script) {
+			s.at(400, "a", Event{Kind: Failed, Call: "c1", Attempt: 2, Outcome: "not-run"})
+		}},
+		{"refused call ran", RefusalsTrue, func(s *script) {
+			s.at(400, "a", Event{Kind: Failed, Call: "c1", Outcome: "not-run"})
+		}},
+		{"key ran twice", KeysOnce, func(s *script) {
+			s.at(400, "a", Event{Kind: Ran, Call: "c8", Attempt: 1, Key: "k1", Service: "w/s"})
+		}},
+		{"sent while draining", DrainingSpared, func(s *script) {
+			s.at(5301, "a", Event{Kind: Sent, Call: "c8", Attempt: 1, Peer: "b"})
+		}},
+		{"run cut by a stop", StopsGraceful, func(s *script) {
+			s.at(29999, "b", Event{Kind: Ran, Call: "c8", Attempt: 1})
+		}},
+		{"call cut by a stop", StopsGraceful, func(s *script) {
+			s.at(29999, "b", Event{Kind: CallBegan, Call: "c8"})
+		}},
+		{"version late on a host", VersionsSpread, func(s *script) {
+			s.at(400, "a", Event{Kind: VerdictReached, Offset: 4, Version: 4, Outcome: "accepted"})
+			s.at(10401, "a", Event{Kind: InForce, Offset: 4, Version: 4, Digest: "d4"})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := clean()
+			c.plant(s)
+			violations := Check(Merge([][]Event{s.events}))
+			assert.Assert(t, len(violations) > 0)
+			for _, v := range violations {
+				assert.Equal(t, v.Promise, c.promise, "%v", v)
+				assert.Assert(t, len(v.Events) > 0)
+			}
+		})
+	}
+}
+
+func TestSpreadSparesAHostThatOthersLost(t *testing.T) {
+	s := clean()
+	s.at(390, "a", Event{Kind: Unreachable, Peer: "b"})
+	s.at(400, "a", Event{Kind: VerdictReached, Offset: 4, Version: 4, Outcome: "accepted"})
+	s.at(401, "a", Event{Kind: InForce, Offset: 4, Version: 4, Digest: "d4"})
+	assert.DeepEqual(t, Check(Merge([][]Event{s.events})), []Violation(nil))
+}
+
+func TestDroppedEventsAreNotHeldAgainstAProcess(t *testing.T) {
+	s := clean()
+	s.at(0, "b", Event{Kind: EventsDropped, Detail: "7"})
+	s.at(29999, "b", Event{Kind: Ran, Call: "c8", Attempt: 1})
+	assert.DeepEqual(t, Check(Merge([][]Event{s.events})), []Violation(nil))
+}
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -33,6 +33,8 @@
 	PlatformLost    Kind = "platform-lost"
 	PlatformFound   Kind = "platform-found"
 	UpstreamChosen  Kind = "upstream-chosen"
+	// EventsDropped stands at the head of a list of events that is not whole.
+	EventsDropped Kind = "events-dropped"
 )
 
 // Event is one thing that happened on one process.
--- /dev/null
+++ b/internal/timeline/http.go
@@ -0,0 +1,24 @@
+package timeline
+
+import (
+	"net/http"
+)
+
+// Handler serves the events of a buffer as JSON lines. The query parameter
+// "since" is a timestamp; only later events are returned.
+func (b *Buffer) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var since Timestamp
+		if text := r.URL.Query().Get("since"); text != "" {
+			parsed, err := ParseTimestamp(text)
+			if err != nil {
+				http.Error(w, "since: a timestamp such as 1700000000000.0 is needed", http.StatusBadRequest)
+				return
+			}
+			since = parsed
+		}
+		w.Header().Set("Content-Type", "application/x-ndjson")
+		// An error here means that the client has gone.
+		_ = WriteJSON(w, b.Events(since))
+	})
+}
