Serve the administration API of one daemon

Operators had no way in. The API converts between HTTP and the slices and decides nothing itself: publishing is a Submitter, state an Enforcer, old versions a Sources. An append with a lost answer is told apart from a refused one, because only the refused one may be dropped by the operator.

--- /dev/null
+++ b/internal/admin/convert.go
@@ -0,0 +1,141 @@
+package admin
+
+import (
+	"encoding/json"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+)
+
+// toPublication converts the body of a request. The daemon is the host whose
+// API took it.
+func toPublication(body *Publication, daemon string) *publish.Publication {
+	return &publish.Publication{
+		Id:               body.ID,
+		Workspace:        body.Workspace,
+		Base:             body.Base,
+		Author:           body.Author,
+		Reason:           body.Reason,
+		SetTemplates:     body.SetTemplates,
+		RemoveTemplates:  body.RemoveTemplates,
+		SetParameters:    texts(body.SetParameters),
+		RemoveParameters: body.RemoveParameters,
+		Daemon:           daemon,
+	}
+}
+
+// FromPublication converts a publication to the body of a request.
+func FromPublication(p *publish.Publication) *Publication {
+	return &Publication{
+		ID:               p.GetId(),
+		Workspace:        p.GetWorkspace(),
+		Base:             p.GetBase(),
+		Author:           p.GetAuthor(),
+		Reason:           p.GetReason(),
+		SetTemplates:     p.GetSetTemplates(),
+		RemoveTemplates:  p.GetRemoveTemplates(),
+		SetParameters:    values(p.GetSetParameters()),
+		RemoveParameters: p.GetRemoveParameters(),
+	}
+}
+
+func texts(values map[string]json.RawMessage) map[string]string {
+	if len(values) == 0 {
+		return nil
+	}
+	result := make(map[string]string, len(values))
+	for name, value := range values {
+		result[name] = string(value)
+	}
+	return result
+}
+
+func values(texts map[string]string) map[string]json.RawMessage {
+	result := make(map[string]json.RawMessage, len(texts))
+	for name, text := range texts {
+		result[name] = json.RawMessage(text)
+	}
+	return result
+}
+
+func fromVerdict(v publish.Verdict) Verdict {
+	verdict := Verdict{
+		ID:              v.ID,
+		Workspace:       v.Workspace,
+		Outcome:         v.Outcome.String(),
+		Offset:          v.Offset,
+		Version:         uint64(v.Version),
+		Author:          v.Author,
+		Reason:          v.Reason,
+		ConflictVersion: uint64(v.ConflictVersion),
+		ConflictAuthor:  v.ConflictAuthor,
+	}
+	for _, problem := range v.Problems {
+		verdict.Problems = append(verdict.Problems, Fault{Place: problem.Place, Reason: problem.Reason})
+	}
+	return verdict
+}
+
+func fromSource(source *publish.WorkspaceSource) Source {
+	templates := source.GetTemplates()
+	if templates == nil {
+		templates = map[string]string{}
+	}
+	return Source{
+		Workspace:  source.GetName(),
+		Version:    source.GetVersion(),
+		Templates:  templates,
+		Parameters: values(source.GetParameters()),
+	}
+}
+
+func fromMember(m membership.Member) Member {
+	return Member{
+		Host:        m.Host,
+		Zone:        m.Zone,
+		Region:      m.Region,
+		Incarnation: m.Position.Incarnation,
+		State:       stateName(m.State),
+		Service:     m.Service,
+		Slots:       m.Slots,
+		Target:      targetName(m.TargetState),
+		Reach:       reachName(m.Reach),
+		Heard:       m.Heard,
+		InForce:     m.InForce,
+	}
+}
+
+func stateName(state membership.State) string {
+	switch state {
+	case membership.Alive:
+		return "alive"
+	case membership.Leaving:
+		return "leaving"
+	default:
+		return "left"
+	}
+}
+
+func targetName(state membership.TargetState) string {
+	switch state {
+	case membership.Cold:
+		return "cold"
+	case membership.Ready:
+		return "ready"
+	case membership.Draining:
+		return "draining"
+	default:
+		return "none"
+	}
+}
+
+func reachName(reach membership.Reach) string {
+	switch reach {
+	case membership.Reachable:
+		return "reachable"
+	case membership.Suspect:
+		return "suspect"
+	default:
+		return "unreachable"
+	}
+}
--- /dev/null
+++ b/internal/admin/publications.go
@@ -0,0 +1,144 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/google/uuid"
+
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+)
+
+// publish submits a publication and answers with its verdict.
+func (s *Server) publish(w http.ResponseWriter, r *request) error {
+	publication, err := s.readPublication(r, Publisher)
+	if err != nil {
+		return err
+	}
+	return s.submit(w, r.Context(), publication)
+}
+
+// validate answers with the verdict that a publication would get now.
+func (s *Server) validate(w http.ResponseWriter, r *request) error {
+	publication, err := s.readPublication(r, Publisher)
+	if err != nil {
+		return err
+	}
+	if err := s.replay(r.Context()); err != nil {
+		return err
+	}
+	defer s.replayed()
+	verdict, err := s.Sources.Validate(r.Context(), publication)
+	if err != nil {
+		return unavailable("validate", err)
+	}
+	return writeJSON(w, http.StatusOK, fromVerdict(verdict))
+}
+
+// rollback publishes the content of an old version as a new one.
+func (s *Server) rollback(w http.ResponseWriter, r *request) error {
+	var body Rollback
+	if err := readBody(r, &body); err != nil {
+		return err
+	}
+	if err := checkID(body.ID); err != nil {
+		return err
+	}
+	current, ok := s.Sources.Source(r.workspace())
+	if !ok {
+		return notFound("workspace %s", r.workspace())
+	}
+	old, err := s.sourceAt(r.Context(), r.workspace(), body.Version)
+	if err != nil {
+		return err
+	}
+	publication := restoring(current, old)
+	publication.Id = body.ID
+	if body.Base != 0 {
+		publication.Base = body.Base
+	}
+	publication.Author = authorOf(r.principal, body.Author)
+	publication.Reason = body.Reason
+	publication.Daemon = s.Host
+	return s.submit(w, r.Context(), publication)
+}
+
+// readPublication reads a publication and checks access to its workspace.
+func (s *Server) readPublication(r *request, role Role) (*publish.Publication, error) {
+	var body Publication
+	if err := readBody(r, &body); err != nil {
+		return nil, err
+	}
+	if body.Workspace == "" {
+		return nil, badRequest("workspace: a name is needed")
+	}
+	principal, problem := s.authorize(r.Request, body.Workspace, role)
+	if problem != nil {
+		return nil, problem
+	}
+	if err := checkID(body.ID); err != nil {
+		return nil, err
+	}
+	body.Author = authorOf(principal, body.Author)
+	return toPublication(&body, s.Host), nil
+}
+
+func checkID(id string) error {
+	if _, err := uuid.Parse(id); err != nil {
+		return badRequest("id: found %q, a UUID is needed", shorten(id))
+	}
+	return nil
+}
+
+// maxShown bounds how many bytes of a wrong value an error repeats.
+const maxShown = 64
+
+func shorten(text string) string {
+	if len(text) <= maxShown {
+		return text
+	}
+	return text[:maxShown] + "..."
+}
+
+// authorOf prefers the holder of the token to what the request claims.
+func authorOf(principal Principal, claimed string) string {
+	if principal.Name != "" {
+		return principal.Name
+	}
+	return claimed
+}
+
+// submit publishes and answers with the verdict.
+func (s *Server) submit(w http.ResponseWriter, ctx context.Context, publication *publish.Publication) error {
+	verdict, err := s.Submitter.Submit(ctx, publication)
+	switch {
+	case err == nil:
+		s.count(verdict)
+		return writeJSON(w, statusOf(verdict), fromVerdict(verdict))
+	case errors.Is(err, platform.ErrRefused):
+		return unavailable("append", err)
+	default:
+		return &Problem{Type: TypeUnknownResult, Title: "the publication may have taken effect", Status: http.StatusGatewayTimeout,
+			Detail: "repeat it with the same id: " + err.Error(), Step: "append"}
+	}
+}
+
+func (s *Server) count(verdict publish.Verdict) {
+	name := `mulberrybank_admin_publications_total{outcome=` + strconv.Quote(verdict.Outcome.String()) + `}`
+	s.Metrics.GetOrCreateCounter(name).Inc()
+}
+
+// statusOf maps a verdict to the status of its answer.
+func statusOf(verdict publish.Verdict) int {
+	switch verdict.Outcome {
+	case publish.Accepted, publish.Duplicate:
+		return http.StatusOK
+	case publish.Conflict:
+		return http.StatusConflict
+	default:
+		return http.StatusUnprocessableEntity
+	}
+}
--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,130 @@
+// Package admin serves the administration API of one daemon over HTTP.
+//
+// Operators, their scripts and the command line are its clients. The API
+// decides nothing about configuration; it asks the slices that do.
+package admin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mulberrybank/mulberrybank/internal/enforce"
+	"github.com/mulberrybank/mulberrybank/internal/logging"
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+)
+
+// Submitter puts a publication into the log and returns its verdict.
+type Submitter interface {
+	Submit(ctx context.Context, publication *publish.Publication) (publish.Verdict, error)
+}
+
+// Enforcer tells what is in force on this daemon.
+type Enforcer interface {
+	Table() *enforce.Table
+	Position() (offset uint64, digest []byte)
+	Floor() uint64
+	Stopped() error
+	Verdicts() []publish.Verdict
+}
+
+// Sources gives access to what workspaces are rendered from.
+type Sources interface {
+	// Source returns the current source of a workspace.
+	Source(workspace string) (*publish.WorkspaceSource, bool)
+	// SourceAt returns the source of a workspace at one of its versions.
+	SourceAt(ctx context.Context, workspace string, version publish.Version) (*publish.WorkspaceSource, error)
+	// Render renders a source.
+	Render(source *publish.WorkspaceSource) (*publish.Workspace, []publish.Problem)
+	// Validate returns the verdict that a publication would get now.
+	Validate(ctx context.Context, publication *publish.Publication) (publish.Verdict, error)
+}
+
+// Directory tells which daemons there are.
+type Directory interface {
+	View() *membership.View
+}
+
+// Drainer takes this host's target out of service and back.
+type Drainer interface {
+	Drain()
+	Resume()
+}
+
+// ReadyCheck returns why a part of the daemon is not ready, nil when it is.
+type ReadyCheck func() error
+
+// Options of a Server. Host, Zone, Submitter, Enforcer, Sources and Directory
+// are required.
+type Options struct {
+	Host      string
+	Zone      string
+	Submitter Submitter
+	Enforcer  Enforcer
+	Sources   Sources
+	Directory Directory
+	// Convergence returns what is known of all daemons.
+	Convergence func() Convergence
+	// Staleness returns how long ago the daemon last had all records, false
+	// when it never had.
+	Staleness func() (time.Duration, bool)
+	Drainer   Drainer
+	// Ready are further conditions of /readyz.
+	Ready []ReadyCheck
+	// Timeline serves the events of this process.
+	Timeline http.Handler
+	// Authorizer decides who may do what, nil allows everything.
+	Authorizer Authorizer
+	// MaxBody bounds the body of one request in bytes, 0 for DefaultMaxBody.
+	MaxBody int64
+	Logger  *logrus.Logger
+	Metrics *metrics.Set
+	// Now is the clock, nil for time.Now.
+	Now func() time.Time
+}
+
+// DefaultMaxBody is the bound on the body of one request in bytes.
+const DefaultMaxBody = 1 << 20
+
+// Server is the administration API of one daemon.
+type Server struct {
+	Options
+	log    *logrus.Entry
+	router *httprouter.Router
+	// replays limits how many requests rebuild old state at once.
+	replays chan struct{}
+}
+
+// maxReplays is how many requests may rebuild old state at once.
+const maxReplays = 2
+
+// New returns a server.
+func New(options Options) *Server {
+	s := &Server{Options: options, replays: make(chan struct{}, maxReplays)}
+	if s.MaxBody == 0 {
+		s.MaxBody = DefaultMaxBody
+	}
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	if s.Metrics == nil {
+		s.Metrics = metrics.NewSet()
+	}
+	if s.Logger == nil {
+		s.Logger = logging.Discard()
+	}
+	if s.Authorizer == nil {
+		s.Authorizer = allowAll{}
+	}
+	s.log = logging.Part(s.Logger, "admin")
+	s.router = s.newRouter()
+	return s
+}
+
+// Handler serves the API.
+func (s *Server) Handler() http.Handler { return s.router }
--- /dev/null
+++ b/internal/admin/state.go
@@ -0,0 +1,115 @@
+package admin
+
+import (
+	"encoding/hex"
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// status answers with what this daemon knows of the configuration.
+func (s *Server) status(w http.ResponseWriter, _ *request) error {
+	return writeJSON(w, http.StatusOK, s.currentStatus())
+}
+
+func (s *Server) currentStatus() Status {
+	status := Status{Host: s.Host, Zone: s.Zone, Floor: s.Enforcer.Floor(), StalenessMillis: unknownStaleness}
+	if table := s.Enforcer.Table(); table != nil {
+		status.Offset = table.Offset
+		status.Digest = hex.EncodeToString(table.Digest)
+		status.Version = uint64(table.Config.Version)
+		status.Routes = len(table.Config.Routes)
+		status.Services = len(table.Config.Services)
+	}
+	if s.Staleness != nil {
+		if age, known := s.Staleness(); known {
+			status.StalenessMillis = age.Milliseconds()
+		}
+	}
+	if err := s.Enforcer.Stopped(); err != nil {
+		status.Stopped = err.Error()
+	}
+	if s.Convergence != nil {
+		status.Convergence = s.Convergence()
+	}
+	return status
+}
+
+// unknownStaleness is reported by a daemon that never had all records.
+const unknownStaleness = -1
+
+// members answers with the daemons known here, sorted by host.
+func (s *Server) members(w http.ResponseWriter, _ *request) error {
+	answer := Members{Members: []Member{}}
+	for _, member := range s.Directory.View().Members {
+		answer.Members = append(answer.Members, fromMember(member))
+	}
+	slices.SortFunc(answer.Members, func(a, b Member) int { return strings.Compare(a.Host, b.Host) })
+	return writeJSON(w, http.StatusOK, answer)
+}
+
+// drain takes the target of this host out of service.
+func (s *Server) drain(w http.ResponseWriter, r *request) error {
+	if s.Drainer == nil {
+		return notFound("this daemon has no target to drain")
+	}
+	s.log.WithField("author", r.principal.Name).Info("draining the target")
+	s.Drainer.Drain()
+	return writeJSON(w, http.StatusOK, DrainState{Host: s.Host, Draining: true})
+}
+
+// resume puts the target of this host back into service.
+func (s *Server) resume(w http.ResponseWriter, r *request) error {
+	if s.Drainer == nil {
+		return notFound("this daemon has no target to resume")
+	}
+	s.log.WithField("author", r.principal.Name).Info("resuming the target")
+	s.Drainer.Resume()
+	return writeJSON(w, http.StatusOK, DrainState{Host: s.Host})
+}
+
+// timeline serves the events of this process.
+func (s *Server) timeline(w http.ResponseWriter, r *request) error {
+	if s.Timeline == nil {
+		return notFound("this daemon keeps no events")
+	}
+	s.Timeline.ServeHTTP(w, r.Request)
+	return nil
+}
+
+// metrics serves the metrics of this process in the Prometheus text format.
+func (s *Server) metrics(w http.ResponseWriter, _ *request) error {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	s.Metrics.WritePrometheus(w)
+	return nil
+}
+
+// healthz answers as long as the process serves requests.
+func (s *Server) healthz(w http.ResponseWriter, _ *request) error {
+	return writeJSON(w, http.StatusOK, Readiness{Ready: true})
+}
+
+// readyz says whether the daemon serves calls under current rules, or why not.
+func (s *Server) readyz(w http.ResponseWriter, _ *request) error {
+	reasons := s.reasons()
+	if len(reasons) > 0 {
+		return writeJSON(w, http.StatusServiceUnavailable, Readiness{Reasons: reasons})
+	}
+	return writeJSON(w, http.StatusOK, Readiness{Ready: true})
+}
+
+func (s *Server) reasons() []string {
+	var reasons []string
+	if s.Enforcer.Table() == nil {
+		reasons = append(reasons, "no configuration is in force yet")
+	}
+	if err := s.Enforcer.Stopped(); err != nil {
+		reasons = append(reasons, "folding stopped: "+err.Error())
+	}
+	for _, check := range s.Ready {
+		if err := check(); err != nil {
+			reasons = append(reasons, err.Error())
+		}
+	}
+	return reasons
+}
--- /dev/null
+++ b/internal/admin/workspaces.go
@@ -0,0 +1,122 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+)
+
+// history answers with the verdicts of one workspace, oldest first.
+func (s *Server) history(w http.ResponseWriter, r *request) error {
+	history := History{Workspace: r.workspace(), Verdicts: []Verdict{}}
+	for _, verdict := range s.Enforcer.Verdicts() {
+		if verdict.Workspace == r.workspace() {
+			history.Verdicts = append(history.Verdicts, fromVerdict(verdict))
+		}
+	}
+	return writeJSON(w, http.StatusOK, history)
+}
+
+// source answers with what a workspace is rendered from. The query parameter
+// "version" selects an old version.
+func (s *Server) source(w http.ResponseWriter, r *request) error {
+	version, err := versionParam(r, "version")
+	if err != nil {
+		return err
+	}
+	source, err := s.sourceAt(r.Context(), r.workspace(), version)
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, http.StatusOK, fromSource(source))
+}
+
+// diff answers with the rendered differences between two versions. A missing
+// "to" stands for the current version.
+func (s *Server) diff(w http.ResponseWriter, r *request) error {
+	from, err := versionParam(r, "from")
+	if err != nil {
+		return err
+	}
+	if from == 0 {
+		return badRequest("from: a version is needed")
+	}
+	to, err := versionParam(r, "to")
+	if err != nil {
+		return err
+	}
+	before, err := s.sourceAt(r.Context(), r.workspace(), from)
+	if err != nil {
+		return err
+	}
+	after, err := s.sourceAt(r.Context(), r.workspace(), to)
+	if err != nil {
+		return err
+	}
+	changes, err := s.compare(before, after)
+	if err != nil {
+		return err
+	}
+	answer := Diff{Workspace: r.workspace(), From: before.GetVersion(), To: after.GetVersion(), Changes: changes}
+	return writeJSON(w, http.StatusOK, answer)
+}
+
+// compare renders two sources and lists their differences.
+func (s *Server) compare(before, after *publish.WorkspaceSource) ([]Change, error) {
+	from, problems := s.Sources.Render(before)
+	if len(problems) > 0 {
+		return nil, badRequest("version %d does not render: %s", before.GetVersion(), problems[0])
+	}
+	to, problems := s.Sources.Render(after)
+	if len(problems) > 0 {
+		return nil, badRequest("version %d does not render: %s", after.GetVersion(), problems[0])
+	}
+	return Compare(from, to), nil
+}
+
+// sourceAt returns the source of a workspace at a version, 0 for the current.
+func (s *Server) sourceAt(ctx context.Context, workspace string, version uint64) (*publish.WorkspaceSource, error) {
+	current, ok := s.Sources.Source(workspace)
+	if !ok {
+		return nil, notFound("workspace %s", workspace)
+	}
+	if version == 0 || version == current.GetVersion() {
+		return current, nil
+	}
+	if err := s.replay(ctx); err != nil {
+		return nil, err
+	}
+	defer s.replayed()
+	old, err := s.Sources.SourceAt(ctx, workspace, publish.Version(version))
+	if err != nil {
+		return nil, notFound("workspace %s at version %d: %v", workspace, version, err)
+	}
+	return old, nil
+}
+
+// replay waits for the right to rebuild old state; replayed gives it back.
+func (s *Server) replay(ctx context.Context) error {
+	select {
+	case s.replays <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return unavailable("wait for other requests", ctx.Err())
+	}
+}
+
+func (s *Server) replayed() { <-s.replays }
+
+// versionParam reads a version from the query, 0 when it is missing.
+func versionParam(r *request, name string) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || version == 0 {
+		return 0, badRequest("%s: found %q, a version from 1 is needed", name, shorten(text))
+	}
+	return version, nil
+}
