--- a/internal/timeline/buffer.go
+++ b/internal/timeline/buffer.go
@@ -56,10 +56,12 @@
 	return b.dropped
 }
 
-// Events returns the events after a time, oldest first; the zero time returns
-// all. When events after that time were dropped, the first event returned is
+// Events returns all events still kept, oldest first, as EventsSince does.
+func (b *Buffer) Events() []Event { return b.EventsSince(Timestamp{}) }
+
+// EventsSince returns the events after a time, oldest first. When events after that time were dropped, the first event returned is
 // an EventsDropped with the total number of drops.
-func (b *Buffer) Events(since Timestamp) []Event {
+func (b *Buffer) EventsSince(since Timestamp) []Event {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var events []Event
--- a/internal/timeline/buffer_test.go
+++ b/internal/timeline/buffer_test.go
@@ -17,13 +17,13 @@
 	for _, call := range []string{"1", "2", "3"} {
 		b.Record(Event{Kind: Sent, Call: call})
 	}
-	events := b.Events(Timestamp{})
+	events := b.Events()
 	assert.Equal(t, b.Dropped(), uint64(1))
 	assert.Equal(t, len(events), 3)
 	assert.Equal(t, events[0].Kind, EventsDropped)
 	assert.Equal(t, events[1].Call, "2")
 	assert.Equal(t, events[2].Incarnation, uint64(7))
-	assert.Equal(t, len(b.Events(events[1].Time)), 1)
+	assert.Equal(t, len(b.EventsSince(events[1].Time)), 1)
 }
 
 func TestHandlerServesWhatReadJSONReads(t *testing.T) {
@@ -34,7 +34,7 @@
 	b.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/v1/timeline", nil))
 	events, err := ReadJSON(bytes.NewReader(answer.Body.Bytes()))
 	assert.NilError(t, err)
-	assert.DeepEqual(t, events, b.Events(Timestamp{}))
+	assert.DeepEqual(t, events, b.Events())
 }
 
 func TestReadJSONNamesTheLine(t *testing.T) {
--- a/internal/timeline/http.go
+++ b/internal/timeline/http.go
@@ -19,6 +19,6 @@
 		}
 		w.Header().Set("Content-Type", "application/x-ndjson")
 		// An error here means that the client has gone.
-		_ = WriteJSON(w, b.Events(since))
+		_ = WriteJSON(w, b.EventsSince(since))
 	})
 }
--- /dev/null
+++ b/internal/timeline/text.go
@@ -0,0 +1,16 @@
+package timeline
+
+import (
+	"fmt"
+	"io"
+)
+
+// WriteText writes events for people, one a line.
+func WriteText(w io.Writer, events []Event) error {
+	for _, event := range events {
+		if _, err := fmt.Fprintln(w, event); err != nil {
+			return fmt.Errorf("write event: %w", err)
+		}
+	}
+	return nil
+}
