Add the log's HTTP client and a stand-in of the log service

Cause: nothing could append to or read the platform's log. Done: a client that calls an append refused only when no connection was made or the service answered 503, and unknown in every other failure; a stand-in with several streams, retention by age and count, long reads, and faults that are switched while it runs. Ruled out: a request body without GetBody to keep the transport from sending an append twice. The transport repeats a POST only when nothing of it was written; redirects, which do repeat it, are not followed.

--- /dev/null
+++ b/internal/standin/logservice/faults.go
@@ -0,0 +1,33 @@
+package logservice
+
+import "time"
+
+// Faults are switched on and off while the service runs. The zero value is a
+// service without faults.
+type Faults struct {
+	// Refuse answers every request with "unavailable" and writes nothing.
+	Refuse bool `json:"refuse"`
+	// DelayMillis holds every request for that long, in milliseconds.
+	DelayMillis int64 `json:"delay_ms"`
+	// LoseAnswers lets appends take effect and then loses their answers.
+	LoseAnswers bool `json:"lose_answers"`
+	// LoseNext is how many more appends lose their answers.
+	LoseNext int `json:"lose_next"`
+	// Silent leaves every request without an answer until the fault is lifted
+	// or the client leaves. Nothing is written before.
+	Silent bool `json:"silent"`
+}
+
+func (f Faults) delay() time.Duration {
+	return time.Duration(f.DelayMillis) * time.Millisecond
+}
+
+// Counts are the requests that the service took, by kind.
+type Counts struct {
+	Appends uint64 `json:"appends"`
+	Reads   uint64 `json:"reads"`
+	// Refused, Lost and Silenced count requests that met a fault.
+	Refused  uint64 `json:"refused"`
+	Lost     uint64 `json:"lost"`
+	Silenced uint64 `json:"silenced"`
+}
