--- a/internal/once/grants.go
+++ b/internal/once/grants.go
@@ -5,25 +5,51 @@
 // remembers the keys it ran; what it cannot remember it refuses.
 package once
 
+import "time"
+
+// Limits of grants.
+const (
+	// MaxReach bounds how far a grant may reach past the time of its append.
+	// It keeps one wrong clock from blocking the chain for long.
+	MaxReach = time.Hour
+	// KeepGrants is how long a grant stays in the chain after its interval.
+	KeepGrants = 2 * KeyWindow
+)
+
 // Grants is the chain of grants that still matter, oldest first. It is
 // immutable: Add returns a new chain.
 type Grants []*Grant
 
-// Add returns the chain with a grant appended. A grant that does not begin
-// where the chain ends changes nothing, so of two proposers that race the
-// first offset wins.
-func (g Grants) Add(grant *Grant) (Grants, bool) {
-	if grant.GetUntilMs() <= grant.GetFromMs() {
+// Add returns the chain with a grant appended that the log took at a time.
+// A grant that begins before the chain ends changes nothing, so of two
+// proposers that race the first offset wins and no key time has two grants.
+// A grant may begin later than the chain ends; keys between have no home.
+// Grants whose interval ended KeepGrants before the append are dropped.
+func (g Grants) Add(grant *Grant, appended time.Time) (Grants, bool) {
+	if !wellFormed(grant) || grant.GetFromMs() < g.End() {
 		return g, false
 	}
-	if len(g) > 0 && grant.GetFromMs() != g[len(g)-1].GetUntilMs() {
+	if grant.GetUntilMs() > appended.Add(MaxReach).UnixMilli() {
 		return g, false
 	}
 	chain := make(Grants, 0, len(g)+1)
-	chain = append(chain, g...)
+	oldest := appended.Add(-KeepGrants).UnixMilli()
+	for _, kept := range g {
+		if kept.GetUntilMs() > oldest {
+			chain = append(chain, kept)
+		}
+	}
 	return append(chain, grant), true
 }
 
+// End is the first millisecond of key time after the chain, 0 without grants.
+func (g Grants) End() int64 {
+	if len(g) == 0 {
+		return 0
+	}
+	return g[len(g)-1].GetUntilMs()
+}
+
 // At returns the grant of a key time in milliseconds, nil when there is none.
 func (g Grants) At(keyMillis int64) *Grant {
 	for _, grant := range g {
@@ -33,3 +59,30 @@
 	}
 	return nil
 }
+
+// wellFormed reports whether the interval is not empty and the services and
+// their homes are sorted and distinct.
+func wellFormed(grant *Grant) bool {
+	if grant.GetFromMs() <= 0 || grant.GetUntilMs() <= grant.GetFromMs() {
+		return false
+	}
+	service := ""
+	for _, entry := range grant.GetServices() {
+		if entry.GetService() <= service || !homesSorted(entry.GetHomes()) {
+			return false
+		}
+		service = entry.GetService()
+	}
+	return true
+}
+
+func homesSorted(homes []*Home) bool {
+	host := ""
+	for _, home := range homes {
+		if home.GetHost() <= host {
+			return false
+		}
+		host = home.GetHost()
+	}
+	return true
+}
--- /dev/null
+++ b/internal/once/run.go
@@ -0,0 +1,39 @@
+package once
+
+// Run is the one run of a key, or the replay of its answer.
+type Run struct {
+	keeper *Keeper
+	entry  *entry
+	replay *Answer
+}
+
+// Replay returns the stored answer of an earlier attempt. When it returns
+// true nothing may be handed to the target.
+func (r *Run) Replay() (*Answer, bool) { return r.replay, r.replay != nil }
+
+// Finish ends a run that was handed to the target. The answer is stored for
+// later attempts; nil means that the target's answer is not known.
+func (r *Run) Finish(answer *Answer) {
+	r.end(func(m *memory) { m.store(r.entry, answer) })
+}
+
+// Abandon ends a run of which nothing was handed to the target. A later
+// attempt with the key may run.
+func (r *Run) Abandon() {
+	r.end(func(m *memory) { m.remove(r.entry) })
+}
+
+// end marks the run as ended. Only the first call counts.
+func (r *Run) end(change func(*memory)) {
+	if r.entry == nil {
+		return
+	}
+	r.keeper.mu.Lock()
+	defer r.keeper.mu.Unlock()
+	if r.entry.ended {
+		return
+	}
+	r.entry.ended = true
+	change(r.keeper.memory)
+	close(r.entry.done)
+}
