Fold publications and grants into configuration

Cause: the log's records had no meaning yet. Seen to fail: ids not remembered or not restored, base not compared, references not checked, newer schema folded, digest not verified, a lost answer called a refusal, overlapping grants accepted.

--- /dev/null
+++ b/internal/publish/directory.go
@@ -0,0 +1,98 @@
+package publish
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/tailscale/hujson"
+)
+
+// Files of a workspace directory.
+const (
+	workspaceFile   = "workspace.json"
+	parametersFile  = "parameters.json"
+	templatePattern = "templates/*.tmpl"
+)
+
+// workspaceDocument is the content of workspace.json.
+type workspaceDocument struct {
+	Name string `json:"name"`
+}
+
+// LoadDirectory reads a workspace from a directory with workspace.json,
+// parameters.json and templates/*.tmpl. The JSON files may hold comments.
+func LoadDirectory(dir string) (*Source, error) {
+	var workspace workspaceDocument
+	if err := loadJSON(filepath.Join(dir, workspaceFile), &workspace); err != nil {
+		return nil, err
+	}
+	var values map[string]json.RawMessage
+	if err := loadJSON(filepath.Join(dir, parametersFile), &values); err != nil {
+		return nil, err
+	}
+	parameters, err := compactValues(values)
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", parametersFile, err)
+	}
+	templates, err := loadTemplates(dir)
+	if err != nil {
+		return nil, err
+	}
+	return &Source{Name: workspace.Name, Templates: templates, Parameters: parameters}, nil
+}
+
+func loadTemplates(dir string) (map[string]string, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, templatePattern))
+	if err != nil {
+		return nil, fmt.Errorf("find templates: %w", err)
+	}
+	templates := map[string]string{}
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("read template: %w", err)
+		}
+		templates[filepath.Base(path)] = string(text)
+	}
+	return templates, nil
+}
+
+// loadJSON reads a file of JSON with comments and refuses unknown fields.
+func loadJSON(path string, into any) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read workspace file: %w", err)
+	}
+	if err := decodeDocument(text, into); err != nil {
+		return fmt.Errorf("read %s: %w", filepath.Base(path), err)
+	}
+	return nil
+}
+
+// decodeDocument decodes JSON with comments and refuses unknown fields.
+func decodeDocument(text []byte, into any) error {
+	// The library wants a line break after each line comment.
+	standard, err := hujson.Standardize(append(bytes.Clone(text), '\n'))
+	if err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(into)
+}
+
+// compactValues strips insignificant space, so that it makes no difference.
+func compactValues(values map[string]json.RawMessage) (map[string]string, error) {
+	compacted := make(map[string]string, len(values))
+	for name, value := range values {
+		var buffer bytes.Buffer
+		if err := json.Compact(&buffer, value); err != nil {
+			return nil, fmt.Errorf("parameter %s: %w", name, err)
+		}
+		compacted[name] = buffer.String()
+	}
+	return compacted, nil
+}
--- /dev/null
+++ b/internal/publish/encoding.go
@@ -0,0 +1,102 @@
+package publish
+
+import (
+	"errors"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mulberrybank/mulberrybank/internal/once"
+)
+
+// deterministic gives equal messages equal encodings within one binary.
+var deterministic = proto.MarshalOptions{Deterministic: true}
+
+// EncodePublication makes the payload of a record.
+func EncodePublication(publication *Publication) ([]byte, error) {
+	return encodeEntry(&Entry{Schema: Schema, Kind: &Entry_Publication{Publication: publication}})
+}
+
+// EncodeGrant makes the payload of a record.
+func EncodeGrant(grant *once.Grant) ([]byte, error) {
+	return encodeEntry(&Entry{Schema: Schema, Kind: &Entry_Grant{Grant: grant}})
+}
+
+func encodeEntry(entry *Entry) ([]byte, error) {
+	payload, err := deterministic.Marshal(entry)
+	if err != nil {
+		return nil, err
+	}
+	if len(payload) > MaxEntryBytes {
+		return nil, tooLarge(len(payload))
+	}
+	return payload, nil
+}
+
+func decodeEntry(payload []byte) (*Entry, error) {
+	if len(payload) > MaxEntryBytes {
+		return nil, tooLarge(len(payload))
+	}
+	entry := &Entry{}
+	if err := proto.Unmarshal(payload, entry); err != nil {
+		// The library varies its texts; verdicts must not.
+		return nil, errors.New("does not decode as an entry")
+	}
+	return entry, nil
+}
+
+func sourceToWire(source *Source, version Version, author string) *WorkspaceSource {
+	return &WorkspaceSource{
+		Name:       source.Name,
+		Version:    uint64(version),
+		Author:     author,
+		Templates:  source.Templates,
+		Parameters: source.Parameters,
+	}
+}
+
+func sourceFromWire(wire *WorkspaceSource) *Source {
+	source := &Source{Name: wire.GetName(), Templates: wire.GetTemplates(), Parameters: wire.GetParameters()}
+	if source.Templates == nil {
+		source.Templates = map[string]string{}
+	}
+	if source.Parameters == nil {
+		source.Parameters = map[string]string{}
+	}
+	return source
+}
+
+func verdictToWire(verdict Verdict) *VerdictRecord {
+	wire := &VerdictRecord{
+		Offset:          verdict.Offset,
+		Id:              verdict.ID,
+		Workspace:       verdict.Workspace,
+		Outcome:         uint32(verdict.Outcome),
+		Version:         uint64(verdict.Version),
+		ConflictVersion: uint64(verdict.ConflictVersion),
+		ConflictAuthor:  verdict.ConflictAuthor,
+		Author:          verdict.Author,
+		Reason:          verdict.Reason,
+	}
+	for _, problem := range verdict.Problems {
+		wire.Problems = append(wire.Problems, &ProblemRecord{Place: problem.Place, Reason: problem.Reason})
+	}
+	return wire
+}
+
+func verdictFromWire(wire *VerdictRecord) Verdict {
+	verdict := Verdict{
+		Offset:          wire.GetOffset(),
+		ID:              wire.GetId(),
+		Workspace:       wire.GetWorkspace(),
+		Outcome:         Outcome(wire.GetOutcome()),
+		Version:         Version(wire.GetVersion()),
+		ConflictVersion: Version(wire.GetConflictVersion()),
+		ConflictAuthor:  wire.GetConflictAuthor(),
+		Author:          wire.GetAuthor(),
+		Reason:          wire.GetReason(),
+	}
+	for _, problem := range wire.GetProblems() {
+		verdict.Problems = append(verdict.Problems, Problem{Place: problem.GetPlace(), Reason: problem.GetReason()})
+	}
+	return verdict
+}
--- /dev/null
+++ b/internal/publish/entry.go
@@ -0,0 +1,44 @@
+package publish
+
+import "fmt"
+
+// checkEntry returns why an entry of a known schema is malformed, else "".
+func checkEntry(entry *Entry) string {
+	switch {
+	case entry.GetSchema() == 0:
+		return "has no schema number"
+	case len(entry.ProtoReflect().GetUnknown()) > 0:
+		return "has fields that its schema lacks"
+	case entry.GetGrant() == nil && entry.GetPublication() == nil:
+		return "holds neither a publication nor a grant"
+	}
+	return ""
+}
+
+// checkPublication checks the fields that are not rendered.
+func checkPublication(publication *Publication) []Problem {
+	var found problems
+	if len(publication.ProtoReflect().GetUnknown()) > 0 {
+		found.add("publication", "has fields that its schema lacks")
+	}
+	if publication.GetId() == "" {
+		found.add("id", "is empty")
+	}
+	checkLength(&found, "id", publication.GetId(), MaxIDBytes)
+	checkLength(&found, "author", publication.GetAuthor(), MaxTextBytes)
+	checkLength(&found, "reason", publication.GetReason(), MaxTextBytes)
+	checkLength(&found, "daemon", publication.GetDaemon(), MaxTextBytes)
+	found.name("workspace", publication.GetWorkspace(), namePattern)
+	return found
+}
+
+func checkLength(found *problems, place, text string, limit int) {
+	if len(text) > limit {
+		found.add(place, "has %d bytes, at most %d are allowed", len(text), limit)
+	}
+}
+
+// tooLarge says how large a record is and may be.
+func tooLarge(size int) error {
+	return fmt.Errorf("has %d bytes, at most %d are allowed", size, MaxEntryBytes)
+}
--- /dev/null
+++ b/internal/publish/fold_test.go
@@ -0,0 +1,191 @@
+package publish_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"github.com/mulberrybank/mulberrybank/internal/once"
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+)
+
+const serviceTemplate = `{
+  // One service with a route.
+  "services": [{"name": "status", "slots": {{.slots}}, "queue_timeout": "50ms"}],
+  "routes": [{"name": "read", "service": "status", "idempotent": true, "deadline": "250ms"}],
+}`
+
+// publication sets the template and the slots of a workspace.
+func publication(id, workspace string, base publish.Version, slots string) *publish.Publication {
+	return &publish.Publication{
+		Id: id, Workspace: workspace, Base: uint64(base), Author: "author of " + id,
+		SetTemplates:  map[string]string{"main.tmpl": serviceTemplate},
+		SetParameters: map[string]string{"slots": slots},
+	}
+}
+
+func apply(t *testing.T, fold *publish.Fold, publication *publish.Publication) publish.Verdict {
+	t.Helper()
+	payload, err := publish.EncodePublication(publication)
+	assert.NilError(t, err)
+	return applyPayload(t, fold, payload)
+}
+
+func applyPayload(t *testing.T, fold *publish.Fold, payload []byte) publish.Verdict {
+	t.Helper()
+	verdict, err := fold.Apply(platform.Record{Offset: fold.Offset() + 1, Payload: payload})
+	assert.NilError(t, err)
+	return *verdict
+}
+
+func TestAcceptedPublicationIsRendered(t *testing.T) {
+	fold := publish.NewFold()
+	verdict := apply(t, fold, publication("a", "heaters", 0, "20"))
+	assert.Equal(t, verdict.Outcome, publish.Accepted)
+	assert.Equal(t, verdict.Version, publish.Version(1))
+	config := fold.Configuration()
+	assert.Equal(t, config.Services["heaters/status"].Slots, 20)
+	assert.Equal(t, config.Services["heaters/status"].QueueTimeout, 50*time.Millisecond)
+	assert.Equal(t, config.Services["heaters/status"].Connections, publish.DefaultConnections)
+	assert.Equal(t, config.Routes["heaters/read"].Service, "heaters/status")
+	assert.Equal(t, config.Version, publish.Version(1))
+}
+
+func TestRacingPublicationsHaveOneWinner(t *testing.T) {
+	fold := publish.NewFold()
+	apply(t, fold, publication("a", "heaters", 0, "20"))
+	before := fold.Configuration()
+	verdict := apply(t, fold, publication("b", "heaters", 0, "30"))
+	assert.Equal(t, verdict.Outcome, publish.Conflict)
+	assert.Equal(t, verdict.ConflictVersion, publish.Version(1))
+	assert.Equal(t, verdict.ConflictAuthor, "author of a")
+	assert.Equal(t, fold.Configuration(), before)
+}
+
+func TestRepeatedIDChangesNothing(t *testing.T) {
+	fold := publish.NewFold()
+	apply(t, fold, publication("a", "heaters", 0, "20"))
+	verdict := apply(t, fold, publication("a", "heaters", 1, "30"))
+	assert.Equal(t, verdict.Outcome, publish.Duplicate)
+	assert.Equal(t, verdict.Version, publish.Version(1))
+	assert.Equal(t, fold.Configuration().Services["heaters/status"].Slots, 20)
+}
+
+func TestRefusedPublicationChangesNothing(t *testing.T) {
+	removal := &publish.Publication{
+		Id: "removal", Workspace: "heaters", Base: 1,
+		SetTemplates: map[string]string{"main.tmpl": `{"services": []}`},
+	}
+	missing := publication("missing", "heaters", 1, "20")
+	missing.RemoveParameters = []string{"slots"}
+	missing.SetParameters = nil
+	unknown := publication("unknown", "heaters", 1, "20")
+	unknown.SetTemplates["main.tmpl"] = `{"servicios": []}`
+	cases := map[string]struct {
+		publication *publish.Publication
+		reason      string
+	}{
+		"range":        {publication("a", "heaters", 1, "0"), "slots is 0, want 1 to 10000"},
+		"missing":      {missing, "slots"},
+		"unknown":      {unknown, `unknown field "servicios"`},
+		"dangling":     {removal, "service heaters/status does not exist"},
+		"no JSON":      {publication("b", "heaters", 1, "{"), "not a JSON value"},
+		"invalid name": {publication("c", "Heaters", 0, "20"), "does not match"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			fold := publish.NewFold()
+			apply(t, fold, publication("first", "heaters", 0, "20"))
+			other := publication("other", "plazas", 0, "6")
+			other.SetTemplates["more.tmpl"] = `{"routes": [{"name": "far", "service": "heaters/status"}]}`
+			assert.Equal(t, apply(t, fold, other).Outcome, publish.Accepted)
+			before := fold.Configuration()
+			verdict := apply(t, fold, test.publication)
+			assert.Equal(t, verdict.Outcome, publish.Refused)
+			assert.Assert(t, is.Contains(fmt.Sprint(verdict.Problems), test.reason))
+			assert.Equal(t, fold.Configuration(), before)
+		})
+	}
+}
+
+func TestMalformedRecordIsRefused(t *testing.T) {
+	for name, payload := range map[string][]byte{
+		"garbage": []byte("not an entry"),
+		"empty":   {},
+		"no kind": {8, 1},
+		"large":   make([]byte, publish.MaxEntryBytes+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			fold := publish.NewFold()
+			assert.Equal(t, applyPayload(t, fold, payload).Outcome, publish.Refused)
+			assert.Equal(t, fold.Offset(), uint64(1))
+		})
+	}
+}
+
+func TestUnknownSchemaLeavesTheStateUnchanged(t *testing.T) {
+	fold := publish.NewFold()
+	apply(t, fold, publication("a", "heaters", 0, "20"))
+	digest := fold.Digest()
+	_, err := fold.Apply(platform.Record{Offset: 2, Payload: []byte{8, publish.Schema + 1}})
+	var unknown *publish.UnknownSchemaError
+	assert.Assert(t, errors.As(err, &unknown))
+	assert.Equal(t, unknown.Schema, uint32(publish.Schema+1))
+	assert.Equal(t, fold.Offset(), uint64(1))
+	assert.DeepEqual(t, fold.Digest(), digest)
+}
+
+func TestGrantsAreFolded(t *testing.T) {
+	fold := publish.NewFold()
+	for _, grant := range []*once.Grant{{FromMs: 10, UntilMs: 20}, {FromMs: 15, UntilMs: 30}, {FromMs: 20, UntilMs: 30}} {
+		payload, err := publish.EncodeGrant(grant)
+		assert.NilError(t, err)
+		record := platform.Record{Offset: fold.Offset() + 1, Appended: time.UnixMilli(10), Payload: payload}
+		verdict, err := fold.Apply(record)
+		assert.NilError(t, err)
+		assert.Assert(t, verdict == nil)
+	}
+	assert.Equal(t, len(fold.Configuration().Grants), 2)
+	assert.Equal(t, fold.Configuration().Grants.End(), int64(30))
+}
+
+func TestSnapshotRestoresTheState(t *testing.T) {
+	fold := publish.NewFold()
+	apply(t, fold, publication("a", "heaters", 0, "20"))
+	apply(t, fold, publication("b", "heaters", 0, "30"))
+	apply(t, fold, publication("c", "plazas", 0, "0"))
+	snapshot, err := fold.Snapshot()
+	assert.NilError(t, err)
+	restored := publish.NewFold()
+	assert.NilError(t, restored.Restore(snapshot))
+	assert.DeepEqual(t, restored.Digest(), fold.Digest())
+	assert.DeepEqual(t, restored.Verdicts(), fold.Verdicts())
+	assert.DeepEqual(t, restored.Configuration(), fold.Configuration())
+	again, err := restored.Snapshot()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, snapshot)
+	repeat := apply(t, restored, publication("a", "heaters", 1, "40"))
+	assert.Equal(t, repeat.Outcome, publish.Duplicate)
+}
+
+func TestDamagedSnapshotIsNotRestored(t *testing.T) {
+	fold := publish.NewFold()
+	apply(t, fold, publication("a", "heaters", 0, "20"))
+	snapshot, err := fold.Snapshot()
+	assert.NilError(t, err)
+	for _, damaged := range []string{
+		strings.Replace(string(snapshot), "author of a", "author of z", 1),
+		string(snapshot[:len(snapshot)/2]),
+		"",
+	} {
+		other := publish.NewFold()
+		assert.ErrorIs(t, other.Restore([]byte(damaged)), publish.ErrDamagedSnapshot)
+		assert.Equal(t, other.Offset(), uint64(0))
+	}
+}
--- /dev/null
+++ b/internal/publish/source.go
@@ -0,0 +1,82 @@
+package publish
+
+import (
+	"maps"
+	"slices"
+)
+
+// Source is what the configuration of one workspace is rendered from. It is
+// not changed after it is made.
+type Source struct {
+	Name string
+	// Templates hold text/template texts by file name.
+	Templates map[string]string
+	// Parameters hold JSON values by name.
+	Parameters map[string]string
+}
+
+// Diff returns a publication that turns the current source into the next one.
+// It holds only the changes of templates and parameters; the caller sets the
+// other fields. A nil current source has nothing.
+func Diff(current, next *Source) *Publication {
+	if current == nil {
+		current = &Source{Name: next.Name}
+	}
+	publication := &Publication{Workspace: next.Name}
+	publication.SetTemplates, publication.RemoveTemplates = diffMap(current.Templates, next.Templates)
+	publication.SetParameters, publication.RemoveParameters = diffMap(current.Parameters, next.Parameters)
+	return publication
+}
+
+func diffMap(current, next map[string]string) (map[string]string, []string) {
+	set := map[string]string{}
+	for name, value := range next {
+		if old, found := current[name]; !found || old != value {
+			set[name] = value
+		}
+	}
+	var removed []string
+	for name := range current {
+		if _, found := next[name]; !found {
+			removed = append(removed, name)
+		}
+	}
+	slices.Sort(removed)
+	return set, removed
+}
+
+// patch returns the source that a publication makes of a current one, nil for
+// none.
+func patch(current *Source, publication *Publication) *Source {
+	next := &Source{
+		Name:       publication.GetWorkspace(),
+		Templates:  map[string]string{},
+		Parameters: map[string]string{},
+	}
+	if current != nil {
+		maps.Copy(next.Templates, current.Templates)
+		maps.Copy(next.Parameters, current.Parameters)
+	}
+	patchMap(next.Templates, publication.GetSetTemplates(), publication.GetRemoveTemplates())
+	patchMap(next.Parameters, publication.GetSetParameters(), publication.GetRemoveParameters())
+	return next
+}
+
+func patchMap(values, set map[string]string, remove []string) {
+	for _, name := range remove {
+		delete(values, name)
+	}
+	maps.Copy(values, set)
+}
+
+// size is the number of bytes of names, templates and parameters.
+func (s *Source) size() int {
+	total := 0
+	for name, text := range s.Templates {
+		total += len(name) + len(text)
+	}
+	for name, value := range s.Parameters {
+		total += len(name) + len(value)
+	}
+	return total
+}
