Publish, compare and roll back versions through the API and the command line

Validation folds the publication into a copy of the state, so it cannot differ from the log's verdict.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -1,148 +1,109 @@
-package admin
+package admin_test
 
 import (
-	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
-	"github.com/mulberrybank/mulberrybank/internal/enforce"
-	"github.com/mulberrybank/mulberrybank/internal/membership"
-	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/admin"
+	"github.com/mulberrybank/mulberrybank/internal/admin/admintest"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
-	"github.com/mulberrybank/mulberrybank/internal/timeline"
+	"github.com/mulberrybank/mulberrybank/internal/standin/logservice"
 )
 
-const testID = "0193f3a0-0000-7000-8000-000000000001"
+const mainTemplate = `{"services": [{"name": "points", "slots": {{.slots}}, "queue": 10}],
+	"routes": [{"name": "read", "service": "points", "idempotent": true}]}`
 
-// fakeMesh stands for the other slices.
-type fakeMesh struct {
-	table     *enforce.Table
-	stopped   error
-	verdicts  []publish.Verdict
-	sources   map[publish.Version]*publish.WorkspaceSource
-	current   publish.Version
-	submitted *publish.Publication
-	verdict   publish.Verdict
-	err       error
-	drained   bool
+// api is a served API with its client.
+type api struct {
+	*admin.Client
+	mesh   *admintest.Mesh
+	server *httptest.Server
 }
 
-func (f *fakeMesh) Submit(_ context.Context, p *publish.Publication) (publish.Verdict, error) {
-	f.submitted = p
-	return f.verdict, f.err
-}
-func (f *fakeMesh) Table() *enforce.Table       { return f.table }
-func (f *fakeMesh) Position() (uint64, []byte)  { return 9, []byte{1} }
-func (f *fakeMesh) Floor() uint64               { return 5 }
-func (f *fakeMesh) Stopped() error              { return f.stopped }
-func (f *fakeMesh) Verdicts() []publish.Verdict { return f.verdicts }
-func (f *fakeMesh) Drain()                      { f.drained = true }
-func (f *fakeMesh) Resume()                     { f.drained = false }
-
-func (f *fakeMesh) Source(workspace string) (*publish.WorkspaceSource, bool) {
-	source, ok := f.sources[f.current]
-	return source, ok && source.GetName() == workspace
-}
-
-func (f *fakeMesh) SourceAt(_ context.Context, _ string, version publish.Version) (*publish.WorkspaceSource, error) {
-	if source, ok := f.sources[version]; ok {
-		return source, nil
-	}
-	return nil, errors.New("expired")
-}
-
-func (f *fakeMesh) Render(source *publish.WorkspaceSource) (*publish.Workspace, []publish.Problem) {
-	workspace := &publish.Workspace{Name: source.GetName()}
-	for name, target := range source.GetParameters() {
-		workspace.Routes = append(workspace.Routes, &publish.Route{Name: "w/" + name, Service: strings.Trim(target, `"`)})
+func serve(t *testing.T, adjust func(*admin.Options)) *api {
+	t.Helper()
+	mesh := admintest.New(logservice.New(logservice.Options{}))
+	options := mesh.Options()
+	if adjust != nil {
+		adjust(&options)
 	}
-	return workspace, nil
-}
-
-func (f *fakeMesh) Validate(context.Context, *publish.Publication) (publish.Verdict, error) {
-	return f.verdict, f.err
-}
-
-func (f *fakeMesh) View() *membership.View {
-	return &membership.View{Members: map[string]membership.Member{
-		"b": {Host: "b", State: membership.Leaving, TargetState: membership.Draining, Reach: membership.Suspect},
-		"a": {Host: "a", State: membership.Alive, TargetState: membership.Ready},
-	}}
+	server := httptest.NewServer(admin.New(options).Handler())
+	t.Cleanup(server.Close)
+	return &api{admin.NewClient(server.URL, "", server.Client()), mesh, server}
 }
 
-func newFake() *fakeMesh {
-	return &fakeMesh{
-		table:   &enforce.Table{Offset: 9, Digest: []byte{0xab}, Config: &publish.Configuration{Version: 8}},
-		current: 8,
-		sources: map[publish.Version]*publish.WorkspaceSource{
-			3: {Name: "w", Version: 3, Templates: map[string]string{"t": "old"}, Parameters: map[string]string{"r": `"w/s1"`, "gone": `1`}},
-			8: {Name: "w", Version: 8, Templates: map[string]string{"t": "new", "u": "x"}, Parameters: map[string]string{"r": `"w/s2"`}},
-		},
-		verdict:  publish.Verdict{ID: testID, Workspace: "w", Outcome: publish.Accepted, Version: 10, Offset: 10},
-		verdicts: []publish.Verdict{{Workspace: "w", Author: "ama", Reason: "frost"}, {Workspace: "other", Author: "efua"}},
-	}
+// change returns a publication that sets the slots of a workspace.
+func change(workspace string, base uint64, slots string) *admin.Publication {
+	return admin.FromPublication(&publish.Publication{
+		Id:            uuid.NewString(),
+		Workspace:     workspace,
+		Base:          base,
+		Author:        "ama",
+		Reason:        "slots " + slots,
+		SetTemplates:  map[string]string{"main.tmpl": mainTemplate},
+		SetParameters: map[string]string{"slots": slots},
+	})
 }
 
-// serve starts the API over a fake mesh.
-func serve(t *testing.T, fake *fakeMesh, adjust func(*Options)) (*Client, *httptest.Server) {
+// publishAccepted publishes and returns the new version.
+func (a *api) publishAccepted(t *testing.T, publication *admin.Publication) uint64 {
 	t.Helper()
-	buffer := timeline.NewBuffer(timeline.NewClock(time.Now), "h", "z", 1, 10)
-	buffer.Record(timeline.Event{Kind: timeline.Started})
-	options := Options{
-		Host: "h", Zone: "z", Submitter: fake, Enforcer: fake, Sources: fake, Directory: fake, Drainer: fake,
-		Convergence: func() Convergence { return Convergence{Offset: 9, Lowest: 9, Living: 2, InForce: 2} },
-		Timeline:    buffer.Handler(),
-	}
-	if adjust != nil {
-		adjust(&options)
-	}
-	server := httptest.NewServer(New(options).Handler())
-	t.Cleanup(server.Close)
-	return NewClient(server.URL, "", server.Client()), server
+	verdict, err := a.Publish(t.Context(), publication)
+	assert.NilError(t, err)
+	assert.Equal(t, verdict.Outcome, "accepted", "%v", verdict)
+	return verdict.Version
 }
 
 func TestPublishAnswersWithTheVerdict(t *testing.T) {
-	cases := []struct {
-		outcome publish.Outcome
-		status  int
-	}{
-		{publish.Accepted, http.StatusOK},
-		{publish.Duplicate, http.StatusOK},
-		{publish.Conflict, http.StatusConflict},
-		{publish.Refused, http.StatusUnprocessableEntity},
-	}
-	for _, c := range cases {
-		fake := newFake()
-		fake.verdict.Outcome = c.outcome
-		fake.verdict.Problems = []publish.Problem{{Place: "route r", Reason: "no service"}}
-		client, _ := serve(t, fake, nil)
-		verdict, err := client.Publish(t.Context(), &Publication{ID: testID, Workspace: "w", Author: "ama"})
+	a := serve(t, nil)
+	first := change("heaters", 0, "20")
+	version := a.publishAccepted(t, first)
+	again, err := a.Publish(t.Context(), first)
+	assert.NilError(t, err)
+	assert.Equal(t, again.Version, version)
+	conflict, err := a.Publish(t.Context(), change("heaters", 0, "21"))
+	assert.NilError(t, err)
+	assert.Equal(t, conflict.Outcome, "conflict")
+	assert.Equal(t, conflict.ConflictVersion, version)
+	assert.Equal(t, conflict.ConflictAuthor, "ama")
+	refused, err := a.Publish(t.Context(), change("heaters", version, "-1"))
+	assert.NilError(t, err)
+	assert.Equal(t, refused.Outcome, "refused")
+	assert.Assert(t, len(refused.Problems) > 0)
+}
+
+func TestValidateChangesNothing(t *testing.T) {
+	a := serve(t, nil)
+	version := a.publishAccepted(t, change("heaters", 0, "20"))
+	for slots, outcome := range map[string]string{"30": "accepted", "-1": "refused"} {
+		verdict, err := a.Validate(t.Context(), change("heaters", version, slots))
 		assert.NilError(t, err)
-		assert.Equal(t, verdict.Outcome, c.outcome.String())
-		assert.Equal(t, verdict.Problems[0].Place, "route r")
-		assert.Equal(t, fake.submitted.GetDaemon(), "h")
-		assert.Equal(t, statusOf(fake.verdict), c.status)
+		assert.Equal(t, verdict.Outcome, outcome)
 	}
+	source, err := a.Source(t.Context(), "heaters", 0)
+	assert.NilError(t, err)
+	assert.Equal(t, source.Version, version)
+	assert.Equal(t, string(source.Parameters["slots"]), "20")
 }
 
-func TestPublishSaysWhetherALostAppendMayHaveTakenEffect(t *testing.T) {
-	for err, kind := range map[error]string{
-		platform.ErrRefused: TypeUnavailable,
-		platform.ErrUnknown: TypeUnknownResult,
+func TestLostAppendIsToldFromARefusedOne(t *testing.T) {
+	for kind, failure := range map[string]error{
+		admin.TypeUnavailable:   &publish.NotWrittenError{ID: "a", Err: errors.New("out")},
+		admin.TypeUnknownResult: &publish.PendingError{ID: "a", Err: errors.New("out")},
 	} {
-		fake := newFake()
-		fake.err = fmt.Errorf("append: %w", err)
-		client, _ := serve(t, fake, nil)
-		_, got := client.Publish(t.Context(), &Publication{ID: testID, Workspace: "w"})
-		var problem *Problem
-		assert.Assert(t, errors.As(got, &problem))
+		a := serve(t, nil)
+		a.mesh.Fail(fmt.Errorf("submit: %w", failure))
+		_, err := a.Publish(t.Context(), change("heaters", 0, "20"))
+		var problem *admin.Problem
+		assert.Assert(t, errors.As(err, &problem))
 		assert.Equal(t, problem.Type, kind)
 	}
 }
@@ -156,88 +117,100 @@
 		`{"id": "x"} {}`:           http.StatusBadRequest,
 		strings.Repeat("x", 1<<11): http.StatusRequestEntityTooLarge,
 	}
-	fake := newFake()
-	_, server := serve(t, fake, func(o *Options) { o.MaxBody = 1 << 10 })
+	a := serve(t, func(o *admin.Options) { o.MaxBody = 1 << 10 })
 	for body, status := range cases {
-		answer, err := server.Client().Post(server.URL+"/v1/publications", "application/json", strings.NewReader(body))
+		answer, err := a.server.Client().Post(a.server.URL+"/v1/publications", "application/json", strings.NewReader(body))
 		assert.NilError(t, err)
 		assert.Equal(t, answer.StatusCode, status, body)
-		assert.Equal(t, answer.Header.Get("Content-Type"), ProblemContentType)
+		assert.Equal(t, answer.Header.Get("Content-Type"), admin.ProblemContentType)
 		assert.NilError(t, answer.Body.Close())
 	}
-	assert.Assert(t, fake.submitted == nil)
+	offset, _ := a.mesh.Position()
+	assert.Equal(t, offset, uint64(0))
 }
 
-func TestRollbackPublishesOldContentOnTheCurrentBase(t *testing.T) {
-	fake := newFake()
-	client, _ := serve(t, fake, nil)
-	_, err := client.Rollback(t.Context(), "w", &Rollback{ID: testID, Version: 3, Reason: "night"})
+func TestRollbackPublishesOldContentAsANewVersion(t *testing.T) {
+	a := serve(t, nil)
+	first := a.publishAccepted(t, change("heaters", 0, "20"))
+	second := a.publishAccepted(t, change("heaters", first, "30"))
+	verdict, err := a.Rollback(t.Context(), "heaters", &admin.Rollback{ID: uuid.NewString(), Version: first, Author: "efua"})
+	assert.NilError(t, err)
+	assert.Equal(t, verdict.Outcome, "accepted")
+	assert.Assert(t, verdict.Version > second)
+	source, err := a.Source(t.Context(), "heaters", 0)
 	assert.NilError(t, err)
-	p := fake.submitted
-	assert.Equal(t, p.GetBase(), uint64(8))
-	assert.DeepEqual(t, p.GetSetTemplates(), map[string]string{"t": "old"})
-	assert.DeepEqual(t, p.GetRemoveTemplates(), []string{"u"})
-	assert.DeepEqual(t, p.GetSetParameters(), map[string]string{"r": `"w/s1"`, "gone": "1"})
+	assert.Equal(t, string(source.Parameters["slots"]), "20")
+	stale, err := a.Rollback(t.Context(), "heaters", &admin.Rollback{ID: uuid.NewString(), Version: first, Base: second})
+	assert.NilError(t, err)
+	assert.Equal(t, stale.Outcome, "conflict")
 }
 
 func TestDiffComparesRenderedVersions(t *testing.T) {
-	client, _ := serve(t, newFake(), nil)
-	diff, err := client.Diff(t.Context(), "w", 3, 0)
+	a := serve(t, nil)
+	first := a.publishAccepted(t, change("heaters", 0, "20"))
+	other := a.publishAccepted(t, change("ledger", 0, "5"))
+	second := a.publishAccepted(t, change("heaters", first, "30"))
+	diff, err := a.Diff(t.Context(), "heaters", first, 0)
 	assert.NilError(t, err)
-	assert.Equal(t, diff.To, uint64(8))
-	assert.Equal(t, len(diff.Changes), 2)
-	assert.Equal(t, diff.Changes[0].Name, "w/gone")
-	assert.Equal(t, diff.Changes[0].After, "")
-	_, err = client.Diff(t.Context(), "w", 4, 0)
-	assert.ErrorContains(t, err, "expired")
+	assert.Equal(t, diff.To, second)
+	assert.Equal(t, len(diff.Changes), 1)
+	assert.Equal(t, diff.Changes[0].Name, "heaters/points")
+	assert.Assert(t, strings.Contains(diff.Changes[0].Before, "slots 20"))
+	_, err = a.Diff(t.Context(), "heaters", other, 0)
+	assert.ErrorContains(t, err, "no such version")
 }
 
 func TestHistoryShowsOneWorkspace(t *testing.T) {
-	client, _ := serve(t, newFake(), nil)
-	history, err := client.History(t.Context(), "w")
+	a := serve(t, nil)
+	a.publishAccepted(t, change("heaters", 0, "20"))
+	a.publishAccepted(t, change("ledger", 0, "5"))
+	history, err := a.History(t.Context(), "heaters")
 	assert.NilError(t, err)
 	assert.Equal(t, len(history.Verdicts), 1)
-	assert.Equal(t, history.Verdicts[0].Reason, "frost")
+	assert.Equal(t, history.Verdicts[0].Author, "ama")
+	assert.Equal(t, history.Verdicts[0].Reason, "slots 20")
 }
 
 func TestStateOfTheDaemon(t *testing.T) {
-	fake := newFake()
-	client, _ := serve(t, fake, nil)
-	status, err := client.Status(t.Context())
+	a := serve(t, nil)
+	version := a.publishAccepted(t, change("heaters", 0, "20"))
+	status, err := a.Status(t.Context())
 	assert.NilError(t, err)
-	assert.Equal(t, status.Version, uint64(8))
-	assert.Equal(t, status.Digest, "ab")
-	assert.Equal(t, status.StalenessMillis, int64(unknownStaleness))
+	assert.Equal(t, status.Version, version)
+	assert.Equal(t, status.Routes, 1)
+	assert.Equal(t, status.StalenessMillis, int64(-1))
 	assert.Equal(t, status.Convergence.InForce, 2)
-	members, err := client.Members(t.Context())
+	members, err := a.Members(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, members.Members[1].Target, "draining")
-	_, err = client.Drain(t.Context(), true)
+	_, err = a.Drain(t.Context(), true)
 	assert.NilError(t, err)
-	assert.Assert(t, fake.drained)
-	events, err := client.Timeline(t.Context())
+	assert.Assert(t, a.mesh.Drained())
+	events, err := a.Timeline(t.Context())
 	assert.NilError(t, err)
-	assert.Equal(t, len(events), 1)
+	assert.Assert(t, len(events) > 1)
 }
 
 func TestReadyzSaysWhyNot(t *testing.T) {
-	fake := newFake()
-	fake.table = nil
-	fake.stopped = errors.New("schema 2")
-	_, server := serve(t, fake, nil)
-	for path, status := range map[string]int{"/readyz": http.StatusServiceUnavailable, "/healthz": http.StatusOK} {
-		answer, err := server.Client().Get(server.URL + path)
-		assert.NilError(t, err)
-		assert.Equal(t, answer.StatusCode, status)
-		assert.NilError(t, answer.Body.Close())
-	}
+	a := serve(t, nil)
+	a.mesh.Stop(errors.New("schema 2 is not known"))
+	answer, err := a.server.Client().Get(a.server.URL + "/readyz")
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(string(text), "no configuration is in force yet"))
+	assert.Assert(t, strings.Contains(string(text), "schema 2 is not known"))
 }
 
 func TestEveryGuardedRouteAsksTheAuthorizer(t *testing.T) {
-	server := New(Options{Authorizer: denyAll{}, Enforcer: newFake(), Directory: newFake()})
+	options := admintest.New(logservice.New(logservice.Options{})).Options()
+	options.Authorizer = denyAll{}
+	server := admin.New(options)
 	for _, route := range server.Routes() {
 		path := strings.ReplaceAll(route.Path, ":workspace", "w")
-		body := strings.NewReader(`{"id": "` + testID + `", "workspace": "w"}`)
+		body := strings.NewReader(`{"id": "` + uuid.NewString() + `", "workspace": "w"}`)
 		answer := httptest.NewRecorder()
 		server.Handler().ServeHTTP(answer, httptest.NewRequest(route.Method, path, body))
 		switch path {
@@ -251,6 +224,6 @@
 
 type denyAll struct{}
 
-func (denyAll) Authorize(string, string, Role) (Principal, error) {
-	return Principal{}, ErrForbidden
+func (denyAll) Authorize(string, string, admin.Role) (admin.Principal, error) {
+	return admin.Principal{}, admin.ErrForbidden
 }
--- a/internal/admin/convert.go
+++ b/internal/admin/convert.go
@@ -76,19 +76,30 @@
 	return verdict
 }
 
-func fromSource(source *publish.WorkspaceSource) Source {
-	templates := source.GetTemplates()
+// source is the source of a workspace at one version.
+type source struct {
+	*publish.Source
+	version publish.Version
+}
+
+func fromSource(s source) Source {
+	templates := s.Templates
 	if templates == nil {
 		templates = map[string]string{}
 	}
 	return Source{
-		Workspace:  source.GetName(),
-		Version:    source.GetVersion(),
+		Workspace:  s.Name,
+		Version:    uint64(s.version),
 		Templates:  templates,
-		Parameters: values(source.GetParameters()),
+		Parameters: values(s.Parameters),
 	}
 }
 
+// ToSource converts the source of the API's answer.
+func ToSource(s *Source) *publish.Source {
+	return &publish.Source{Name: s.Workspace, Templates: s.Templates, Parameters: texts(s.Parameters)}
+}
+
 func fromMember(m membership.Member) Member {
 	return Member{
 		Host:        m.Host,
--- a/internal/admin/publications.go
+++ b/internal/admin/publications.go
@@ -8,7 +8,6 @@
 
 	"github.com/google/uuid"
 
-	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
 
@@ -31,7 +30,7 @@
 		return err
 	}
 	defer s.replayed()
-	verdict, err := s.Sources.Validate(r.Context(), publication)
+	verdict, err := s.try(publication)
 	if err != nil {
 		return unavailable("validate", err)
 	}
@@ -47,15 +46,16 @@
 	if err := checkID(body.ID); err != nil {
 		return err
 	}
-	current, ok := s.Sources.Source(r.workspace())
-	if !ok {
-		return notFound("workspace %s", r.workspace())
+	current, err := s.sourceAt(r.Context(), r.workspace(), 0)
+	if err != nil {
+		return err
 	}
 	old, err := s.sourceAt(r.Context(), r.workspace(), body.Version)
 	if err != nil {
 		return err
 	}
-	publication := restoring(current, old)
+	publication := publish.Diff(current.Source, old.Source)
+	publication.Base = uint64(current.version)
 	publication.Id = body.ID
 	if body.Base != 0 {
 		publication.Base = body.Base
@@ -114,11 +114,12 @@
 // submit publishes and answers with the verdict.
 func (s *Server) submit(w http.ResponseWriter, ctx context.Context, publication *publish.Publication) error {
 	verdict, err := s.Submitter.Submit(ctx, publication)
+	var notWritten *publish.NotWrittenError
 	switch {
 	case err == nil:
 		s.count(verdict)
 		return writeJSON(w, statusOf(verdict), fromVerdict(verdict))
-	case errors.Is(err, platform.ErrRefused):
+	case errors.As(err, &notWritten):
 		return unavailable("append", err)
 	default:
 		return &Problem{Type: TypeUnknownResult, Title: "the publication may have taken effect", Status: http.StatusGatewayTimeout,
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -31,18 +31,16 @@
 	Floor() uint64
 	Stopped() error
 	Verdicts() []publish.Verdict
+	// Source returns the current source of a workspace and its version.
+	Source(workspace string) (*publish.Source, publish.Version, bool)
+	// Snapshot encodes the state and returns the offset it stands for.
+	Snapshot() (snapshot []byte, offset uint64, err error)
 }
 
-// Sources gives access to what workspaces are rendered from.
-type Sources interface {
-	// Source returns the current source of a workspace.
-	Source(workspace string) (*publish.WorkspaceSource, bool)
+// Archive gives access to old versions.
+type Archive interface {
 	// SourceAt returns the source of a workspace at one of its versions.
-	SourceAt(ctx context.Context, workspace string, version publish.Version) (*publish.WorkspaceSource, error)
-	// Render renders a source.
-	Render(source *publish.WorkspaceSource) (*publish.Workspace, []publish.Problem)
-	// Validate returns the verdict that a publication would get now.
-	Validate(ctx context.Context, publication *publish.Publication) (publish.Verdict, error)
+	SourceAt(ctx context.Context, workspace string, version publish.Version) (*publish.Source, error)
 }
 
 // Directory tells which daemons there are.
@@ -59,14 +57,14 @@
 // ReadyCheck returns why a part of the daemon is not ready, nil when it is.
 type ReadyCheck func() error
 
-// Options of a Server. Host, Zone, Submitter, Enforcer, Sources and Directory
+// Options of a Server. Host, Zone, Submitter, Enforcer, Archive and Directory
 // are required.
 type Options struct {
 	Host      string
 	Zone      string
 	Submitter Submitter
 	Enforcer  Enforcer
-	Sources   Sources
+	Archive   Archive
 	Directory Directory
 	// Convergence returns what is known of all daemons.
 	Convergence func() Convergence
--- a/internal/admin/workspaces.go
+++ b/internal/admin/workspaces.go
@@ -59,41 +59,41 @@
 	if err != nil {
 		return err
 	}
-	answer := Diff{Workspace: r.workspace(), From: before.GetVersion(), To: after.GetVersion(), Changes: changes}
+	answer := Diff{Workspace: r.workspace(), From: uint64(before.version), To: uint64(after.version), Changes: changes}
 	return writeJSON(w, http.StatusOK, answer)
 }
 
 // compare renders two sources and lists their differences.
-func (s *Server) compare(before, after *publish.WorkspaceSource) ([]Change, error) {
-	from, problems := s.Sources.Render(before)
+func (s *Server) compare(before, after source) ([]Change, error) {
+	from, problems := publish.Render(before.Source)
 	if len(problems) > 0 {
-		return nil, badRequest("version %d does not render: %s", before.GetVersion(), problems[0])
+		return nil, badRequest("version %d does not render: %s", before.version, problems[0])
 	}
-	to, problems := s.Sources.Render(after)
+	to, problems := publish.Render(after.Source)
 	if len(problems) > 0 {
-		return nil, badRequest("version %d does not render: %s", after.GetVersion(), problems[0])
+		return nil, badRequest("version %d does not render: %s", after.version, problems[0])
 	}
 	return Compare(from, to), nil
 }
 
 // sourceAt returns the source of a workspace at a version, 0 for the current.
-func (s *Server) sourceAt(ctx context.Context, workspace string, version uint64) (*publish.WorkspaceSource, error) {
-	current, ok := s.Sources.Source(workspace)
+func (s *Server) sourceAt(ctx context.Context, workspace string, version uint64) (source, error) {
+	current, at, ok := s.Enforcer.Source(workspace)
 	if !ok {
-		return nil, notFound("workspace %s", workspace)
+		return source{}, notFound("workspace %s", shorten(workspace))
 	}
-	if version == 0 || version == current.GetVersion() {
-		return current, nil
+	if version == 0 || version == uint64(at) {
+		return source{current, at}, nil
 	}
 	if err := s.replay(ctx); err != nil {
-		return nil, err
+		return source{}, err
 	}
 	defer s.replayed()
-	old, err := s.Sources.SourceAt(ctx, workspace, publish.Version(version))
+	old, err := s.Archive.SourceAt(ctx, workspace, publish.Version(version))
 	if err != nil {
-		return nil, notFound("workspace %s at version %d: %v", workspace, version, err)
+		return source{}, notFound("workspace %s at version %d: %v", shorten(workspace), version, err)
 	}
-	return old, nil
+	return source{old, publish.Version(version)}, nil
 }
 
 // replay waits for the right to rebuild old state; replayed gives it back.
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,140 @@
+// Package cli holds the subcommands of the program. Operator commands are
+// clients of the administration API.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	arg "github.com/alexflint/go-arg"
+)
+
+// commands has one field for each subcommand.
+type commands struct {
+	Validate *validateCommand `arg:"subcommand:validate" help:"check a workspace directory without a daemon"`
+	Publish  *publishCommand  `arg:"subcommand:publish" help:"publish a workspace directory"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"show what is in force and where"`
+	Members  *membersCommand  `arg:"subcommand:members" help:"list daemons and their targets"`
+	History  *historyCommand  `arg:"subcommand:history" help:"list the publications of a workspace"`
+	Diff     *diffCommand     `arg:"subcommand:diff" help:"compare two versions of a workspace as rendered"`
+	Rollback *rollbackCommand `arg:"subcommand:rollback" help:"publish the content of an old version again"`
+	Drain    *drainCommand    `arg:"subcommand:drain" help:"take a target out of service, or put it back"`
+	Timeline *timelineCommand `arg:"subcommand:timeline" help:"show or check the events of many processes"`
+}
+
+// Description is shown by the help.
+func (commands) Description() string {
+	return "mulberrybank distributes configuration over a service mesh and carries its calls."
+}
+
+// Epilogue is shown by the help.
+func (commands) Epilogue() string {
+	return "Exit status: 0 on success, 1 when an operation failed or was refused, 2 on wrong usage.\n" +
+		"Run 'mulberrybank COMMAND --help' for options and an example."
+}
+
+// command is one subcommand.
+type command interface {
+	run(ctx context.Context, env *env) error
+}
+
+// exampled is a subcommand with an example in its help.
+type exampled interface {
+	example() string
+}
+
+// env is what subcommands work with.
+type env struct {
+	stdout io.Writer
+	stderr io.Writer
+	http   *http.Client
+	all    *commands
+}
+
+// Exit statuses.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// program is the name of the program in its own texts.
+const program = "mulberrybank"
+
+// errRefused ends a command whose refusal has been shown already.
+var errRefused = errors.New("refused")
+
+// usageError is a mistake in the arguments that the parser cannot see.
+type usageError struct{ reason string }
+
+func (e *usageError) Error() string { return e.reason }
+
+// Run runs the subcommand that the arguments name and returns the exit
+// status. An interrupt or a termination signal ends it in order.
+func Run(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return run(ctx, args, stdout, stderr)
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	all := &commands{}
+	parser, err := arg.NewParser(arg.Config{Program: program, Out: stderr}, all)
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", program, err)
+		return exitFailed
+	}
+	err = parser.Parse(args)
+	selected, _ := parser.Subcommand().(command)
+	if errors.Is(err, arg.ErrHelp) {
+		writeHelp(stdout, parser)
+		return exitOK
+	}
+	if err == nil && selected == nil {
+		err = errors.New("a command is needed")
+	}
+	if err != nil {
+		return failUsage(stderr, parser, err)
+	}
+	e := &env{stdout: stdout, stderr: stderr, http: &http.Client{}, all: all}
+	return finish(selected.run(ctx, e), stderr, parser)
+}
+
+// finish maps the error of a subcommand to the exit status.
+func finish(err error, stderr io.Writer, parser *arg.Parser) int {
+	var usage *usageError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage):
+		return failUsage(stderr, parser, err)
+	case errors.Is(err, errRefused):
+		return exitFailed
+	default:
+		fmt.Fprintf(stderr, "%s: %s: %v\n", program, commandName(parser), err)
+		return exitFailed
+	}
+}
+
+func commandName(parser *arg.Parser) string { return strings.Join(parser.SubcommandNames(), " ") }
+
+func failUsage(stderr io.Writer, parser *arg.Parser, err error) int {
+	// The names come from the parser itself, so it knows them.
+	_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
+	fmt.Fprintf(stderr, "error: %v\n", err)
+	return exitUsage
+}
+
+func writeHelp(out io.Writer, parser *arg.Parser) {
+	// The names come from the parser itself, so it knows them.
+	_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+	if selected, ok := parser.Subcommand().(exampled); ok {
+		fmt.Fprintf(out, "\nExample:\n  %s\n", strings.ReplaceAll(selected.example(), "\n", "\n  "))
+	}
+}
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,159 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/admin"
+	"github.com/mulberrybank/mulberrybank/internal/admin/admintest"
+	"github.com/mulberrybank/mulberrybank/internal/standin/logservice"
+)
+
+const mainTemplate = `{"services": [{"name": "points", "slots": {{.slots}}, "queue": 10}],
+	"routes": [{"name": "read", "service": "points", "idempotent": true}]}`
+
+// invoke runs the program and returns its status and output.
+func invoke(t *testing.T, args ...string) (int, string, string) {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	status := run(t.Context(), args, &stdout, &stderr)
+	return status, stdout.String(), stderr.String()
+}
+
+// startMesh serves a mesh and returns the options that reach it.
+func startMesh(t *testing.T) (*admintest.Mesh, string) {
+	t.Helper()
+	mesh := admintest.New(logservice.New(logservice.Options{}))
+	server := httptest.NewServer(admin.New(mesh.Options()).Handler())
+	t.Cleanup(server.Close)
+	return mesh, "--admin=" + server.URL
+}
+
+// writeWorkspace writes a workspace directory.
+func writeWorkspace(t *testing.T, parameters string) string {
+	t.Helper()
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"workspace.json":      `{"name": "heaters"}`,
+		"parameters.json":     parameters,
+		"templates/main.tmpl": mainTemplate,
+	} {
+		path := filepath.Join(dir, name)
+		assert.NilError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	}
+	return dir
+}
+
+func TestUsageErrorsExitTwo(t *testing.T) {
+	for _, args := range [][]string{
+		{}, {"fly"}, {"publish"}, {"publish", "dir", "--pace"}, {"diff", "w"}, {"timeline"},
+		{"timeline", "--file=x", "--format=poem"}, {"timeline", "--file=x", "--from=noon"},
+	} {
+		status, _, stderr := invoke(t, args...)
+		assert.Equal(t, status, exitUsage, "%v: %s", args, stderr)
+		assert.Assert(t, strings.Contains(stderr, "error: "), "%v: %s", args, stderr)
+	}
+}
+
+func TestEveryCommandHasHelpWithAnExample(t *testing.T) {
+	for _, name := range []string{"validate", "publish", "status", "members", "history", "diff", "rollback", "drain", "timeline"} {
+		status, stdout, _ := invoke(t, name, "--help")
+		assert.Equal(t, status, exitOK)
+		assert.Assert(t, strings.Contains(stdout, "Example:\n  mulberrybank "+name), stdout)
+	}
+}
+
+func TestValidateNeedsNoDaemon(t *testing.T) {
+	status, stdout, _ := invoke(t, "validate", writeWorkspace(t, `{"slots": 20}`))
+	assert.Equal(t, status, exitOK)
+	assert.Assert(t, strings.Contains(stdout, "1 services, 1 routes"), stdout)
+	status, stdout, _ = invoke(t, "validate", "--json", writeWorkspace(t, `{}`))
+	assert.Equal(t, status, exitFailed)
+	var result validation
+	assert.NilError(t, json.Unmarshal([]byte(stdout), &result))
+	assert.Assert(t, !result.Valid)
+	assert.Equal(t, result.Problems[0].Place, "template main.tmpl")
+}
+
+func TestPublishToRollback(t *testing.T) {
+	_, at := startMesh(t)
+	dir := writeWorkspace(t, `{"slots": 20}`)
+	status, stdout, stderr := invoke(t, "publish", dir, at, "--reason=frost", "--wait")
+	assert.Equal(t, status, exitOK, stderr)
+	assert.Assert(t, strings.Contains(stdout, "accepted: workspace heaters is now version 1"), stdout)
+	assert.Assert(t, strings.Contains(stderr, "in force on 2 of 2 daemons"), stderr)
+
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "parameters.json"), []byte(`{"slots": 30}`), 0o600))
+	status, stdout, _ = invoke(t, "publish", dir, at, "--base=0")
+	assert.Equal(t, status, exitFailed)
+	assert.Assert(t, strings.Contains(stdout, "conflict: workspace heaters is already version 1"), stdout)
+	status, _, stderr = invoke(t, "publish", dir, at)
+	assert.Equal(t, status, exitOK, stderr)
+	_, stdout, _ = invoke(t, "diff", "heaters", "--from=1", at)
+	assert.Assert(t, strings.Contains(stdout, "- service heaters/points: slots 20"), stdout)
+	status, _, stderr = invoke(t, "rollback", "heaters", "--version=1", at, "--wait")
+	assert.Equal(t, status, exitOK, stderr)
+	_, stdout, _ = invoke(t, "history", "heaters", "--json", at)
+	var history admin.History
+	assert.NilError(t, json.Unmarshal([]byte(stdout), &history))
+	assert.Equal(t, len(history.Verdicts), 4)
+	assert.Equal(t, history.Verdicts[0].Reason, "frost")
+}
+
+func TestWaitFailsWhileADaemonIsMissing(t *testing.T) {
+	mesh, at := startMesh(t)
+	mesh.LowestBy(func(offset uint64) uint64 { return offset - 1 })
+	status, _, stderr := invoke(t, "publish", writeWorkspace(t, `{"slots": 20}`), at, "--wait", "--wait-timeout=150ms")
+	assert.Equal(t, status, exitFailed)
+	assert.Assert(t, strings.Contains(stderr, "in force on 1 of 2 daemons; missing: host-2"), stderr)
+}
+
+func TestUnreachableDaemonIsAnErrorWithItsAddress(t *testing.T) {
+	status, _, stderr := invoke(t, "status", "--admin=127.0.0.1:1")
+	assert.Equal(t, status, exitFailed)
+	assert.Assert(t, strings.Contains(stderr, "mulberrybank: status: ask http://127.0.0.1:1"), stderr)
+}
+
+func TestStatusAndMembersForPeopleAndScripts(t *testing.T) {
+	_, at := startMesh(t)
+	for _, name := range []string{"status", "members"} {
+		status, stdout, stderr := invoke(t, name, at)
+		assert.Equal(t, status, exitOK, stderr)
+		assert.Assert(t, strings.Contains(stdout, "host-1"), stdout)
+		_, stdout, _ = invoke(t, name, at, "--json")
+		assert.Assert(t, json.Valid([]byte(stdout)), stdout)
+	}
+}
+
+func TestTimelineMergesFiltersAndChecks(t *testing.T) {
+	_, at := startMesh(t)
+	invoke(t, "publish", writeWorkspace(t, `{"slots": 20}`), at)
+	path := filepath.Join(t.TempDir(), "events.jsonl")
+	lines := `{"time":{"ms":5,"n":0},"host":"host-9","kind":"in-force","offset":7,"digest":"a"}` + "\n" +
+		`{"time":{"ms":6,"n":0},"host":"host-9","kind":"in-force","offset":6,"digest":"b"}` + "\n"
+	assert.NilError(t, os.WriteFile(path, []byte(lines), 0o600))
+
+	status, stdout, stderr := invoke(t, "timeline", at, "--file", path)
+	assert.Equal(t, status, exitOK, stderr)
+	assert.Assert(t, strings.Contains(stdout, "host-9 in-force offset=7"), stdout)
+	assert.Assert(t, strings.Contains(stdout, "host-1 in-force"), stdout)
+	_, stdout, _ = invoke(t, "timeline", at, "--file", path, "--host=host-9", "--json")
+	assert.Equal(t, strings.Count(stdout, "\n"), 2)
+	_, stdout, _ = invoke(t, "timeline", at, "--format=html")
+	assert.Assert(t, strings.HasPrefix(stdout, "<!DOCTYPE html>"))
+	assert.Assert(t, !strings.Contains(stdout, "src="))
+
+	status, stdout, stderr = invoke(t, "timeline", "check", at)
+	assert.Equal(t, status, exitOK, stdout+stderr)
+	status, stdout, _ = invoke(t, "timeline", "check", "--file", path)
+	assert.Equal(t, status, exitFailed)
+	assert.Assert(t, strings.Contains(stdout, "versions-grow: host host-9 went from offset 7"), stdout)
+}
--- /dev/null
+++ b/internal/cli/members.go
@@ -0,0 +1,37 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+)
+
+// membersCommand lists the daemons that one daemon knows.
+type membersCommand struct {
+	connection
+	output
+}
+
+func (*membersCommand) example() string { return "mulberrybank members --json" }
+
+func (c *membersCommand) run(ctx context.Context, env *env) error {
+	client, err := c.client(env)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.limit(ctx)
+	defer cancel()
+	members, err := client.Members(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(env.stdout, members, func(w io.Writer) {
+		table(w, func(w io.Writer) {
+			fmt.Fprintln(w, "HOST\tZONE\tREGION\tSTATE\tREACH\tSERVICE\tTARGET\tOFFSET")
+			for _, m := range members.Members {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\n",
+					m.Host, m.Zone, m.Region, m.State, m.Reach, m.Service, m.Target, m.InForce)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,72 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/mulberrybank/mulberrybank/internal/admin"
+)
+
+// output holds the options of commands that print a result.
+type output struct {
+	JSON bool `arg:"--json" help:"print JSON for scripts"`
+}
+
+// print writes a value as JSON, or calls text.
+func (o *output) print(w io.Writer, value any, text func(io.Writer)) error {
+	if !o.JSON {
+		text(w)
+		return nil
+	}
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
+		return fmt.Errorf("print result: %w", err)
+	}
+	return nil
+}
+
+// columnGap is the number of spaces between columns of a table.
+const columnGap = 2
+
+// table writes rows of tab-separated cells in columns.
+func table(w io.Writer, write func(io.Writer)) {
+	columns := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	write(columns)
+	_ = columns.Flush()
+}
+
+// verdictText writes a verdict for people.
+func verdictText(w io.Writer, verdict *admin.Verdict) {
+	switch verdict.Outcome {
+	case "accepted":
+		fmt.Fprintf(w, "accepted: workspace %s is now version %d\n", verdict.Workspace, verdict.Version)
+	case "conflict":
+		fmt.Fprintf(w, "conflict: workspace %s is already version %d by %s\n",
+			verdict.Workspace, verdict.ConflictVersion, orUnknown(verdict.ConflictAuthor))
+	default:
+		fmt.Fprintf(w, "%s: workspace %s\n", verdict.Outcome, verdict.Workspace)
+	}
+	for _, problem := range verdict.Problems {
+		fmt.Fprintf(w, "  %s: %s\n", problem.Place, problem.Reason)
+	}
+}
+
+func orUnknown(text string) string {
+	if text == "" {
+		return "(unknown)"
+	}
+	return text
+}
+
+// verdictError is errRefused for a verdict that changes nothing.
+func verdictError(verdict *admin.Verdict) error {
+	switch verdict.Outcome {
+	case "accepted", "duplicate":
+		return nil
+	default:
+		return errRefused
+	}
+}
--- /dev/null
+++ b/internal/cli/timeline.go
@@ -0,0 +1,174 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/admin"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+// timelineCommand merges and shows the events of many processes.
+type timelineCommand struct {
+	Check *timelineCheckCommand `arg:"subcommand:check" help:"verify the promises of the system on the events"`
+
+	Files     []string      `arg:"--file,separate" help:"file of events as JSON lines, may be repeated"`
+	Admin     []string      `arg:"--admin,separate" placeholder:"ADDRESS" help:"administration address of a daemon, may be repeated"`
+	TokenFile string        `arg:"--token-file,env:MULBERRYBANK_TOKEN_FILE" placeholder:"FILE" help:"file that holds the access token"`
+	Timeout   time.Duration `arg:"--timeout" default:"10s" help:"time limit of one request"`
+
+	Call    string `arg:"--call" help:"show one call"`
+	Version uint64 `arg:"--version" help:"show one version or offset"`
+	Host    string `arg:"--host" help:"show events at or about one host"`
+	Key     string `arg:"--key" help:"show one key"`
+	From    string `arg:"--from" placeholder:"TIME" help:"show events from a time on, such as 2026-12-04T10:42:00Z"`
+	Until   string `arg:"--until" placeholder:"TIME" help:"show events before a time"`
+	Format  string `arg:"--format" default:"text" help:"text, json or html"`
+	JSON    bool   `arg:"--json" help:"the same as --format json"`
+}
+
+func (*timelineCommand) example() string {
+	return "mulberrybank timeline --admin 10.0.0.7:7404 --admin 10.0.0.8:7404 --host host-7\n" +
+		"mulberrybank timeline check --file events.jsonl"
+}
+
+func (c *timelineCommand) run(ctx context.Context, env *env) error {
+	write, err := c.writer()
+	if err != nil {
+		return err
+	}
+	filter, err := c.filter()
+	if err != nil {
+		return err
+	}
+	events, err := c.collect(ctx, env)
+	if err != nil {
+		return err
+	}
+	return write(env.stdout, filter.Select(events))
+}
+
+func (c *timelineCommand) writer() (func(io.Writer, []timeline.Event) error, error) {
+	format := c.Format
+	if c.JSON {
+		format = "json"
+	}
+	switch format {
+	case "text":
+		return timeline.WriteText, nil
+	case "json":
+		return timeline.WriteJSON, nil
+	case "html":
+		return timeline.WriteHTML, nil
+	default:
+		return nil, &usageError{fmt.Sprintf("--format: found %q, allowed is text, json or html", format)}
+	}
+}
+
+func (c *timelineCommand) filter() (timeline.Filter, error) {
+	filter := timeline.Filter{Call: c.Call, Version: c.Version, Host: c.Host, Key: c.Key}
+	var err error
+	if filter.From, err = millis("--from", c.From); err != nil {
+		return filter, err
+	}
+	filter.Until, err = millis("--until", c.Until)
+	return filter, err
+}
+
+func millis(flag, text string) (int64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	parsed, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return 0, &usageError{fmt.Sprintf("%s: found %q, a time such as 2026-12-04T10:42:00Z is needed", flag, text)}
+	}
+	return parsed.UnixMilli(), nil
+}
+
+// collect reads and merges the events of all sources.
+func (c *timelineCommand) collect(ctx context.Context, env *env) ([]timeline.Event, error) {
+	if len(c.Files)+len(c.Admin) == 0 {
+		return nil, &usageError{"a --file or an --admin address is needed"}
+	}
+	var lists [][]timeline.Event
+	for _, path := range c.Files {
+		events, err := readEvents(path)
+		if err != nil {
+			return nil, err
+		}
+		lists = append(lists, events)
+	}
+	for _, address := range c.Admin {
+		events, err := c.fetch(ctx, env, address)
+		if err != nil {
+			return nil, err
+		}
+		lists = append(lists, events)
+	}
+	return timeline.Merge(lists), nil
+}
+
+func (c *timelineCommand) fetch(ctx context.Context, env *env, address string) ([]timeline.Event, error) {
+	token, err := readToken(c.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	return admin.NewClient(address, token, env.http).Timeline(ctx)
+}
+
+func readEvents(path string) ([]timeline.Event, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("read events: %w", err)
+	}
+	defer file.Close()
+	events, err := timeline.ReadJSON(file)
+	if err != nil {
+		return nil, fmt.Errorf("read events of %s: %w", path, err)
+	}
+	return events, nil
+}
+
+// timelineCheckCommand verifies the promises on the events of its parent.
+type timelineCheckCommand struct{}
+
+func (*timelineCheckCommand) example() string {
+	return "mulberrybank timeline check --file events.jsonl"
+}
+
+func (*timelineCheckCommand) run(ctx context.Context, env *env) error {
+	parent := env.all.Timeline
+	events, err := parent.collect(ctx, env)
+	if err != nil {
+		return err
+	}
+	violations := timeline.Check(events)
+	result := checkResult{Events: len(events), Violations: violations}
+	out := output{JSON: parent.JSON || parent.Format == "json"}
+	if err := out.print(env.stdout, result, result.text); err != nil {
+		return err
+	}
+	if len(violations) > 0 {
+		return errRefused
+	}
+	return nil
+}
+
+// checkResult is the outcome of a check.
+type checkResult struct {
+	Events     int                  `json:"events"`
+	Violations []timeline.Violation `json:"violations"`
+}
+
+func (r checkResult) text(w io.Writer) {
+	for _, violation := range r.Violations {
+		fmt.Fprintln(w, violation)
+	}
+	fmt.Fprintf(w, "%d events, %d promises checked, %d violations\n", r.Events, len(timeline.Promises), len(r.Violations))
+}
