membership: close silent accepted connections and measure idle cost

Connections whose dialler vanished kept a task and a descriptor until TCP gave up. What was told on a connection is kept with the connection, so two connections of one peer no longer share it.

--- a/internal/membership/age.go
+++ b/internal/membership/age.go
@@ -22,6 +22,7 @@
 func (m *Membership) age(now time.Time) {
 	m.mu.Lock()
 	m.checkSilence(now)
+	m.closeSilent(now)
 	m.forget(now)
 	stale := m.isStale(m.view.current.Load().Members, now)
 	refresh := m.overridden || stale != m.view.current.Load().Stale
--- /dev/null
+++ b/internal/membership/bench_test.go
@@ -0,0 +1,243 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/mulberrybank/mulberrybank/internal/logging"
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+)
+
+const (
+	benchRegions = 2
+	benchZones   = 5
+	// benchSpan is how long idle daemons are measured.
+	benchSpan = 10 * time.Second
+	// benchLimit bounds the wait for a condition.
+	benchLimit = 60 * time.Second
+)
+
+// fleet runs daemons in this process over loopback.
+type fleet struct {
+	daemons []*fleetDaemon
+	cancel  context.CancelFunc
+	tasks   conc.WaitGroup
+}
+
+type fleetDaemon struct {
+	*Membership
+	traffic *peer.Traffic
+}
+
+// startFleet starts daemons spread over the zones, with full addresses.
+func startFleet(b *testing.B, count int) *fleet {
+	b.Helper()
+	ctx, cancel := context.WithCancel(b.Context())
+	f := &fleet{cancel: cancel}
+	var seeds []string
+	for number := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		f.start(ctx, b, number, listener, seeds)
+		if number < 3 {
+			seeds = append(seeds, listener.Addr().String())
+		}
+	}
+	return f
+}
+
+func (f *fleet) start(ctx context.Context, b *testing.B, number int, listener net.Listener, seeds []string) {
+	zone := number % (benchRegions * benchZones)
+	id := peer.Identity{
+		Host:        fmt.Sprintf("host-%04d", number),
+		Region:      fmt.Sprintf("region-%d", zone/benchZones),
+		Zone:        fmt.Sprintf("zone-%d-%d", zone/benchZones, zone%benchZones),
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	traffic := peer.NewTraffic()
+	address := listener.Addr().String()
+	d := &fleetDaemon{traffic: traffic, Membership: New(Options{
+		Self:     Member{Host: id.Host, Zone: id.Zone, Region: id.Region, ControlAddress: address, CallsAddress: address},
+		Identity: id,
+		Dialer:   peer.NewDialer(id, traffic, nil),
+		Seeds:    seeds,
+		Position: func() (uint64, []byte) { return 1, make([]byte, 32) },
+	})}
+	server := peer.NewServer(id, traffic, logging.Part(logging.Discard(), "peer"))
+	if err := d.Register(server.Mux()); err != nil {
+		b.Fatal(err)
+	}
+	f.daemons = append(f.daemons, d)
+	f.tasks.Go(func() { _ = server.Serve(ctx, listener) })
+	f.tasks.Go(func() { _ = d.Run(ctx) })
+}
+
+func (f *fleet) stop() {
+	f.cancel()
+	f.tasks.Wait()
+}
+
+// await waits until a condition holds on all daemons.
+func (f *fleet) await(b *testing.B, what string, holds func(*View) bool) time.Duration {
+	b.Helper()
+	start := time.Now()
+	for _, d := range f.daemons {
+		for changed := d.Changed(); !holds(d.View()); changed = d.Changed() {
+			select {
+			case <-changed:
+			case <-time.After(benchLimit):
+				b.Fatalf("%s: not %s", d.options.Self.Host, what)
+			}
+		}
+	}
+	return time.Since(start)
+}
+
+// announceAll gives every daemon a target, so that entries have full size.
+func (f *fleet) announceAll(b *testing.B) {
+	for number, d := range f.daemons {
+		service := fmt.Sprintf("workspace-%02d/service-%02d", number%16, number%10)
+		if err := d.Announce(Announcement{Service: service, Address: "127.0.0.1:1", Slots: 20, State: "ready"}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// renewAll keeps the announcements alive for a span.
+func (f *fleet) renewAll(b *testing.B, span time.Duration) {
+	for start := time.Now(); time.Since(start) < span; time.Sleep(time.Second) {
+		f.announceAll(b)
+	}
+}
+
+// bytes returns the bytes sent by daemon and scope.
+func (f *fleet) bytes() (byDaemon []uint64, byScope map[peer.Scope]uint64) {
+	byScope = make(map[peer.Scope]uint64)
+	for _, d := range f.daemons {
+		sum := uint64(0)
+		for class, bytes := range d.traffic.Snapshot() {
+			sum += bytes.Sent
+			byScope[class.Scope] += bytes.Sent
+		}
+		byDaemon = append(byDaemon, sum)
+	}
+	return byDaemon, byScope
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func memoryInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse + stats.StackInuse
+}
+
+// BenchmarkIdle measures what daemons cost that have nothing to tell.
+func BenchmarkIdle(b *testing.B) {
+	for _, count := range []int{50, 100, 200} {
+		b.Run(fmt.Sprintf("daemons=%d", count), func(b *testing.B) {
+			for range b.N {
+				benchIdle(b, count)
+			}
+		})
+	}
+}
+
+func benchIdle(b *testing.B, count int) {
+	before := memoryInUse()
+	f := startFleet(b, count)
+	defer f.stop()
+	complete := func(v *View) bool { return v.reachable() == count }
+	joined := f.await(b, "complete", complete)
+	f.renewAll(b, 10*time.Second)
+	bytesBefore, scopesBefore := f.bytes()
+	processorBefore := processorTime()
+	f.renewAll(b, benchSpan)
+	processor := processorTime() - processorBefore
+	bytesAfter, scopesAfter := f.bytes()
+	memory := memoryInUse() - before
+	highest, total := uint64(0), uint64(0)
+	for i := range bytesAfter {
+		sent := bytesAfter[i] - bytesBefore[i]
+		highest = max(highest, sent)
+		total += sent
+	}
+	seconds := benchSpan.Seconds()
+	daemons := float64(count)
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(joined.Seconds(), "join-s")
+	b.ReportMetric(float64(total)/daemons/seconds, "sent-B/s/daemon")
+	b.ReportMetric(float64(highest)/seconds, "sent-B/s/highest")
+	for scope := range scopesAfter {
+		rate := float64(scopesAfter[scope]-scopesBefore[scope]) / seconds
+		b.ReportMetric(rate, "sent-B/s/all-"+scope.String())
+	}
+	b.ReportMetric(100*processor.Seconds()/seconds/daemons, "core-%/daemon")
+	b.ReportMetric(float64(memory)/daemons/1024, "KiB/daemon")
+}
+
+// BenchmarkChange measures one change of a target's state: how long until all
+// know it and what it costs.
+func BenchmarkChange(b *testing.B) {
+	for _, count := range []int{50, 100, 200} {
+		b.Run(fmt.Sprintf("daemons=%d", count), func(b *testing.B) {
+			for range b.N {
+				benchChange(b, count)
+			}
+		})
+	}
+}
+
+func benchChange(b *testing.B, count int) {
+	const changes = 20
+	f := startFleet(b, count)
+	defer f.stop()
+	f.await(b, "complete", func(v *View) bool { return v.reachable() == count })
+	f.announceAll(b)
+	f.renewAll(b, 5*time.Second)
+	idleBefore, _ := f.bytes()
+	f.renewAll(b, 5*time.Second)
+	idleAfter, _ := f.bytes()
+	start := time.Now()
+	slowest := time.Duration(0)
+	for i := range changes {
+		f.announceAll(b)
+		d := f.daemons[(i*7)%count]
+		host := d.options.Self.Host
+		d.Drain()
+		took := f.await(b, "draining", func(v *View) bool { return v.Members[host].TargetState == Draining })
+		slowest = max(slowest, took)
+	}
+	f.renewAll(b, 2*time.Second)
+	span := time.Since(start)
+	after, _ := f.bytes()
+	idle := float64(sum(idleAfter)-sum(idleBefore)) / 5
+	cost := float64(sum(after)-sum(idleAfter)) - idle*span.Seconds()
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(slowest.Seconds()*1000, "slowest-ms")
+	b.ReportMetric(cost/changes/float64(count), "sent-B/change/daemon")
+}
+
+func sum(values []uint64) uint64 {
+	total := uint64(0)
+	for _, value := range values {
+		total += value
+	}
+	return total
+}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -26,8 +26,6 @@
 	heard  time.Time
 	offset uint64
 	digest []byte
-	// told is what this daemon has told a peer that dialled it.
-	told toldState
 }
 
 // toldState is how far one side has told the other.
@@ -49,8 +47,8 @@
 	return offset, digest
 }
 
-// hear notes word of a peer. It returns the position to report.
-func (m *Membership) hear(remote peer.Identity, offset uint64, digest []byte, now time.Time) *contact {
+// hear notes word of a peer. The position is left out when it is as before.
+func (m *Membership) hear(remote peer.Identity, offset uint64, digest []byte, now time.Time) {
 	c, ok := m.contacts[remote.Host]
 	if !ok {
 		c = &contact{}
@@ -65,7 +63,6 @@
 		c.digest = digest
 		m.raiseFloor(remote.Host, offset)
 	}
-	return c
 }
 
 // raiseFloor notes an offset seen in force on a host.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -43,6 +43,7 @@
 	table      *table
 	lease      lease
 	contacts   map[string]*contact
+	accepted   map[*accepted]bool
 	floors     map[string]uint64
 	lost       map[string]lostPeer
 	watches    map[string]*zoneWatch
@@ -70,6 +71,7 @@
 		reconsider:  make(chan struct{}, 1),
 		table:       newTable(),
 		contacts:    make(map[string]*contact),
+		accepted:    make(map[*accepted]bool),
 		floors:      make(map[string]uint64),
 		lost:        make(map[string]lostPeer),
 		watches:     make(map[string]*zoneWatch),
--- a/internal/membership/server.go
+++ b/internal/membership/server.go
@@ -24,36 +24,37 @@
 	}
 	m := s.membership
 	m.take(request.GetEntries(), remote.Host)
-	answer := m.answer(remote, request)
+	answer := m.answer(remote, m.accept(ctx), request)
 	m.reportPosition(remote.Host)
 	return answer, nil
 }
 
 // answer returns the answer to a heartbeat whose entries have been taken.
-func (m *Membership) answer(remote peer.Identity, request *HeartbeatRequest) *HeartbeatAnswer {
+func (m *Membership) answer(remote peer.Identity, conn *accepted, request *HeartbeatRequest) *HeartbeatAnswer {
 	offset, digest := m.options.Position()
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := m.hear(remote, request.GetOffset(), request.GetDigest(), now)
+	m.hear(remote, request.GetOffset(), request.GetDigest(), now)
+	conn.heard = now
 	answer := &HeartbeatAnswer{}
 	if request.GetFirst() {
-		c.told = toldState{sent: m.table.sequence}
+		conn.told = toldState{sent: m.table.sequence}
 		answer.Floor = m.floors[remote.Host]
 	}
-	rows, sent := m.table.changedAfter(c.told.sent, remote.Host, maxEntries)
+	rows, sent := m.table.changedAfter(conn.told.sent, remote.Host, maxEntries)
 	if request.GetFirst() {
 		rows = append(rows, m.self())
 	}
 	if r, ok := m.table.rows[remote.Host]; ok && isOutdated(request.GetEntries(), r) {
 		rows = append(rows, r)
 	}
-	c.told.sent = sent
+	conn.told.sent = sent
 	if len(request.GetBuckets()) > 0 {
 		rows = append(rows, m.compare(request.GetBuckets(), answer)...)
 	}
 	answer.Entries = encodeEntries(rows, now)
-	answer.Offset, answer.Digest = c.told.position(offset, digest)
+	answer.Offset, answer.Digest = conn.told.position(offset, digest)
 	answer.Summary = m.table.summary()
 	m.counts.entriesSent.Add(len(rows))
 	return answer
