membership: refer refused peers to others, check the table by properties

A daemon whose comparison was refused could only ask the same peer again; the answer now names members of its zone. A new connection compares at the first difference instead of the third, since changes from before it was opened may have gone elsewhere.

--- a/internal/membership/client.go
+++ b/internal/membership/client.go
@@ -28,9 +28,20 @@
 		return false, err
 	}
 	m.counts.heartbeats.Inc()
+	more = m.finish(n, remote, request, answer, told)
+	m.told.notify()
+	m.reached(n)
+	m.reportPosition(remote.Host)
+	return more, nil
+}
+
+// finish takes the answer to a heartbeat and reports whether more is to be
+// sent at once. told is what the peer knows now.
+func (m *Membership) finish(n *neighbour, remote peer.Identity, request *HeartbeatRequest, answer *HeartbeatAnswer, told toldState) bool {
 	fresh := m.take(answer.GetEntries(), remote.Host)
 	now := time.Now()
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	n.toldState = told
 	n.learn(answer.GetEntries())
 	n.connected = true
@@ -38,12 +49,8 @@
 	m.hear(remote, answer.GetOffset(), answer.GetDigest(), now)
 	m.raiseFloor(m.options.Self.Host, answer.GetFloor())
 	m.settle(n, request, answer, fresh, now)
-	more = m.hasMore(n, remote.Host) || answer.GetMore() && fresh > 0
-	m.mu.Unlock()
-	m.told.notify()
-	m.reached(n)
-	m.reportPosition(remote.Host)
-	return more, nil
+	continued := answer.GetMore() && fresh > 0
+	return continued || m.hasMore(n, remote.Host) || m.comparisonDue(n, n.scope, now)
 }
 
 // hasMore reports whether there are entries to send to a neighbour.
@@ -120,9 +127,12 @@
 
 // settle notes what the answer says of the peer's table.
 func (m *Membership) settle(n *neighbour, request *HeartbeatRequest, answer *HeartbeatAnswer, fresh int, now time.Time) {
-	if answer.GetSummary() == m.table.summary() {
+	switch {
+	case answer.GetSummary() == m.table.summary():
 		n.unequal = 0
-	} else {
+	case request.GetFirst():
+		n.unequal = restBeats
+	default:
 		n.unequal++
 	}
 	if len(request.GetBuckets()) == 0 {
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -26,6 +26,8 @@
 	// comparisonRate and comparisonBurst bound the comparisons answered, per second.
 	comparisonRate  = 20
 	comparisonBurst = 20
+	// referralCount is the number of hosts named to a peer that is refused.
+	referralCount = 8
 	// comparisonRetry is the mean time that a refused peer is asked to wait.
 	comparisonRetry = 2 * time.Second
 )
--- a/internal/membership/http.go
+++ b/internal/membership/http.go
@@ -66,7 +66,11 @@
 // Withdraw ends the lease of the target on this host.
 func (m *Membership) Withdraw() {
 	m.mu.Lock()
-	m.lease.withdraw(time.Now())
+	service := m.lease.announcement.Service
+	withdrawn := m.lease.withdraw(time.Now())
 	m.mu.Unlock()
+	if withdrawn {
+		m.recordWithdrawn(service, "by the target")
+	}
 	m.rewrite(nil)
 }
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -67,12 +67,13 @@
 	return nil
 }
 
-// withdraw takes the target out.
-func (l *lease) withdraw(now time.Time) {
+// withdraw takes the target out and reports whether it was in.
+func (l *lease) withdraw(now time.Time) bool {
 	if l.state == NoTarget || !l.withdrawn.IsZero() {
-		return
+		return false
 	}
 	l.withdrawn = now
+	return true
 }
 
 // expire moves the lease on with time and reports whether it lapsed just now.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -239,9 +239,7 @@
 	switch after.targetState {
 	case Draining:
 		m.options.Events.Record(timeline.Event{Kind: timeline.Draining, Service: after.service})
-	case NoTarget:
-		m.options.Events.Record(timeline.Event{Kind: timeline.Withdrawn, Service: before.service, Detail: "removed"})
-	default:
+	case Cold, Ready:
 		m.options.Events.Record(timeline.Event{Kind: timeline.Announced, Service: after.service})
 	}
 }
@@ -269,11 +267,16 @@
 	m.mu.Unlock()
 	if lapsed {
 		m.log.Warnf("announcement of %s lapsed", service)
-		m.options.Events.Record(timeline.Event{Kind: timeline.Withdrawn, Service: service, Detail: "announcement lapsed"})
+		m.recordWithdrawn(service, "announcement lapsed")
 	}
 	m.rewrite(nil)
 }
 
+// recordWithdrawn writes an event when a target is gone.
+func (m *Membership) recordWithdrawn(service, reason string) {
+	m.options.Events.Record(timeline.Event{Kind: timeline.Withdrawn, Service: service, Detail: reason})
+}
+
 // keepView is the task that builds views on word of other daemons.
 func (m *Membership) keepView(ctx context.Context) {
 	for {
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -303,3 +303,25 @@
 func (a fakeAddr) String() string { return string(a) }
 
 var _ io.Closer = (*fakeListener)(nil)
+
+// newLocal returns a membership without connections.
+func newLocal(host string) *Membership {
+	return New(Options{
+		Self:     Member{Host: host, Zone: "z", Region: "r", ControlAddress: host},
+		Identity: peer.Identity{Host: host, Zone: "z", Region: "r", Incarnation: 1},
+	})
+}
+
+// exchange passes one heartbeat from a to b. The answer may be lost, which
+// ends the connection, so that the next heartbeat is the first of another.
+func exchange(a, b *Membership, n *neighbour, lost bool) {
+	conn := &accepted{}
+	request, told := a.request(n, b.options.Identity, true)
+	b.take(request.GetEntries(), a.options.Self.Host)
+	answer := b.answer(a.options.Identity, conn, request)
+	if lost {
+		a.endComparison(request)
+		return
+	}
+	a.finish(n, b.options.Identity, request, answer, told)
+}
--- a/internal/membership/neighbour.go
+++ b/internal/membership/neighbour.go
@@ -26,6 +26,8 @@
 	// redialInterval and maxRedialInterval bound the time between dials.
 	redialInterval    = 200 * time.Millisecond
 	maxRedialInterval = 5 * time.Second
+	// recentChanges is how far back the changes told to a new neighbour lie.
+	recentChanges = 5 * time.Second
 	// startSpread is the span over which first dials are spread.
 	startSpread = 100 * time.Millisecond
 	// choiceInterval is the least time between two choices of neighbours.
@@ -116,7 +118,7 @@
 			continue
 		}
 		n := &neighbour{wantedPeer: want, wake: make(chan struct{}, 1)}
-		n.sent = m.table.sequence
+		n.sent = m.table.settled(time.Now().Add(-recentChanges))
 		peerCtx, cancel := context.WithCancel(ctx)
 		n.cancel = cancel
 		m.neighbours[address] = n
--- a/internal/membership/server.go
+++ b/internal/membership/server.go
@@ -51,7 +51,7 @@
 		rows = append(rows, r)
 	}
 	if len(request.GetBuckets()) > 0 {
-		rows = append(rows, m.compare(request.GetBuckets(), answer)...)
+		rows = append(rows, m.compare(remote.Zone, request.GetBuckets(), answer)...)
 	}
 	answer.Entries = encodeEntries(rows, now)
 	answer.Offset, answer.Digest = conn.told.position(offset, digest)
@@ -72,12 +72,13 @@
 }
 
 // compare returns the rows of buckets that differ, and names the buckets in
-// the answer. It refuses when too many peers compare at once.
-func (m *Membership) compare(buckets []uint64, answer *HeartbeatAnswer) []*row {
+// the answer. When too many peers compare at once it refuses and refers the
+// peer to others of its zone.
+func (m *Membership) compare(zone string, buckets []uint64, answer *HeartbeatAnswer) []*row {
 	if !m.comparisons.Allow() {
 		m.counts.comparisonsRefused.Inc()
 		answer.RetryMs = uint32(comparisonRetry / time.Millisecond)
-		return nil
+		return m.referral(zone)
 	}
 	m.counts.comparisons.Inc()
 	rows, covered, more := m.table.inDifferingBuckets(buckets, maxComparedEntries)
@@ -86,6 +87,20 @@
 	return rows
 }
 
+// referral returns a few members of a zone for a peer to ask instead.
+func (m *Membership) referral(zone string) []*row {
+	var rows []*row
+	for host, r := range m.table.rows {
+		if len(rows) == referralCount {
+			break
+		}
+		if r.zone == zone && r.state == Alive && !m.listed[host] {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
 // Probe dials another daemon for a peer that does not reach it.
 func (s *server) Probe(ctx context.Context, request *ProbeRequest) (*ProbeAnswer, error) {
 	m := s.membership
--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,204 @@
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	gocmp "github.com/google/go-cmp/cmp"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// drawHistory draws the entries that one host writes over its life, in order.
+func drawHistory(t *rapid.T, host string) []entry {
+	e := newEntry(Member{Host: host, Zone: "z", Region: "r"}, 1)
+	written := []entry{e}
+	for range rapid.IntRange(0, 6).Draw(t, "writings of "+host) {
+		switch rapid.SampledFrom([]string{"target", "leave", "restart"}).Draw(t, "writing") {
+		case "target":
+			e.service = "w/s"
+			e.targetState = rapid.SampledFrom([]TargetState{Cold, Ready, Draining, NoTarget}).Draw(t, "target")
+			e.position.Counter++
+		case "leave":
+			e.state = Left
+			e.position.Counter++
+		case "restart":
+			e = newEntry(Member{Host: host, Zone: "z", Region: "r"}, e.position.Incarnation+1)
+		}
+		written = append(written, e)
+	}
+	return written
+}
+
+func drawHistories(t *rapid.T) (all []entry, last map[string]entry) {
+	last = make(map[string]entry)
+	for number := range rapid.IntRange(1, 5).Draw(t, "hosts") {
+		history := drawHistory(t, fmt.Sprintf("host-%d", number))
+		all = append(all, history...)
+		last[history[0].host] = history[len(history)-1]
+	}
+	return all, last
+}
+
+func entriesOf(table *table) map[string]entry {
+	entries := make(map[string]entry)
+	for host, r := range table.rows {
+		entries[host] = r.entry
+	}
+	return entries
+}
+
+var compareEntries = gocmp.AllowUnexported(entry{})
+
+// TestAnyOrderConverges delivers all entries in any order, some twice.
+func TestAnyOrderConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all, last := drawHistories(t)
+		table := newTable()
+		duplicates := rapid.SliceOf(rapid.SampledFrom(all)).Draw(t, "duplicates")
+		for _, e := range rapid.Permutation(append(slices.Clone(all), duplicates...)).Draw(t, "order") {
+			table.merge(e, "peer", time.Time{})
+		}
+		assert.DeepEqual(t, entriesOf(table), last, compareEntries)
+		assert.Equal(t, table.summary(), summaryOf(last))
+	})
+}
+
+// summaryOf computes a summary anew.
+func summaryOf(entries map[string]entry) uint64 {
+	var sum uint64
+	for _, e := range entries {
+		sum ^= e.key()
+	}
+	return sum
+}
+
+// TestPositionsNeverFall checks every step of a delivery with losses: the
+// position grows, a left incarnation stays left, and a draining target becomes
+// ready only by a later entry.
+func TestPositionsNeverFall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all, _ := drawHistories(t)
+		table := newTable()
+		for _, e := range rapid.SliceOf(rapid.SampledFrom(all)).Draw(t, "delivered") {
+			before, known := table.rows[e.host]
+			taken := table.merge(e, "peer", time.Time{})
+			after := table.rows[e.host]
+			if !known {
+				assert.Assert(t, taken)
+				continue
+			}
+			assert.Assert(t, !before.position.After(after.position))
+			assert.Equal(t, taken, after.position.After(before.position))
+			if before.state == Left && after.state != Left {
+				assert.Assert(t, after.position.Incarnation > before.position.Incarnation)
+			}
+			if before.targetState == Draining && after.targetState == Ready {
+				assert.Assert(t, after.position.After(before.position))
+			}
+		}
+	})
+}
+
+// TestDroppedEntriesStayDropped checks that late copies of a dropped entry do
+// not bring it back.
+func TestDroppedEntriesStayDropped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t, "host")
+		table := newTable()
+		for _, e := range history {
+			table.merge(e, "peer", time.Time{})
+		}
+		table.drop("host", time.Time{})
+		for _, e := range rapid.SliceOf(rapid.SampledFrom(history)).Draw(t, "late") {
+			assert.Assert(t, !table.merge(e, "peer", time.Time{}))
+		}
+		assert.Equal(t, table.summary(), uint64(0))
+		next := newEntry(Member{Host: "host"}, history[len(history)-1].position.Incarnation+1)
+		assert.Assert(t, table.merge(next, "peer", time.Time{}))
+	})
+}
+
+// TestChangedTellsEverythingOnce reads changes in steps of any size while new
+// ones arrive. The reader must end up with every current entry.
+func TestChangedTellsEverythingOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all, _ := drawHistories(t)
+		source, reader := newTable(), newTable()
+		sent := uint64(0)
+		read := func(limit int) int {
+			rows, next := source.changed(sent, source.sequence, limit, func(*row) bool { return true })
+			for _, r := range rows {
+				assert.Assert(t, reader.merge(r.entry, "source", time.Time{}), "told twice")
+			}
+			sent = next
+			return len(rows)
+		}
+		for _, e := range rapid.SliceOf(rapid.SampledFrom(all)).Draw(t, "arriving") {
+			source.merge(e, "peer", time.Time{})
+			read(rapid.IntRange(0, 2).Draw(t, "limit"))
+		}
+		for read(1) > 0 {
+			assert.Assert(t, sent <= source.sequence)
+		}
+		assert.DeepEqual(t, entriesOf(reader), entriesOf(source), compareEntries)
+	})
+}
+
+// TestComparisonEqualsTables lets two daemons with any tables exchange
+// heartbeats, of which some answers are lost.
+func TestComparisonEqualsTables(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all, last := drawHistories(t)
+		a, b := newLocal("a"), newLocal("b")
+		for i, e := range all {
+			side := rapid.SampledFrom([]string{"a", "b", "both"}).Draw(t, fmt.Sprintf("holder of %d", i))
+			if side != "b" {
+				a.table.merge(e, "elsewhere", time.Time{})
+			}
+			if side != "a" {
+				b.table.merge(e, "elsewhere", time.Time{})
+			}
+		}
+		n := &neighbour{unequal: restBeats}
+		for range 8 {
+			n.compare = time.Time{}
+			exchange(a, b, n, rapid.Bool().Draw(t, "answer lost"))
+		}
+		n.compare = time.Time{}
+		n.unequal = restBeats
+		exchange(a, b, n, false)
+		exchange(a, b, n, false)
+		last["a"], last["b"] = a.self().entry, b.self().entry
+		assert.DeepEqual(t, entriesOf(a.table), last, compareEntries)
+		assert.DeepEqual(t, entriesOf(b.table), last, compareEntries)
+	})
+}
+
+// TestRingReachesEveryMember checks that words passed along the ring reach
+// all, with a bounded number of hops.
+func TestRingReachesEveryMember(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 400).Draw(t, "size")
+		members := make([]Member, 0, size)
+		for number := range size {
+			members = append(members, Member{Host: fmt.Sprintf("host-%d", number)})
+		}
+		start := members[rapid.IntRange(0, size-1).Draw(t, "start")].Host
+		hops := map[string]int{start: 0}
+		for queue := []string{start}; len(queue) > 0; queue = queue[1:] {
+			for _, next := range ringNeighbours(queue[0], members) {
+				if _, ok := hops[next.Host]; !ok {
+					hops[next.Host] = hops[queue[0]] + 1
+					queue = append(queue, next.Host)
+				}
+			}
+		}
+		assert.Equal(t, len(hops), size)
+		furthest := slices.MaxFunc(members, func(a, b Member) int { return cmp.Compare(hops[a.Host], hops[b.Host]) })
+		assert.Assert(t, hops[furthest.Host] <= 24, "%d hops among %d", hops[furthest.Host], size)
+	})
+}
