Hold hosts that restart later to the spread of versions

The check of the spread passed over every host with a later incarnation, so a host that lacked a version for half a minute and then restarted was not found. A process followed by another one now counts as living until its last event. The checks also look up tables and contacts by host in place of a pass over all events.

--- a/internal/timeline/check_test.go
+++ b/internal/timeline/check_test.go
@@ -131,11 +131,24 @@
 	}
 }
 
-func TestSpreadSparesAHostThatOthersLost(t *testing.T) {
+// late returns a trace in which host b lacks an accepted version for long.
+func late() *script {
 	s := clean()
-	s.at(390, "a", Event{Kind: Unreachable, Peer: "b"})
 	s.at(400, "a", Event{Kind: VerdictReached, Offset: 4, Version: 4, Outcome: "accepted"})
 	s.at(401, "a", Event{Kind: InForce, Offset: 4, Version: 4, Digest: "d4"})
+	s.at(29000, "b", Event{Kind: UpstreamChosen})
+	return s
+}
+
+func TestSpreadHoldsAHostThatRestartsLater(t *testing.T) {
+	violations := Check(Merge([][]Event{late().events}))
+	assert.Equal(t, len(violations), 1)
+	assert.Equal(t, violations[0].Promise, VersionsSpread)
+}
+
+func TestSpreadSparesAHostThatOthersLost(t *testing.T) {
+	s := late()
+	s.at(390, "a", Event{Kind: Unreachable, Peer: "b"})
 	assert.DeepEqual(t, Check(Merge([][]Event{s.events})), []Violation(nil))
 }
 
@@ -143,5 +156,6 @@
 	s := clean()
 	s.at(0, "b", Event{Kind: EventsDropped, Detail: "7"})
 	s.at(29999, "b", Event{Kind: Ran, Call: "c8", Attempt: 1})
+	s.at(29999, "b", Event{Kind: CallBegan, Call: "c9"})
 	assert.DeepEqual(t, Check(Merge([][]Event{s.events})), []Violation(nil))
 }
--- a/internal/timeline/check_versions.go
+++ b/internal/timeline/check_versions.go
@@ -1,6 +1,7 @@
 package timeline
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -16,15 +17,15 @@
 		if event.Kind != InForce {
 			continue
 		}
-		before := highest[event.Host]
-		if before == nil {
+		earlier := highest[event.Host]
+		if earlier == nil {
 			highest[event.Host] = event
 			continue
 		}
-		if event.Offset < before.Offset || event.Version < before.Version {
+		if event.Offset < earlier.Offset || event.Version < earlier.Version {
 			reason := fmt.Sprintf("host %s went from offset %d, version %d back to offset %d, version %d",
-				event.Host, before.Offset, before.Version, event.Offset, event.Version)
-			violations = append(violations, violation(VersionsGrow, reason, before, event))
+				event.Host, earlier.Offset, earlier.Version, event.Offset, event.Version)
+			violations = append(violations, violation(VersionsGrow, reason, earlier, event))
 			continue
 		}
 		highest[event.Host] = event
@@ -178,32 +179,27 @@
 	return hosts
 }
 
-// livingAt returns the process of a host that lived from one time to another.
+// livingAt returns the process of a host that lived from one time to another,
+// nil for none. One that was followed by another process without a planned
+// stop lived no longer than its last event.
 func (t *trace) livingAt(host string, from, until int64) *life {
 	lives := t.byHost[host]
 	for i, l := range lives {
-		if !l.whole() || l.started.Time.Millis > from {
-			continue
-		}
-		if l.stopping != nil && l.stopping.Time.Millis < until {
-			continue
-		}
-		if i+1 < len(lives) {
-			continue
+		switch {
+		case !l.whole() || l.started.Time.Millis > from:
+		case l.stopping != nil && l.stopping.Time.Millis < until:
+		case i+1 < len(lives) && l.last.Time.Millis < until:
+		default:
+			return l
 		}
-		return l
 	}
 	return nil
 }
 
 // reached reports whether a host had an offset in force by a time.
 func (t *trace) reached(host string, offset uint64, until int64) bool {
-	for i := range t.events {
-		event := &t.events[i]
-		if event.Time.Millis > until {
-			return false
-		}
-		if event.Kind == InForce && event.Host == host && event.Offset >= offset {
+	for _, event := range before(t.inForce[host], until) {
+		if event.Offset >= offset {
 			return true
 		}
 	}
@@ -212,21 +208,14 @@
 
 // outOfReach reports whether other hosts had lost contact with a host at a time.
 func (t *trace) outOfReach(host string, at int64) bool {
-	lost := false
-	for i := range t.events {
-		event := &t.events[i]
-		if event.Time.Millis > at {
-			break
-		}
-		if event.Peer != host {
-			continue
-		}
-		switch event.Kind {
-		case Suspected, Unreachable:
-			lost = true
-		case Recovered:
-			lost = false
-		}
-	}
-	return lost
+	noted := before(t.contact[host], at)
+	return len(noted) > 0 && noted[len(noted)-1].Kind != Recovered
+}
+
+// before returns the events up to a time in milliseconds, from events in order.
+func before(events []*Event, until int64) []*Event {
+	end, _ := slices.BinarySearchFunc(events, until+1, func(event *Event, millis int64) int {
+		return cmp.Compare(event.Time.Millis, millis)
+	})
+	return events[:end]
 }
--- a/internal/timeline/trace.go
+++ b/internal/timeline/trace.go
@@ -26,16 +26,22 @@
 	byHost map[string][]*life
 	// byCall lists the events of one call in order.
 	byCall map[string][]*Event
+	// inForce lists the tables that a host had in force.
+	inForce map[string][]*Event
+	// contact lists what other hosts noted of their contact with a host.
+	contact map[string][]*Event
 	// partial means that events of any process were dropped.
 	partial bool
 }
 
 func newTrace(events []Event) *trace {
 	t := &trace{
-		events: events,
-		lives:  map[process]*life{},
-		byHost: map[string][]*life{},
-		byCall: map[string][]*Event{},
+		events:  events,
+		lives:   map[process]*life{},
+		byHost:  map[string][]*life{},
+		byCall:  map[string][]*Event{},
+		inForce: map[string][]*Event{},
+		contact: map[string][]*Event{},
 	}
 	for i := range events {
 		t.add(&events[i])
@@ -56,6 +62,10 @@
 	case EventsDropped:
 		l.partial = true
 		t.partial = true
+	case InForce:
+		t.inForce[event.Host] = append(t.inForce[event.Host], event)
+	case Suspected, Unreachable, Recovered:
+		t.contact[event.Peer] = append(t.contact[event.Peer], event)
 	}
 	if event.Call != "" {
 		t.byCall[event.Call] = append(t.byCall[event.Call], event)
