Check leaving hosts and planned stops by what the daemons record

Daemons record calls without the attempt of an answer, hold events back until a call turns out to matter, and note silent zones without naming hosts. The checks now follow that: a held-back event keeps its time, a lost zone excuses its hosts, work is also looked for on the leaving host itself, a stopping host counts as leaving, and a connection that breaks during a stop counts as cut by it. A version older than anything in the trace needs no verdict.

--- a/internal/timeline/buffer.go
+++ b/internal/timeline/buffer.go
@@ -31,19 +31,25 @@
 // Clock returns the clock that stamps the events.
 func (b *Buffer) Clock() *Clock { return b.clock }
 
-// Record stamps an event and keeps it. A full buffer drops its oldest event.
+// Record stamps an event and keeps it. An event that was held back bears an
+// earlier reading of the same clock and keeps it. A full buffer drops the event
+// recorded first.
 func (b *Buffer) Record(event Event) {
 	event.Host = b.host
 	event.Zone = b.zone
 	event.Incarnation = b.incarnation
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	event.Time = b.clock.Now()
+	if event.Time == (Timestamp{}) {
+		event.Time = b.clock.Now()
+	}
 	if len(b.events) < b.capacity {
 		b.events = append(b.events, event)
 		return
 	}
-	b.lastDropped = b.events[b.next].Time
+	if dropped := b.events[b.next].Time; b.lastDropped.Before(dropped) {
+		b.lastDropped = dropped
+	}
 	b.dropped++
 	b.events[b.next] = event
 	b.next = (b.next + 1) % b.capacity
--- a/internal/timeline/buffer_test.go
+++ b/internal/timeline/buffer_test.go
@@ -26,6 +26,15 @@
 	assert.Equal(t, len(b.EventsSince(events[1].Time)), 1)
 }
 
+func TestEventsThatWereHeldBackKeepTheirTime(t *testing.T) {
+	clock := NewClock(fixed)
+	b := NewBuffer(clock, "h", "z", 7, 10)
+	held := Event{Kind: Sent, Time: clock.Now()}
+	b.Record(Event{Kind: Failed})
+	b.Record(held)
+	assert.Equal(t, Merge([][]Event{b.Events()})[0].Kind, Sent)
+}
+
 func TestHandlerServesWhatReadJSONReads(t *testing.T) {
 	b := NewBuffer(NewClock(fixed), "h", "z", 7, 10)
 	b.Record(Event{Kind: Sent, Call: "1"})
--- a/internal/timeline/check_calls.go
+++ b/internal/timeline/check_calls.go
@@ -7,7 +7,10 @@
 )
 
 // Outcomes that events of calls carry.
-const outcomeNotRun = "not-run"
+const (
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
 
 // calls returns the ids of all calls in order.
 func (t *trace) calls() []string { return slices.Sorted(maps.Keys(t.byCall)) }
--- a/internal/timeline/check_hosts.go
+++ b/internal/timeline/check_hosts.go
@@ -5,68 +5,119 @@
 	"time"
 )
 
-// checkDrainingSpared finds work sent to a target later than the bound after
-// it began to drain and before it announced itself again.
+// checkDrainingSpared finds work sent to a target, or run by it, later than the
+// bound after it began to leave and before it announced itself again. A sender
+// that had lost contact with the host is excused, since nothing it sends arrives.
 func (t *trace) checkDrainingSpared(bound time.Duration) []Violation {
 	var violations []Violation
-	draining := map[string]*Event{}
+	leaving := map[string]*Event{}
 	for i := range t.events {
 		event := &t.events[i]
 		switch event.Kind {
-		case Draining:
-			if draining[event.Host] == nil {
-				draining[event.Host] = event
+		case Draining, Withdrawn, Stopping:
+			if leaving[event.Host] == nil {
+				leaving[event.Host] = event
 			}
 		case Announced:
-			delete(draining, event.Host)
+			delete(leaving, event.Host)
 		case Sent:
-			since := draining[event.Peer]
-			if since == nil || event.Time.Millis-since.Time.Millis <= bound.Milliseconds() {
+			if t.lost(event.Host, event.Peer, event.Time.Millis) {
 				continue
 			}
-			reason := fmt.Sprintf("%s sent work to %s, which was draining for %d ms",
-				event.Host, event.Peer, event.Time.Millis-since.Time.Millis)
-			violations = append(violations, violation(DrainingSpared, reason, since, event))
+			violations = append(violations, checkSpared(leaving[event.Peer], event, bound)...)
+		case Ran:
+			violations = append(violations, checkSpared(leaving[event.Host], event, bound)...)
 		}
 	}
 	return violations
 }
 
+// checkSpared holds one event of work against the event since which its target
+// is leaving, nil for none.
+func checkSpared(since, work *Event, bound time.Duration) []Violation {
+	if since == nil {
+		return nil
+	}
+	late := work.Time.Millis - since.Time.Millis
+	if late <= bound.Milliseconds() {
+		return nil
+	}
+	reason := fmt.Sprintf("%s got work %d ms after it began to leave", since.Host, late)
+	return []Violation{violation(DrainingSpared, reason, since, work)}
+}
+
 // checkStopsGraceful finds calls that were in progress on a process when its
-// planned stop ended.
+// planned stop ended, and calls whose connection the stop cut.
 func (t *trace) checkStopsGraceful() []Violation {
 	var violations []Violation
 	for _, call := range t.calls() {
 		events := t.byCall[call]
 		for _, event := range events {
-			if event.Kind != Ran && event.Kind != CallBegan {
-				continue
-			}
-			l := t.life(event)
-			if l.stopped == nil || l.partial || t.ended(events, event, l) {
-				continue
+			switch event.Kind {
+			case Ran, CallBegan:
+				violations = append(violations, t.checkEnded(events, event)...)
+			case Failed:
+				violations = append(violations, t.checkCut(event)...)
 			}
-			reason := fmt.Sprintf("call %s was in progress on %s when it stopped", call, event.Host)
-			violations = append(violations, violation(StopsGraceful, reason, event, l.stopped))
 		}
 	}
 	return violations
 }
 
-// ended reports whether a call that began or ran on a process has an end. A
-// run may end on the daemon that sent it; a call ends where it began.
-func (t *trace) ended(events []*Event, begin *Event, l *life) bool {
-	for _, event := range events {
-		if event.Kind != Answered && event.Kind != Failed {
+// checkEnded holds a call that began or ran on a process to an end before the
+// process stopped.
+func (t *trace) checkEnded(events []*Event, begin *Event) []Violation {
+	l := t.life(begin)
+	if l.stopped == nil || l.partial || t.ended(events, begin, l) {
+		return nil
+	}
+	reason := fmt.Sprintf("call %s was in progress on %s when it stopped", begin.Call, begin.Host)
+	return []Violation{violation(StopsGraceful, reason, begin, l.stopped)}
+}
+
+// statusConnectionLost is the HTTP status of a call whose connection broke.
+const statusConnectionLost = 502
+
+// cutMargin is how long after the end of a stop a cut call may be noticed, in
+// milliseconds.
+const cutMargin = 1000
+
+// checkCut finds a call that failed because its connection to a host broke
+// while that host stopped.
+func (t *trace) checkCut(failed *Event) []Violation {
+	if failed.Outcome != outcomeUnknown || failed.Status != statusConnectionLost {
+		return nil
+	}
+	for _, l := range t.byHost[failed.Peer] {
+		if l.stopping == nil || l.stopped == nil {
 			continue
 		}
-		if event.Host == begin.Host && event.Incarnation == begin.Incarnation {
-			return true
+		at := failed.Time.Millis
+		if at >= l.stopping.Time.Millis && at <= l.stopped.Time.Millis+cutMargin {
+			reason := fmt.Sprintf("call %s was cut by the stop of %s", failed.Call, failed.Peer)
+			return []Violation{violation(StopsGraceful, reason, l.stopping, failed, l.stopped)}
 		}
-		if begin.Kind == Ran && (event.Attempt == 0 || event.Attempt == begin.Attempt) {
-			return true
+	}
+	return nil
+}
+
+// ended reports whether a call that began or ran on a process has an end. A
+// call ends where it began. A run also ends with its call, and has no end in
+// the trace when the process that sent it is not there, or not to its end.
+func (t *trace) ended(events []*Event, begin *Event, l *life) bool {
+	sender := (*life)(nil)
+	for _, event := range events {
+		switch event.Kind {
+		case CallBegan:
+			sender = t.life(event)
+		case Answered, Failed:
+			if begin.Kind == Ran || t.life(event) == l {
+				return true
+			}
 		}
 	}
-	// The daemon that sent the run may lie outside the trace.
-	return begin.Kind == Ran && t.partial
+	if begin.Kind == CallBegan {
+		return false
+	}
+	return sender == nil || sender.partial || sender.last.Time.Millis <= l.stopped.Time.Millis+cutMargin
 }
--- a/internal/timeline/check_versions.go
+++ b/internal/timeline/check_versions.go
@@ -1,7 +1,6 @@
 package timeline
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -99,14 +98,14 @@
 }
 
 // checkAccepted holds a version in force to an accepted verdict. A version
-// without any verdict is an error only when the trace is whole.
+// without any verdict is an error only when the trace has its record.
 func (t *trace) checkAccepted(verdicts map[uint64]*Event, event *Event) []Violation {
 	if event.Version == 0 {
 		return nil
 	}
 	verdict := verdicts[event.Version]
 	if verdict == nil {
-		if t.missesVerdicts() {
+		if t.missesVerdict(event.Version) {
 			return nil
 		}
 		reason := fmt.Sprintf("version %d is in force on %s without a verdict", event.Version, event.Host)
@@ -122,14 +121,19 @@
 // outcomeAccepted is the outcome of a publication that became a version.
 const outcomeAccepted = "accepted"
 
-// missesVerdicts reports whether verdicts may lie outside the trace.
-func (t *trace) missesVerdicts() bool {
+// missesVerdict reports whether the verdict on a version may lie outside the
+// trace: events were lost, or no process had an older version in force.
+func (t *trace) missesVerdict(version uint64) bool {
+	older := false
 	for _, l := range t.lives {
 		if !l.whole() {
 			return true
 		}
 	}
-	return false
+	for _, tables := range t.inForce {
+		older = older || tables[0].Offset < version
+	}
+	return !older
 }
 
 // checkVersionsSpread holds accepted versions to be in force in time on every
@@ -160,7 +164,7 @@
 	var violations []Violation
 	for _, host := range t.hosts() {
 		l := t.livingAt(host, verdict.Time.Millis, until)
-		if l == nil || t.reached(host, verdict.Offset, until) || t.outOfReach(host, until) {
+		if l == nil || t.reached(host, verdict.Offset, until) || t.lost("", host, until) {
 			continue
 		}
 		reason := fmt.Sprintf("version %d was not in force on %s in time", verdict.Version, host)
@@ -205,17 +209,3 @@
 	}
 	return false
 }
-
-// outOfReach reports whether other hosts had lost contact with a host at a time.
-func (t *trace) outOfReach(host string, at int64) bool {
-	noted := before(t.contact[host], at)
-	return len(noted) > 0 && noted[len(noted)-1].Kind != Recovered
-}
-
-// before returns the events up to a time in milliseconds, from events in order.
-func before(events []*Event, until int64) []*Event {
-	end, _ := slices.BinarySearchFunc(events, until+1, func(event *Event, millis int64) int {
-		return cmp.Compare(event.Time.Millis, millis)
-	})
-	return events[:end]
-}
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -68,7 +68,8 @@
 
 // Recorder takes events of one process. It never blocks.
 type Recorder interface {
-	// Record stamps the event with time, host, zone and incarnation.
+	// Record stamps the event with host, zone and incarnation, and with the
+	// time unless the event has one already.
 	Record(event Event)
 }
 
--- a/internal/timeline/trace.go
+++ b/internal/timeline/trace.go
@@ -1,5 +1,13 @@
 package timeline
 
+import (
+	"cmp"
+	"slices"
+)
+
+// zonePrefix tells zones from hosts as keys of contacts.
+const zonePrefix = "zone "
+
 // process identifies one process of the system.
 type process struct {
 	host        string
@@ -28,7 +36,8 @@
 	byCall map[string][]*Event
 	// inForce lists the tables that a host had in force.
 	inForce map[string][]*Event
-	// contact lists what other hosts noted of their contact with a host.
+	// contact lists what other hosts noted of their contact with a host or,
+	// when an event names no host, with a zone.
 	contact map[string][]*Event
 	// partial means that events of any process were dropped.
 	partial bool
@@ -65,7 +74,8 @@
 	case InForce:
 		t.inForce[event.Host] = append(t.inForce[event.Host], event)
 	case Suspected, Unreachable, Recovered:
-		t.contact[event.Peer] = append(t.contact[event.Peer], event)
+		name := cmp.Or(event.Peer, zonePrefix+event.Detail)
+		t.contact[name] = append(t.contact[name], event)
 	}
 	if event.Call != "" {
 		t.byCall[event.Call] = append(t.byCall[event.Call], event)
@@ -95,3 +105,32 @@
 	}
 	return v
 }
+
+// lost reports whether an observer had lost contact with a host at a time. An
+// empty observer stands for any.
+func (t *trace) lost(observer, host string, at int64) bool {
+	names := []string{host}
+	for _, l := range t.byHost[host] {
+		names = append(names, zonePrefix+l.zone)
+	}
+	for _, name := range names {
+		latest := map[string]Kind{}
+		for _, event := range before(t.contact[name], at) {
+			latest[event.Host] = event.Kind
+		}
+		for by, kind := range latest {
+			if kind != Recovered && (observer == "" || by == observer) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// before returns the events up to a time in milliseconds, from events in order.
+func before(events []*Event, until int64) []*Event {
+	end, _ := slices.BinarySearchFunc(events, until+1, func(event *Event, millis int64) int {
+		return cmp.Compare(event.Time.Millis, millis)
+	})
+	return events[:end]
+}
