--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -17,6 +17,9 @@
 
 // commands has one field for each subcommand.
 type commands struct {
+	Daemon   *daemonCommand   `arg:"subcommand:daemon" help:"run the daemon of this host"`
+	Demo     *demoCommand     `arg:"subcommand:demo" help:"show the system at work in one process"`
+	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in of the log or of a target"`
 	Validate *validateCommand `arg:"subcommand:validate" help:"check a workspace directory without a daemon"`
 	Publish  *publishCommand  `arg:"subcommand:publish" help:"publish a workspace directory"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show what is in force and where"`
--- a/internal/distribute/fakes_test.go
+++ b/internal/distribute/fakes_test.go
@@ -48,6 +48,8 @@
 }
 func (f *fakeFold) Offset() uint64              { return f.offset }
 func (f *fakeFold) Verdicts() []publish.Verdict { return nil }
+
+func (f *fakeFold) Source(string) (*publish.Source, publish.Version, bool) { return nil, 0, false }
 func (f *fakeFold) Digest() []byte {
 	return append(binary.BigEndian.AppendUint64(nil, f.sum), f.skew)
 }
--- a/internal/enforce/enforce.go
+++ b/internal/enforce/enforce.go
@@ -26,6 +26,8 @@
 	Digest() []byte
 	// Verdicts returns the verdicts still kept, oldest first.
 	Verdicts() []publish.Verdict
+	// Source returns the source of a workspace and its version.
+	Source(workspace string) (*publish.Source, publish.Version, bool)
 	// Snapshot encodes the state. Equal states have equal snapshots.
 	Snapshot() ([]byte, error)
 	// Restore replaces the state. The state is unchanged on an error.
--- a/internal/publish/directory.go
+++ b/internal/publish/directory.go
@@ -4,8 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io/fs"
 	"os"
-	"path/filepath"
+	"path"
 
 	"github.com/tailscale/hujson"
 )
@@ -25,49 +26,55 @@
 // LoadDirectory reads a workspace from a directory with workspace.json,
 // parameters.json and templates/*.tmpl. The JSON files may hold comments.
 func LoadDirectory(dir string) (*Source, error) {
+	return LoadFS(os.DirFS(dir))
+}
+
+// LoadFS reads a workspace from the root of a file system, with the files of
+// LoadDirectory.
+func LoadFS(files fs.FS) (*Source, error) {
 	var workspace workspaceDocument
-	if err := loadJSON(filepath.Join(dir, workspaceFile), &workspace); err != nil {
+	if err := loadJSON(files, workspaceFile, &workspace); err != nil {
 		return nil, err
 	}
 	var values map[string]json.RawMessage
-	if err := loadJSON(filepath.Join(dir, parametersFile), &values); err != nil {
+	if err := loadJSON(files, parametersFile, &values); err != nil {
 		return nil, err
 	}
 	parameters, err := compactValues(values)
 	if err != nil {
 		return nil, fmt.Errorf("read %s: %w", parametersFile, err)
 	}
-	templates, err := loadTemplates(dir)
+	templates, err := loadTemplates(files)
 	if err != nil {
 		return nil, err
 	}
 	return &Source{Name: workspace.Name, Templates: templates, Parameters: parameters}, nil
 }
 
-func loadTemplates(dir string) (map[string]string, error) {
-	paths, err := filepath.Glob(filepath.Join(dir, templatePattern))
+func loadTemplates(files fs.FS) (map[string]string, error) {
+	names, err := fs.Glob(files, templatePattern)
 	if err != nil {
 		return nil, fmt.Errorf("find templates: %w", err)
 	}
 	templates := map[string]string{}
-	for _, path := range paths {
-		text, err := os.ReadFile(path)
+	for _, name := range names {
+		text, err := fs.ReadFile(files, name)
 		if err != nil {
 			return nil, fmt.Errorf("read template: %w", err)
 		}
-		templates[filepath.Base(path)] = string(text)
+		templates[path.Base(name)] = string(text)
 	}
 	return templates, nil
 }
 
 // loadJSON reads a file of JSON with comments and refuses unknown fields.
-func loadJSON(path string, into any) error {
-	text, err := os.ReadFile(path)
+func loadJSON(files fs.FS, name string, into any) error {
+	text, err := fs.ReadFile(files, name)
 	if err != nil {
 		return fmt.Errorf("read workspace file: %w", err)
 	}
 	if err := decodeDocument(text, into); err != nil {
-		return fmt.Errorf("read %s: %w", filepath.Base(path), err)
+		return fmt.Errorf("read %s: %w", name, err)
 	}
 	return nil
 }
--- a/internal/publish/source.go
+++ b/internal/publish/source.go
@@ -15,6 +15,15 @@
 	Parameters map[string]string
 }
 
+// Clone returns a copy that may be changed.
+func (s *Source) Clone() *Source {
+	return &Source{
+		Name:       s.Name,
+		Templates:  maps.Clone(s.Templates),
+		Parameters: maps.Clone(s.Parameters),
+	}
+}
+
 // Diff returns a publication that turns the current source into the next one.
 // It holds only the changes of templates and parameters; the caller sets the
 // other fields. A nil current source has nothing.
