--- a/internal/admin/convert.go
+++ b/internal/admin/convert.go
@@ -7,9 +7,9 @@
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
 
-// toPublication converts the body of a request. The daemon is the host whose
+// ToPublication converts the body of a request. The daemon is the host whose
 // API took it.
-func toPublication(body *Publication, daemon string) *publish.Publication {
+func ToPublication(body *Publication, daemon string) *publish.Publication {
 	return &publish.Publication{
 		Id:               body.ID,
 		Workspace:        body.Workspace,
--- a/internal/admin/publications.go
+++ b/internal/admin/publications.go
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	body.Author = authorOf(principal, body.Author)
-	return toPublication(&body, s.Host), nil
+	return ToPublication(&body, s.Host), nil
 }
 
 func checkID(id string) error {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -122,7 +122,7 @@
 		Zone:        d.identity.Zone,
 		Submitter:   publish.NewSubmitter(d.platform, d.enforcer),
 		Enforcer:    d.enforcer,
-		Archive:     &admin.LogArchive{Log: d.platform},
+		Archive:     &admin.LogArchive{Log: d.platform, State: distribute.SnapshotState},
 		Directory:   d.members,
 		Convergence: d.convergence,
 		Staleness:   d.staleness,
--- /dev/null
+++ b/internal/distribute/archive.go
@@ -0,0 +1,21 @@
+package distribute
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// SnapshotState returns the state of a fold that a record of the snapshot
+// stream holds.
+func SnapshotState(payload []byte) ([]byte, error) {
+	var wire CompressedSnapshot
+	if err := proto.Unmarshal(payload, &wire); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	state, err := decompress(wire.GetState())
+	if err != nil {
+		return nil, fmt.Errorf("decompress snapshot: %w", err)
+	}
+	return state, nil
+}
