Describe the administration API in OpenAPI and hold it to the code

Clients had only the Go types to go by. The description is served at /v1/openapi.json; tests hold its paths, methods, path parameters and roles to the routes and its schemas to the types, both ways. Generating it from the types was ruled out: it would agree with the code by definition and change without notice. The role of the two routes whose body names the workspace is now in the route too.

Seen failing: a route renamed, a role lowered, a field renamed in the type or in the description, a publication whose access check is ignored. Not seen by these tests: a validation that is authorized for the mesh in place of its workspace.

--- a/internal/admin/access.go
+++ b/internal/admin/access.go
@@ -69,20 +69,22 @@
 
 func (allowAll) Authorize(string, string, Role) (Principal, error) { return Principal{}, nil }
 
-// authorize returns the principal of a request or the problem to answer with.
-func (s *Server) authorize(r *http.Request, workspace string, role Role) (Principal, *Problem) {
-	if role == Public {
-		return Principal{}, nil
+// authorize sets the principal of a request, or returns the problem to answer
+// with.
+func (s *Server) authorize(r *request, workspace string) *Problem {
+	if r.role == Public {
+		return nil
 	}
-	principal, err := s.Authorizer.Authorize(bearer(r), workspace, role)
+	principal, err := s.Authorizer.Authorize(bearer(r.Request), workspace, r.role)
 	switch {
 	case err == nil:
-		return principal, nil
+		r.principal = principal
+		return nil
 	case errors.Is(err, ErrNoToken):
-		return principal, &Problem{Type: TypeUnauthorized, Title: "a valid token is needed", Status: http.StatusUnauthorized}
+		return &Problem{Type: TypeUnauthorized, Title: "a valid token is needed", Status: http.StatusUnauthorized}
 	default:
-		return principal, &Problem{Type: TypeForbidden, Title: "the token does not allow this", Status: http.StatusForbidden,
-			Detail: "role " + role.String() + " is needed"}
+		return &Problem{Type: TypeForbidden, Title: "the token does not allow this", Status: http.StatusForbidden,
+			Detail: "role " + r.role.String() + " is needed"}
 	}
 }
 
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -214,7 +214,7 @@
 		answer := httptest.NewRecorder()
 		server.Handler().ServeHTTP(answer, httptest.NewRequest(route.Method, path, body))
 		switch path {
-		case "/metrics", "/healthz", "/readyz":
+		case "/metrics", "/healthz", "/readyz", "/v1/openapi.json":
 			assert.Assert(t, answer.Code != http.StatusForbidden, path)
 		default:
 			assert.Equal(t, answer.Code, http.StatusForbidden, path)
--- a/internal/admin/publications.go
+++ b/internal/admin/publications.go
@@ -13,7 +13,7 @@
 
 // publish submits a publication and answers with its verdict.
 func (s *Server) publish(w http.ResponseWriter, r *request) error {
-	publication, err := s.readPublication(r, Publisher)
+	publication, err := s.readPublication(r)
 	if err != nil {
 		return err
 	}
@@ -22,7 +22,7 @@
 
 // validate answers with the verdict that a publication would get now.
 func (s *Server) validate(w http.ResponseWriter, r *request) error {
-	publication, err := s.readPublication(r, Publisher)
+	publication, err := s.readPublication(r)
 	if err != nil {
 		return err
 	}
@@ -67,7 +67,7 @@
 }
 
 // readPublication reads a publication and checks access to its workspace.
-func (s *Server) readPublication(r *request, role Role) (*publish.Publication, error) {
+func (s *Server) readPublication(r *request) (*publish.Publication, error) {
 	var body Publication
 	if err := readBody(r, &body); err != nil {
 		return nil, err
@@ -75,14 +75,13 @@
 	if body.Workspace == "" {
 		return nil, badRequest("workspace: a name is needed")
 	}
-	principal, problem := s.authorize(r.Request, body.Workspace, role)
-	if problem != nil {
+	if problem := s.authorize(r, body.Workspace); problem != nil {
 		return nil, problem
 	}
 	if err := checkID(body.ID); err != nil {
 		return nil, err
 	}
-	body.Author = authorOf(principal, body.Author)
+	body.Author = authorOf(r.principal, body.Author)
 	return ToPublication(&body, s.Host), nil
 }
 
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -11,8 +11,8 @@
 	Method string
 	// Path is in the syntax of httprouter.
 	Path string
-	// Role is what a token needs. It is held against the workspace in the
-	// path, or against the one in the body by the handler.
+	// Role is what a token needs in the workspace that the path or the body
+	// names, or in the whole mesh when neither names one.
 	Role   Role
 	handle handler
 }
@@ -21,13 +21,23 @@
 // as an internal error.
 type handler func(w http.ResponseWriter, r *request) error
 
-// request is one authorized request.
+// request is one request.
 type request struct {
 	*http.Request
-	params    httprouter.Params
+	params httprouter.Params
+	// role is what the token needs.
+	role Role
+	// principal is who made the request, once it is authorized.
 	principal Principal
 }
 
+// bodyNamesWorkspace holds the paths whose handlers authorize by themselves,
+// after they have read the workspace from the body.
+var bodyNamesWorkspace = map[string]bool{
+	"/v1/publications": true,
+	"/v1/validate":     true,
+}
+
 // workspaceParam is the name of the workspace in paths.
 const workspaceParam = "workspace"
 
@@ -36,8 +46,8 @@
 // Routes lists the paths of the API.
 func (s *Server) Routes() []Route {
 	return []Route{
-		{http.MethodPost, "/v1/publications", Public, s.publish},
-		{http.MethodPost, "/v1/validate", Public, s.validate},
+		{http.MethodPost, "/v1/publications", Publisher, s.publish},
+		{http.MethodPost, "/v1/validate", Publisher, s.validate},
 		{http.MethodGet, "/v1/workspaces/:workspace/history", Reader, s.history},
 		{http.MethodGet, "/v1/workspaces/:workspace/source", Reader, s.source},
 		{http.MethodGet, "/v1/workspaces/:workspace/diff", Reader, s.diff},
@@ -47,6 +57,7 @@
 		{http.MethodPost, "/v1/drain", Administrator, s.drain},
 		{http.MethodDelete, "/v1/drain", Administrator, s.resume},
 		{http.MethodGet, "/v1/timeline", Administrator, s.timeline},
+		{http.MethodGet, "/v1/openapi.json", Public, s.openAPI},
 		{http.MethodGet, "/metrics", Public, s.metrics},
 		{http.MethodGet, "/healthz", Public, s.healthz},
 		{http.MethodGet, "/readyz", Public, s.readyz},
@@ -80,11 +91,7 @@
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 		requests.Inc()
 		r.Body = http.MaxBytesReader(w, r.Body, s.MaxBody)
-		principal, problem := s.authorize(r, params.ByName(workspaceParam), route.Role)
-		if problem == nil {
-			err := route.handle(w, &request{r, params, principal})
-			problem = s.problemOf(name, err)
-		}
+		problem := s.handle(w, &request{Request: r, params: params, role: route.Role}, route)
 		if problem != nil {
 			failures.Inc()
 			writeProblem(w, problem)
@@ -92,6 +99,16 @@
 	}
 }
 
+// handle checks access, unless the body names the workspace, and answers.
+func (s *Server) handle(w http.ResponseWriter, r *request, route Route) *Problem {
+	if !bodyNamesWorkspace[route.Path] {
+		if problem := s.authorize(r, r.workspace()); problem != nil {
+			return problem
+		}
+	}
+	return s.problemOf(route.Method+" "+route.Path, route.handle(w, r))
+}
+
 // problemOf turns the error of a handler into what the client is told.
 func (s *Server) problemOf(route string, err error) *Problem {
 	if err == nil {
