Prove the whole path over separate processes

Cause: only the demo in one process showed the path from end to end. Done: the test builds the program and starts the log, four daemons in two zones and their targets as processes. It kills and restarts a daemon, also during an outage, pauses a home of keys, kills all daemons, and restarts one daemon after another under load; targets' records and the merged time line are the ground truth. TestRollingRestartFailsNoCall fails: 1 of 1,299 look-ups got not-run at a host that had just stopped, with its retries not used up. Not yet mended.

--- /dev/null
+++ b/cmd/mulberrybank/e2e_test.go
@@ -0,0 +1,198 @@
+package main_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/standin/logservice"
+)
+
+const (
+	statusPath = "/railway/status/heaters/17"
+	orderPath  = "/railway/work-order/heaters/17"
+)
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// awaitKeys waits until calls with fresh keys run through every daemon.
+func (m *mesh) awaitKeys() {
+	m.t.Helper()
+	for _, h := range m.hosts {
+		m.await("a key's home on "+h.name, func() bool {
+			got, err := m.call(h, orderPath, newKey(), callTimeout)
+			return err == nil && got.status == http.StatusOK
+		})
+	}
+}
+
+func TestWholePath(t *testing.T) {
+	m := newMesh(t)
+	got, err := m.call(m.hosts[0], statusPath, "", callTimeout)
+	if err == nil {
+		assert.Equal(t, got.outcome, "not-run")
+	}
+	version := m.publish()
+
+	for i := range 40 {
+		got, err := m.call(m.hosts[i%len(m.hosts)], statusPath, "", callTimeout)
+		assert.NilError(t, err)
+		assert.Equal(t, got.status, http.StatusOK, got.detail)
+	}
+	m.awaitKeys()
+	for i := range 8 {
+		key := newKey()
+		for attempt := range 2 {
+			got, err := m.call(m.hosts[(i+attempt)%len(m.hosts)], orderPath, key, callTimeout)
+			assert.NilError(t, err)
+			assert.Equal(t, got.status, http.StatusOK, got.detail)
+		}
+		assert.Equal(t, m.runsOf(key), 1)
+	}
+
+	killed := m.hosts[1]
+	m.kill(killed)
+	m.startDaemon(killed)
+	m.awaitVersion(killed, version)
+	for _, h := range m.hosts {
+		m.awaitTargets(h, len(m.hosts))
+	}
+	got, err = m.call(killed, statusPath, "", callTimeout)
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK, got.detail)
+	m.checkTimeline()
+}
+
+// TestKilledDaemonReturnsWithoutThePlatform restarts a daemon during an
+// outage: it has its version from peers and serves.
+func TestKilledDaemonReturnsWithoutThePlatform(t *testing.T) {
+	m := newMesh(t)
+	version := m.publish()
+	m.faults(logservice.Faults{Silent: true})
+	killed := m.hosts[2]
+	m.kill(killed)
+	m.startDaemon(killed)
+	m.awaitVersion(killed, version)
+	m.awaitTargets(killed, len(m.hosts))
+	got, err := m.call(killed, statusPath, "", callTimeout)
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK, got.detail)
+	m.checkTimeline()
+}
+
+// TestPausedHomeRunsNoKeyTwice freezes the home of a key between two attempts
+// of a caller and lets it go on later.
+func TestPausedHomeRunsNoKeyTwice(t *testing.T) {
+	m := newMesh(t)
+	m.publish()
+	m.awaitKeys()
+	paused := m.hosts[3]
+	signal(t, paused.daemon, syscall.SIGSTOP)
+	const keys = 12
+	refused := map[string]bool{}
+	var all []string
+	for range keys {
+		key := newKey()
+		all = append(all, key)
+		for _, h := range m.hosts[:2] {
+			got, err := m.call(h, orderPath, key, time.Second)
+			refused[key] = err == nil && got.outcome == "not-run"
+			if err == nil && got.status == http.StatusOK {
+				break
+			}
+		}
+	}
+	signal(t, paused.daemon, syscall.SIGCONT)
+	for _, h := range m.hosts {
+		m.awaitTargets(h, len(m.hosts))
+	}
+	for _, key := range all {
+		for _, h := range m.hosts {
+			_, _ = m.call(h, orderPath, key, callTimeout)
+		}
+		runs := m.runsOf(key)
+		assert.Assert(t, runs <= 1, "key %s ran %d times", key, runs)
+	}
+	m.checkTimeline()
+}
+
+// TestHerdDeathWithoutThePlatform kills every daemon during an outage. None
+// serves before the platform is back; then all have the version again.
+func TestHerdDeathWithoutThePlatform(t *testing.T) {
+	m := newMesh(t)
+	version := m.publish()
+	m.faults(logservice.Faults{Refuse: true})
+	for _, h := range m.hosts {
+		m.kill(h)
+	}
+	for _, h := range m.hosts {
+		m.startDaemon(h)
+	}
+	for _, h := range m.hosts {
+		m.await("the callers' port of "+h.name, func() bool {
+			got, err := m.call(h, statusPath, "", callTimeout)
+			return err == nil && got.status == http.StatusServiceUnavailable && got.outcome == "not-run"
+		})
+	}
+	m.faults(logservice.Faults{})
+	for _, h := range m.hosts {
+		m.awaitVersion(h, version)
+		m.awaitTargets(h, len(m.hosts))
+	}
+	got, err := m.call(m.hosts[0], statusPath, "", callTimeout)
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK, got.detail)
+	m.checkTimeline()
+}
+
+// TestRollingRestartFailsNoCall stops and starts the daemons one after another
+// while look-ups go on through the others.
+func TestRollingRestartFailsNoCall(t *testing.T) {
+	m := newMesh(t)
+	version := m.publish()
+	for i, h := range m.hosts {
+		var made, failed atomic.Int64
+		var first atomic.Value
+		done := make(chan struct{})
+		var callers conc.WaitGroup
+		for c := range 4 {
+			through := m.hosts[(i+1+c%3)%len(m.hosts)]
+			callers.Go(func() {
+				for {
+					select {
+					case <-done:
+						return
+					default:
+					}
+					got, err := m.call(through, statusPath, "", callTimeout)
+					made.Add(1)
+					if err != nil || got.status != http.StatusOK {
+						failed.Add(1)
+						first.CompareAndSwap(nil, fmt.Sprintf("through %s: %v %v", through.name, got, err))
+					}
+				}
+			})
+		}
+		m.keepEvents(h)
+		signal(t, h.daemon, syscall.SIGTERM)
+		status := exitStatus(t, h.daemon)
+		m.startDaemon(h)
+		m.awaitVersion(h, version)
+		for _, other := range m.hosts {
+			m.awaitTargets(other, len(m.hosts))
+		}
+		close(done)
+		callers.Wait()
+		assert.Equal(t, status, 0)
+		assert.Assert(t, made.Load() > 0)
+		assert.Equal(t, failed.Load(), int64(0), "of %d calls, first failure: %v", made.Load(), first.Load())
+	}
+	m.checkTimeline()
+}
--- /dev/null
+++ b/cmd/mulberrybank/mesh_test.go
@@ -0,0 +1,363 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/admin"
+	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/standin/logservice"
+	"github.com/mulberrybank/mulberrybank/internal/standin/target"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+// Ports of each process; every process has an address of its own.
+const (
+	callersPort = 7401
+	callsPort   = 7402
+	controlPort = 7403
+	adminPort   = 7404
+	targetPort  = 7405
+	servicePort = 7406
+	logPort     = 7500
+	faultsPort  = 7501
+)
+
+const (
+	// waitLimit bounds each wait for a condition.
+	waitLimit = 30 * time.Second
+	// pollInterval is the time between two looks at a condition.
+	pollInterval = 20 * time.Millisecond
+	// callTimeout bounds one call of a test.
+	callTimeout = 10 * time.Second
+	workspace   = "../../examples/railway"
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "mulberrybank")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "mulberrybank")
+	build := exec.Command("go", "build", "-o", binary, ".")
+	build.Stderr = os.Stderr
+	status := 1
+	if err := build.Run(); err == nil {
+		status = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+// host is one daemon process and its target process.
+type host struct {
+	name     string
+	zone     string
+	region   string
+	service  string
+	address  string
+	settings string
+	daemon   *exec.Cmd
+	target   *exec.Cmd
+}
+
+func (h *host) at(port int) string   { return fmt.Sprintf("%s:%d", h.address, port) }
+func (h *host) url(port int) string  { return "http://" + h.at(port) }
+func (h *host) admin() *admin.Client { return admin.NewClient(h.at(adminPort), "", http.DefaultClient) }
+func (h *host) runs(t *testing.T) []target.Run {
+	t.Helper()
+	var runs []target.Run
+	getJSON(t, h.url(servicePort)+"/runs", &runs)
+	return runs
+}
+
+// mesh is a log and hosts as separate processes.
+type mesh struct {
+	t     *testing.T
+	log   string
+	hosts []*host
+	// earlier holds events of processes that a test ended.
+	earlier [][]timeline.Event
+}
+
+// newMesh starts the log, two hosts in each of two zones and their targets.
+func newMesh(t *testing.T) *mesh {
+	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(256))
+	m := &mesh{t: t, log: network + ".1"}
+	m.start("standin", "log",
+		"--listen", fmt.Sprintf("%s:%d", m.log, logPort),
+		"--admin-listen", fmt.Sprintf("%s:%d", m.log, faultsPort))
+	m.await("the log", func() bool { return m.tryFaults(logservice.Faults{}) == nil })
+	places := []host{
+		{name: "accra-1", zone: "greater-accra-a", region: "greater-accra", service: "railway/heater-status"},
+		{name: "accra-2", zone: "greater-accra-a", region: "greater-accra", service: "railway/inspection-ledger"},
+		{name: "ashanti-1", zone: "ashanti-a", region: "ashanti", service: "railway/heater-status"},
+		{name: "ashanti-2", zone: "ashanti-a", region: "ashanti", service: "railway/inspection-ledger"},
+	}
+	for i, place := range places {
+		place.address = fmt.Sprintf("%s.%d", network, 10+i)
+		m.hosts = append(m.hosts, &place)
+	}
+	for _, h := range m.hosts {
+		h.settings = m.writeSettings(h)
+		m.startDaemon(h)
+		h.target = m.start("standin", "target", "--service", h.service, "--daemon", h.at(targetPort), "--listen", h.at(servicePort))
+	}
+	return m
+}
+
+// writeSettings writes the settings of a host, with comments.
+func (m *mesh) writeSettings(h *host) string {
+	var peers []string
+	for _, other := range m.hosts {
+		if other != h {
+			peers = append(peers, other.at(controlPort))
+		}
+	}
+	list, err := json.Marshal(peers)
+	assert.NilError(m.t, err)
+	text := fmt.Sprintf(`{
+  // Written by the test.
+  "host": %q, "zone": %q, "region": %q,
+  "listen": {"callers": %q, "calls": %q, "control": %q, "admin": %q, "target": %q},
+  "platform": {"address": "http://%s:%d", "timeout": "1s"},
+  "peers": %s,
+  "timeline": {"events": 200000},
+  "stop_timeout": "5s",
+}`, h.name, h.zone, h.region,
+		h.at(callersPort), h.at(callsPort), h.at(controlPort), h.at(adminPort), h.at(targetPort),
+		m.log, logPort, list)
+	path := filepath.Join(m.t.TempDir(), h.name+".json")
+	assert.NilError(m.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// start starts a process that the test ends.
+func (m *mesh) start(args ...string) *exec.Cmd {
+	m.t.Helper()
+	process := exec.Command(binary, args...)
+	output, err := os.Create(filepath.Join(m.t.TempDir(), "output"))
+	assert.NilError(m.t, err)
+	process.Stdout, process.Stderr = output, output
+	assert.NilError(m.t, process.Start())
+	m.t.Cleanup(func() {
+		_ = process.Process.Kill()
+		_ = process.Wait()
+		_ = output.Close()
+		if text, err := os.ReadFile(output.Name()); err == nil && m.t.Failed() {
+			m.t.Logf("%v:\n%s", args, tail(text))
+		}
+	})
+	return process
+}
+
+// tail returns the last part of a process's output.
+func tail(text []byte) []byte {
+	const limit = 4 << 10
+	return text[max(0, len(text)-limit):]
+}
+
+func (m *mesh) startDaemon(h *host) {
+	m.t.Helper()
+	h.daemon = m.start("daemon", "--settings", h.settings)
+}
+
+// kill ends a daemon without warning, after its events were taken.
+func (m *mesh) kill(h *host) {
+	m.t.Helper()
+	m.keepEvents(h)
+	assert.NilError(m.t, h.daemon.Process.Kill())
+	_ = h.daemon.Wait()
+}
+
+// keepEvents takes the events of a daemon that is about to end.
+func (m *mesh) keepEvents(h *host) {
+	m.t.Helper()
+	events, err := h.admin().Timeline(m.t.Context())
+	assert.NilError(m.t, err)
+	m.earlier = append(m.earlier, events)
+}
+
+// await waits until a condition holds.
+func (m *mesh) await(what string, holds func() bool) {
+	m.t.Helper()
+	limit := time.Now().Add(waitLimit)
+	for !holds() {
+		if time.Now().After(limit) {
+			m.t.Fatalf("%s: not within %s", what, waitLimit)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// faults switches the faults of the log.
+func (m *mesh) faults(faults logservice.Faults) {
+	m.t.Helper()
+	assert.NilError(m.t, m.tryFaults(faults))
+}
+
+func (m *mesh) tryFaults(faults logservice.Faults) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	response, err := http.Post(fmt.Sprintf("http://%s:%d/faults", m.log, faultsPort), "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("faults: %s", response.Status)
+	}
+	return nil
+}
+
+// command runs an operator command and returns its output and exit status.
+func (m *mesh) command(args ...string) (string, int) {
+	m.t.Helper()
+	process := exec.Command(binary, args...)
+	output, err := process.CombinedOutput()
+	if _, exited := err.(*exec.ExitError); err != nil && !exited {
+		m.t.Fatalf("%v: %v", args, err)
+	}
+	return string(output), process.ProcessState.ExitCode()
+}
+
+// publish publishes the example workspace and waits until all daemons and
+// targets are ready.
+func (m *mesh) publish() uint64 {
+	m.t.Helper()
+	m.await("publication", func() bool {
+		output, status := m.command("publish", workspace, "--admin", m.hosts[0].at(adminPort), "--author", "test", "--wait")
+		if status != 0 {
+			m.t.Logf("publish: %s", output)
+		}
+		return status == 0
+	})
+	status, err := m.hosts[0].admin().Status(m.t.Context())
+	assert.NilError(m.t, err)
+	for _, h := range m.hosts {
+		m.awaitVersion(h, status.Version)
+		m.awaitTargets(h, len(m.hosts))
+	}
+	return status.Version
+}
+
+func (m *mesh) awaitVersion(h *host, version uint64) {
+	m.t.Helper()
+	m.await(fmt.Sprintf("version %d on %s", version, h.name), func() bool {
+		status, err := h.admin().Status(m.t.Context())
+		return err == nil && status.Version >= version
+	})
+}
+
+// awaitTargets waits until a daemon knows so many reachable, ready targets.
+func (m *mesh) awaitTargets(h *host, count int) {
+	m.t.Helper()
+	m.await(fmt.Sprintf("%d targets on %s", count, h.name), func() bool {
+		members, err := h.admin().Members(m.t.Context())
+		if err != nil {
+			return false
+		}
+		ready := 0
+		for _, member := range members.Members {
+			if member.Target == "ready" && member.Reach == "reachable" && member.State == "alive" {
+				ready++
+			}
+		}
+		return ready == count
+	})
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	detail  string
+}
+
+// call sends one call through a daemon. A key makes it one that may not be
+// repeated.
+func (m *mesh) call(h *host, path, key string, timeout time.Duration) (answer, error) {
+	ctx, cancel := context.WithTimeout(m.t.Context(), timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url(callersPort)+path, http.NoBody)
+	if err != nil {
+		return answer{}, err
+	}
+	if key != "" {
+		request.Header.Set(call.HeaderKey, key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header.Get(call.HeaderOutcome), string(body)}, err
+}
+
+// runsOf counts how often targets ran a key.
+func (m *mesh) runsOf(key string) int {
+	m.t.Helper()
+	count := 0
+	for _, h := range m.hosts {
+		for _, run := range h.runs(m.t) {
+			if run.Key == key {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// checkTimeline verifies every promise on the merged events of all processes.
+func (m *mesh) checkTimeline() {
+	m.t.Helper()
+	lists := m.earlier
+	for _, h := range m.hosts {
+		events, err := h.admin().Timeline(m.t.Context())
+		assert.NilError(m.t, err)
+		lists = append(lists, events)
+	}
+	for _, violation := range timeline.Check(timeline.Merge(lists)) {
+		m.t.Errorf("%s", violation)
+	}
+}
+
+// stopped reports whether a process has ended with a status.
+func exitStatus(t *testing.T, process *exec.Cmd) int {
+	t.Helper()
+	_ = process.Wait()
+	return process.ProcessState.ExitCode()
+}
+
+func signal(t *testing.T, process *exec.Cmd, s syscall.Signal) {
+	t.Helper()
+	assert.NilError(t, process.Process.Signal(s))
+}
+
+func getJSON(t *testing.T, url string, into any) {
+	t.Helper()
+	response, err := http.Get(url)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(into))
+}
