Pass over a host that refused work as leaving

Cause: a daemon picked the target of its zone again and again in the 50 ms until its view showed that the host was leaving; the retry budget ran out and look-ups failed as not-run. Ejection could not help: it wants half of the recent attempts to be bad, and the host had answered thousands. Ruled out: late word of the departure (the leaving daemon waits until its neighbours have taken it), a target missing from the view. The new unit test fails when the refusal is not remembered. Conclusion: such a refusal is certain knowledge and counts at once, until the directory has newer word of the host or 2 s have passed.

--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/membership"
@@ -199,16 +201,16 @@
 	c.trace.sent(number, member.Host)
 	s.router.Begin(member.Host)
 	if member.Host == s.self.Host {
-		return s.attemptHere(ctx, &q)
+		return s.attemptHere(ctx, &q, member)
 	}
 	return s.attemptThere(ctx, &q, member)
 }
 
-func (s *Server) attemptHere(ctx context.Context, q *request) (*answer, *Error) {
+func (s *Server) attemptHere(ctx context.Context, q *request, member membership.Member) (*answer, *Error) {
 	result, failure := s.serveTarget(ctx, q)
 	load := s.gate.load()
 	if failure != nil {
-		s.router.Done(s.self.Host, route.Result{Verdict: verdictOf(failure), Load: &load})
+		s.router.Done(s.self.Host, route.Result{Verdict: verdictOf(failure), Position: member.Position, Load: &load})
 		return nil, failure
 	}
 	result.onRelease(func(whole bool) {
@@ -229,14 +231,14 @@
 			Status:  statusOf(ctx, err),
 			Err:     err,
 		}
-		s.router.Done(member.Host, route.Result{Verdict: verdictOf(failure)})
+		s.router.Done(member.Host, route.Result{Verdict: verdictOf(failure), Position: member.Position})
 		return nil, failure
 	}
 	s.observeClock(response.Header)
 	load := loadOf(response.Header)
 	if failure := readError(member.Host, response); failure != nil {
 		_ = response.Body.Close()
-		s.router.Done(member.Host, route.Result{Verdict: verdictOf(failure), Load: load})
+		s.router.Done(member.Host, route.Result{Verdict: verdictOf(failure), Position: member.Position, Load: load})
 		return nil, failure
 	}
 	return s.takeAnswer(ctx, member.Host, response, load)
@@ -281,6 +283,9 @@
 // verdictOf says what a failed attempt shows of its host. Limits and drains
 // are no fault, nor is a caller that went away.
 func verdictOf(failure *Error) route.Verdict {
+	if failure.Step == StepDrain || errors.Is(failure.Err, syscall.ECONNREFUSED) {
+		return route.Leaving
+	}
 	switch failure.Step {
 	case StepPeer, StepTarget, StepAnswer:
 		if failure.Status != statusCallerGone {
--- a/internal/route/evidence.go
+++ b/internal/route/evidence.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
 )
 
 const (
@@ -18,6 +20,9 @@
 	// maxEjectedShare is the share of a service's targets that may be ejected.
 	// When more look bad the evidence is distrusted.
 	maxEjectedShare = 0.5
+	// leavingTime is how long a host that refused work as leaving is passed
+	// over while the directory still shows what it showed then.
+	leavingTime = 2 * time.Second
 	// forgetAfter is when a host without calls is forgotten.
 	forgetAfter = 5 * time.Minute
 )
@@ -33,11 +38,15 @@
 	Good
 	// Bad attempts failed at the target or on the way to it.
 	Bad
+	// Leaving attempts met a host that takes no new work, or no longer listens.
+	Leaving
 )
 
 // Result is how one attempt ended.
 type Result struct {
 	Verdict Verdict
+	// Position is that of the member that was picked.
+	Position membership.Position
 	// Load is what the target's daemon reported, nil when it did not.
 	Load *Load
 }
@@ -70,6 +79,10 @@
 		known.report(*result.Load, now)
 	}
 	known.outstanding = max(known.outstanding-1, 0)
+	if result.Verdict == Leaving {
+		known.leavingUntil = now.Add(leavingTime)
+		known.leavingAt = result.Position
+	}
 	if known.judge(result.Verdict, now) {
 		r.counters.ejections.Inc()
 	}
@@ -93,6 +106,12 @@
 	return false
 }
 
+// leaving reports whether the host refused work as leaving and the directory
+// has had no newer word of it since.
+func (h *host) leaving(member membership.Member, now time.Time) bool {
+	return now.Before(h.leavingUntil) && !member.Position.After(h.leavingAt)
+}
+
 // recover forgets past ejections once a host answers after one.
 func (h *host) recover(now time.Time) {
 	if h.ejections > 0 && now.After(h.ejectedUntil) && h.failures < 1 {
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
 )
 
 // loadHalfLife is how long it takes until half of a reported load counts.
@@ -54,10 +56,14 @@
 	reported time.Time
 	used     time.Time
 
-	successes    float64
-	failures     float64
-	counted      time.Time
-	ejections    int
+	successes float64
+	failures  float64
+	counted   time.Time
+	ejections int
+	// leavingUntil and leavingAt keep a refusal of new work and the position
+	// at which it came.
+	leavingUntil time.Time
+	leavingAt    membership.Position
 	ejectedUntil time.Time
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -102,7 +102,8 @@
 	ejected bool
 }
 
-// candidates returns the targets in contact and those out of contact.
+// candidates returns the targets in contact, and those out of contact or that
+// refused work as leaving.
 func (r *Router) candidates(members []membership.Member, service *publish.Service, exclude map[string]bool, now time.Time) (healthy, doubtful []candidate) {
 	healthy = make([]candidate, 0, len(members))
 	for _, member := range members {
@@ -110,7 +111,7 @@
 			continue
 		}
 		one := r.weigh(member, service, now)
-		if member.Reach == membership.Reachable {
+		if member.Reach == membership.Reachable && !r.leaving(member, now) {
 			healthy = append(healthy, one)
 		} else {
 			doubtful = append(doubtful, one)
@@ -119,6 +120,12 @@
 	return healthy, doubtful
 }
 
+// leaving reports whether a host refused work as leaving.
+func (r *Router) leaving(member membership.Member, now time.Time) bool {
+	known, found := r.hosts[member.Host]
+	return found && known.leaving(member, now)
+}
+
 // takesWork reports whether the target's daemon says it takes new calls.
 func takesWork(member membership.Member) bool {
 	if member.State != membership.Alive {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -233,3 +233,25 @@
 		assert.Check(t, err != nil, text)
 	}
 }
+
+// A host that refused work as leaving is passed over at once, until the
+// directory has newer word of it.
+func TestLeavingHostIsPassedOver(t *testing.T) {
+	near, far := ready("near", "zone-0"), ready("far", "zone-1")
+	d := &directory{members: []membership.Member{near, far}}
+	r, _ := newRouter(d, 1)
+	for range 1000 {
+		r.Begin(near.Host)
+		r.Done(near.Host, route.Result{Verdict: route.Good})
+	}
+	r.Begin(near.Host)
+	r.Done(near.Host, route.Result{Verdict: route.Leaving, Position: near.Position})
+	picked, err := r.Pick(service, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, picked.Host, far.Host)
+
+	d.members[0].Position.Counter++
+	picked, err = r.Pick(service, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, picked.Host, near.Host)
+}
