Count control bytes to the log and show all of them as metrics

Cause: control bytes were counted between daemons but not towards the log, and no metric showed them.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/mulberrybank/mulberrybank/internal/admin"
 	"github.com/mulberrybank/mulberrybank/internal/call"
 	"github.com/mulberrybank/mulberrybank/internal/distribute"
@@ -11,7 +13,6 @@
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/once"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
-	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
@@ -22,7 +23,7 @@
 	clock := timeline.NewClock(time.Now)
 	d.events = timeline.NewBuffer(clock, d.identity.Host, d.identity.Zone, d.identity.Incarnation, d.settings.Timeline.Events)
 	if d.platform == nil {
-		d.platform = platform.NewClient(d.settings.Platform.Address, time.Duration(d.settings.Platform.Timeout), nil)
+		d.platform = d.platformClient()
 	}
 	d.enforcer = enforce.New(publish.NewFold(), d.events)
 	d.server = peer.NewServer(d.identity, d.traffic, logging.Part(d.logger, "peer"))
@@ -35,6 +36,8 @@
 	}
 	d.buildCalls(clock)
 	d.buildAdmin()
+	d.metrics.RegisterMetricsWriter(d.writeTraffic)
+	d.metrics.RegisterMetricsWriter(metrics.WriteProcessMetrics)
 	return nil
 }
 
--- a/internal/demo/mesh.go
+++ b/internal/demo/mesh.go
@@ -87,10 +87,10 @@
 	return started, nil
 }
 
-// settings returns the settings of a host with the others as peers.
+// settings returns the settings of a host with a few others as peers.
 func (m *mesh) settings(place place) *settings.Settings {
 	var peers []string
-	for _, other := range m.hosts {
+	for _, other := range m.hosts[:min(len(m.hosts), maxPeers)] {
 		peers = append(peers, other.daemon.Addresses().Control)
 	}
 	return &settings.Settings{
@@ -162,5 +162,6 @@
 	targetDelay   = 2 * time.Millisecond
 	eventCapacity = 1 << 16
 	maxBody       = 1 << 20
+	maxPeers      = 6
 	stopTimeout   = 5 * time.Second
 )
