Give the log's place a default that its rule allows

Cause: the place of the log was optional but its empty value broke the rule for names, so settings without it were refused (TestParseFillsDefaults). After: the place is "unknown" when it is left out.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,8 +47,8 @@
 	Address string `json:"address" required:"true" form:"url"`
 	// Zone and Region say where the log stands, for the byte counts. Traffic
 	// to a log of unknown region counts as crossing regions.
-	Zone   string `json:"zone" form:"name"`
-	Region string `json:"region" form:"name"`
+	Zone   string `json:"zone" default:"unknown" form:"name"`
+	Region string `json:"region" default:"unknown" form:"name"`
 	// Timeout bounds one request besides its wait.
 	Timeout Duration `json:"timeout" default:"2s" min:"10ms" max:"1m"`
 }
