--- a/internal/once/grants.go
+++ b/internal/once/grants.go
@@ -26,7 +26,7 @@
 // A grant may begin later than the chain ends; keys between have no home.
 // Grants whose interval ended KeepGrants before the append are dropped.
 func (g Grants) Add(grant *Grant, appended time.Time) (Grants, bool) {
-	if !wellFormed(grant) || grant.GetFromMs() < g.End() {
+	if !wellFormed(grant) || !g.followedBy(grant) {
 		return g, false
 	}
 	if grant.GetUntilMs() > appended.Add(MaxReach).UnixMilli() {
@@ -39,7 +39,7 @@
 			chain = append(chain, kept)
 		}
 	}
-	return append(chain, grant), true
+	return append(chain, g.expand(grant)), true
 }
 
 // End is the first millisecond of key time after the chain, 0 without grants.
@@ -60,6 +60,15 @@
 	return nil
 }
 
+// followedBy reports whether a grant can extend the chain. The end of a chain
+// identifies it, so changes that begin there were made to its last grant.
+func (g Grants) followedBy(grant *Grant) bool {
+	if grant.GetChanges() {
+		return len(g) > 0 && grant.GetFromMs() == g.End()
+	}
+	return grant.GetFromMs() >= g.End()
+}
+
 // wellFormed reports whether the interval is not empty and the services and
 // their homes are sorted and distinct.
 func wellFormed(grant *Grant) bool {
@@ -68,7 +77,7 @@
 	}
 	service := ""
 	for _, entry := range grant.GetServices() {
-		if entry.GetService() <= service || !homesSorted(entry.GetHomes()) {
+		if entry.GetService() <= service || !sorted(entry.GetHosts()) {
 			return false
 		}
 		service = entry.GetService()
@@ -76,13 +85,13 @@
 	return true
 }
 
-func homesSorted(homes []*Home) bool {
-	host := ""
-	for _, home := range homes {
-		if home.GetHost() <= host {
+func sorted(hosts []string) bool {
+	last := ""
+	for _, host := range hosts {
+		if host <= last {
 			return false
 		}
-		host = home.GetHost()
+		last = host
 	}
 	return true
 }
--- a/internal/once/keeper.go
+++ b/internal/once/keeper.go
@@ -19,8 +19,8 @@
 	// MaxClockStep is how far a host's clock may step back over a restart.
 	MaxClockStep = time.Second
 	// startMargin is the key time after a start that an earlier process of the
-	// host may have taken.
-	startMargin = MaxAhead + MaxClockStep
+	// host may have taken, the last millisecond included.
+	startMargin = MaxAhead + MaxClockStep + time.Millisecond
 	// DefaultMaxKeys bounds the keys remembered.
 	DefaultMaxKeys = 1 << 17
 	// DefaultMaxAnswerBytes bounds the answers stored, in bytes.
@@ -46,6 +46,7 @@
 type Keeper struct {
 	options  Options
 	earliest int64
+	homes    *homeTable
 
 	mu     sync.Mutex
 	memory *memory
@@ -71,6 +72,7 @@
 	keeper := &Keeper{
 		options:  options,
 		earliest: options.Started.Add(startMargin).UnixMilli(),
+		homes:    newHomeTable(),
 		memory:   newMemory(options.MaxKeys, options.MaxAnswerBytes),
 	}
 	options.Metrics.GetOrCreateGauge("mulberrybank_once_keys", keeper.keys)
@@ -83,7 +85,7 @@
 	if err != nil {
 		return "", &Refusal{Reason: InvalidKey, Detail: err.Error()}
 	}
-	return grants.Home(service, key)
+	return k.homes.home(grants, service, key)
 }
 
 // Begin admits the first attempt with a key on its home. It returns a Run
@@ -99,17 +101,17 @@
 }
 
 func (k *Keeper) begin(grants Grants, service, text string) (*Run, error) {
-	home, err := k.Home(grants, service, text)
+	key, err := ParseKey(text)
+	if err != nil {
+		return nil, &Refusal{Reason: InvalidKey, Detail: err.Error()}
+	}
+	home, err := k.homes.home(grants, service, key)
 	if err != nil {
 		return nil, err
 	}
 	if home != k.options.Host {
 		return nil, &Refusal{Reason: NotHome, Detail: "the home is " + home, EarlierMayHaveRun: true}
 	}
-	key, err := ParseKey(text)
-	if err != nil {
-		return nil, &Refusal{Reason: InvalidKey, Detail: err.Error()}
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.admit(memoryKey{service: service, key: key})
--- a/internal/once/keeper_test.go
+++ b/internal/once/keeper_test.go
@@ -28,10 +28,7 @@
 }
 
 func grant(from, until time.Time, hosts ...string) *once.Grant {
-	homes := &once.ServiceHomes{Service: service}
-	for _, host := range hosts {
-		homes.Homes = append(homes.Homes, &once.Home{Host: host})
-	}
+	homes := &once.ServiceHomes{Service: service, Hosts: hosts}
 	return &once.Grant{FromMs: from.UnixMilli(), UntilMs: until.UnixMilli(), Services: []*once.ServiceHomes{homes}}
 }
 
--- a/internal/once/proposal.go
+++ b/internal/once/proposal.go
@@ -1,7 +1,6 @@
 package once
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -11,44 +10,46 @@
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 )
 
-// firstGrantLead is how far before now a grant begins when no chain holds now.
+// firstGrantLead is how far before now a grant begins when the chain ended
+// long ago. Keys of the time between get no home: they are old by now, and a
+// grant that reached back to them would only make the chain longer.
 const firstGrantLead = time.Second
 
 // NextGrant extends the chain to reach ahead of now, with the members that
-// serve now as homes. It returns nil when the chain reaches that far already.
+// take work now as homes. It returns nil when the chain reaches that far.
 func NextGrant(grants Grants, view *membership.View, now time.Time, reach time.Duration) *Grant {
 	until := now.Add(reach).UnixMilli()
-	from := max(grants.End(), now.Add(-firstGrantLead).UnixMilli())
+	from := now.Add(-firstGrantLead).UnixMilli()
+	if end := grants.End(); end > now.Add(-KeyWindow).UnixMilli() {
+		from = end
+	}
 	if until <= from {
 		return nil
 	}
-	return &Grant{FromMs: from, UntilMs: until, Services: homesOf(view)}
+	return grants.compact(&Grant{FromMs: from, UntilMs: until, Services: homesOf(view)})
 }
 
-// homesOf lists the homes of every service, sorted by service and host.
+// homesOf lists the homes of every service.
 func homesOf(view *membership.View) []*ServiceHomes {
-	services := make([]*ServiceHomes, 0, len(view.ByService))
+	services := map[string]*ServiceHomes{}
 	for service, members := range view.ByService {
-		if homes := serviceHomes(members); service != "" && len(homes) > 0 {
-			services = append(services, &ServiceHomes{Service: service, Homes: homes})
+		if hosts := homes(members); service != "" && len(hosts) > 0 {
+			services[service] = &ServiceHomes{Service: service, Hosts: hosts}
 		}
 	}
-	slices.SortFunc(services, func(a, b *ServiceHomes) int {
-		return cmp.Compare(a.GetService(), b.GetService())
-	})
-	return services
+	return inOrder(services)
 }
 
-// serviceHomes returns the members that take work. When none is reachable
-// loss of contact is not taken as death, and all that took work are homes.
-func serviceHomes(members []membership.Member) []*Home {
-	reachable := selectHomes(members, func(m membership.Member) bool {
+// homes returns the hosts that take work. When none is reachable loss of
+// contact is not taken as death, and all that took work are homes.
+func homes(members []membership.Member) []string {
+	reachable := selectHosts(members, func(m membership.Member) bool {
 		return takesWork(m) && m.Reach != membership.Unreachable
 	})
 	if len(reachable) > 0 {
 		return reachable
 	}
-	return selectHomes(members, takesWork)
+	return selectHosts(members, takesWork)
 }
 
 func takesWork(m membership.Member) bool {
@@ -56,15 +57,15 @@
 	return m.State == membership.Alive && working
 }
 
-func selectHomes(members []membership.Member, keep func(membership.Member) bool) []*Home {
-	var homes []*Home
+func selectHosts(members []membership.Member, keep func(membership.Member) bool) []string {
+	var hosts []string
 	for _, member := range members {
 		if keep(member) {
-			homes = append(homes, &Home{Host: member.Host, Incarnation: member.Position.Incarnation})
+			hosts = append(hosts, member.Host)
 		}
 	}
-	slices.SortFunc(homes, func(a, b *Home) int { return cmp.Compare(a.GetHost(), b.GetHost()) })
-	return homes
+	slices.Sort(hosts)
+	return hosts
 }
 
 // rankOf is the place of a host in the order of those that may extend a chain
--- a/internal/once/proposer.go
+++ b/internal/once/proposer.go
@@ -22,10 +22,11 @@
 	renewShare = 3
 	// rankDelay is how long each rank waits for the ranks before it.
 	rankDelay = 4 * time.Second
-	// maxRankDelay bounds the wait of the last ranks.
-	maxRankDelay = time.Minute
+	// maxRankDelay bounds the wait of the last ranks, and so how often all
+	// daemons together append during an outage.
+	maxRankDelay = 5 * time.Minute
 	// maxJitter is the random part of each wait.
-	maxJitter = time.Second
+	maxJitter = rankDelay / 2
 	// appendTimeout bounds one append.
 	appendTimeout = 5 * time.Second
 	// retryDelay is the wait after an append, for its record to be folded.
@@ -62,6 +63,11 @@
 type Proposer struct {
 	options ProposerOptions
 	log     *logrus.Entry
+	// notBefore is when the next append may be made.
+	notBefore time.Time
+	// jitter is drawn once for each end of the chain.
+	jitter    time.Duration
+	jitterEnd int64
 }
 
 // NewProposer returns the proposer of one daemon.
@@ -81,7 +87,7 @@
 	if options.Logger == nil {
 		options.Logger = logging.Discard()
 	}
-	return &Proposer{options: options, log: logging.Part(options.Logger, "once")}
+	return &Proposer{options: options, log: logging.Part(options.Logger, "once"), jitterEnd: -1}
 }
 
 // Run proposes grants until ctx ends.
@@ -92,8 +98,8 @@
 	return nil
 }
 
-// step waits for the next grant to be due and appends it, or returns early
-// when the configuration has changed.
+// step waits until this daemon should append the next grant and appends it,
+// or returns early when the configuration has changed.
 func (p *Proposer) step(ctx context.Context) {
 	changed := p.options.Chain.Changed()
 	grants, known := p.options.Chain.Grants()
@@ -101,29 +107,40 @@
 		wait(ctx, changed, retryDelay)
 		return
 	}
-	view := p.options.Directory.View()
-	delay := p.untilDue(grants) + p.turn(grants, view)
-	if delay > 0 && !wait(ctx, changed, delay) {
+	delay := p.turn(grants).Sub(p.options.Now())
+	if delay > 0 && !wait(ctx, changed, min(delay, retryDelay)) {
 		return
 	}
-	if ctx.Err() != nil {
+	if delay > retryDelay || ctx.Err() != nil {
 		return
 	}
 	p.propose(ctx, grants)
-	wait(ctx, changed, retryDelay)
+	p.notBefore = p.options.Now().Add(retryDelay + p.rankDelay(grants))
 }
 
-// untilDue is the time until the chain should be extended, at least 0.
-func (p *Proposer) untilDue(grants Grants) time.Duration {
-	left := time.UnixMilli(grants.End()).Sub(p.options.Now())
-	return max(0, left-(p.options.Reach-p.options.Reach/renewShare))
+// turn is when this daemon may append the grant that follows a chain.
+func (p *Proposer) turn(grants Grants) time.Time {
+	if p.notBefore.IsZero() {
+		p.notBefore = p.options.Now().Add(p.rankDelay(grants))
+	}
+	left := p.options.Reach - p.options.Reach/renewShare
+	due := time.UnixMilli(grants.End()).Add(-left)
+	turn := due.Add(p.rankDelay(grants))
+	if turn.Before(p.notBefore) {
+		return p.notBefore
+	}
+	return turn
 }
 
-// turn is how long this daemon leaves the next grant to those of better rank.
-func (p *Proposer) turn(grants Grants, view *membership.View) time.Duration {
-	rank := rankOf(p.options.Host, view, grants.End())
-	jitter := time.Duration(p.options.Rand.Int64N(int64(maxJitter)))
-	return min(time.Duration(rank)*rankDelay, maxRankDelay) + jitter
+// rankDelay is how long this daemon leaves the next grant to better ranks.
+func (p *Proposer) rankDelay(grants Grants) time.Duration {
+	end := grants.End()
+	if p.jitterEnd != end {
+		p.jitterEnd = end
+		p.jitter = time.Duration(p.options.Rand.Int64N(int64(maxJitter)))
+	}
+	rank := rankOf(p.options.Host, p.options.Directory.View(), end)
+	return min(time.Duration(rank)*rankDelay, maxRankDelay) + p.jitter
 }
 
 func (p *Proposer) propose(ctx context.Context, grants Grants) {
--- a/internal/publish/digest.go
+++ b/internal/publish/digest.go
@@ -38,10 +38,7 @@
 	for _, each := range f.verdicts.kept {
 		_, _ = hash.Write(each.digest[:])
 	}
-	for _, grant := range f.config.Grants {
-		digest := digestMessage(grant)
-		_, _ = hash.Write(digest[:])
-	}
+	_, _ = hash.Write(f.grantsDigest[:])
 	return hash.Sum(nil)[:digestBytes]
 }
 
--- a/internal/publish/fold.go
+++ b/internal/publish/fold.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/mulberrybank/mulberrybank/internal/once"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 )
 
@@ -38,13 +39,17 @@
 	workspaces map[string]workspaceState
 	config     *Configuration
 	verdicts   verdictList
+	// grantsDigest is that of the grants of config.
+	grantsDigest itemDigest
 	// digest is nil until it is asked for.
 	digest []byte
 }
 
 // NewFold returns the state before the first record.
 func NewFold() *Fold {
-	return &Fold{workspaces: map[string]workspaceState{}, config: emptyConfiguration()}
+	fold := &Fold{workspaces: map[string]workspaceState{}, config: emptyConfiguration()}
+	fold.setGrants(nil)
+	return fold
 }
 
 // Configuration returns the immutable configuration at Offset.
@@ -78,9 +83,7 @@
 	}
 	if grant := entry.GetGrant(); grant != nil {
 		if grants, added := f.config.Grants.Add(grant, record.Appended); added {
-			next := *f.config
-			next.Grants = grants
-			f.config = &next
+			f.setGrants(grants)
 		}
 		f.advance(record.Offset)
 		return nil, nil
@@ -156,6 +159,14 @@
 	return next, nil
 }
 
+// setGrants replaces the grants of the configuration.
+func (f *Fold) setGrants(grants once.Grants) {
+	next := *f.config
+	next.Grants = grants
+	f.config = &next
+	f.grantsDigest = digestMessage(&Snapshot{Grants: grants.Compact()})
+}
+
 // conclude keeps a verdict and advances to its offset.
 func (f *Fold) conclude(offset uint64, verdict Verdict) *Verdict {
 	verdict.Offset = offset
--- a/internal/publish/snapshot.go
+++ b/internal/publish/snapshot.go
@@ -20,7 +20,7 @@
 		Offset:  f.offset,
 		Version: uint64(f.config.Version),
 		Digest:  f.Digest(),
-		Grants:  f.config.Grants,
+		Grants:  f.config.Grants.Compact(),
 	}
 	for _, name := range f.names() {
 		state := f.workspaces[name]
@@ -72,7 +72,11 @@
 		fold.verdicts.add(verdictFromWire(wire))
 	}
 	fold.config.Version = Version(snapshot.GetVersion())
-	fold.config.Grants = once.Grants(snapshot.GetGrants())
+	grants, ok := once.Expand(snapshot.GetGrants())
+	if !ok {
+		return nil, errors.New("the grants form no chain")
+	}
+	fold.setGrants(grants)
 	return fold, nil
 }
 
