Secure connections between daemons, to the platform and of operators with TLS

Cause: every connection was in plain text, and a daemon believed what another said of itself. Done: an identity from files that are read again when they change; both ends of a control connection compare the certificate's name with the host and zone that the other claims; plain text only where the settings say so, and then logged. Seen to fail: without the comparison of names the tests accept a certificate of another host and of another zone.

--- a/cmd/mulberrybank/mesh_test.go
+++ b/cmd/mulberrybank/mesh_test.go
@@ -139,6 +139,7 @@
   "listen": {"callers": %q, "calls": %q, "control": %q, "admin": %q, "target": %q},
   "platform": {"address": "http://%s:%d", "timeout": "1s"},
   "peers": %s,
+  "tls": {"mode": "off"},
   "timeline": {"events": 200000},
   "stop_timeout": "5s",
 }`, h.name, h.zone, h.region,
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -57,6 +57,8 @@
 	Now func() time.Time
 	// Dial opens connections to targets and daemons, TCP when nil.
 	Dial DialFunc
+	// DialPeers opens connections to daemons in place of Dial, for TLS.
+	DialPeers DialFunc
 	// SampleShare is the share of calls, from 0 to 1, whose events are
 	// recorded. Calls that fail, are retried or carry a key always are.
 	SampleShare float64
@@ -111,11 +113,14 @@
 		inflight:  newInflight(),
 		shares:    newShares(options.MaxCalls),
 		targets:   newTransport(options.Dial, options.TargetConnections),
-		peers:     newTransport(options.Dial, options.PeerConnections),
+		peers:     newTransport(options.DialPeers, options.PeerConnections),
 	}
 }
 
 func (o Options) withDefaults() Options {
+	if o.DialPeers == nil {
+		o.DialPeers = o.Dial
+	}
 	if o.Events == nil {
 		o.Events = timeline.Discard{}
 	}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -27,6 +27,9 @@
 	}
 	d.enforcer = enforce.New(publish.NewFold(), d.events)
 	d.server = peer.NewServer(d.identity, d.traffic, logging.Part(d.logger, "peer"))
+	if options.Dial == nil && d.secure != nil {
+		options.Dial = d.secure.DialPeer()
+	}
 	dialer := peer.NewDialer(d.identity, d.traffic, options.Dial)
 	if err := d.buildMembership(dialer); err != nil {
 		return err
@@ -34,7 +37,7 @@
 	if err := d.buildDistribution(dialer); err != nil {
 		return err
 	}
-	d.buildCalls(clock)
+	d.buildCalls(clock, call.DialFunc(options.Dial))
 	d.buildAdmin()
 	d.metrics.RegisterMetricsWriter(d.writeTraffic)
 	d.metrics.RegisterMetricsWriter(metrics.WriteProcessMetrics)
@@ -82,7 +85,7 @@
 	return d.distributor.Register(d.server.Mux())
 }
 
-func (d *Daemon) buildCalls(clock *timeline.Clock) {
+func (d *Daemon) buildCalls(clock *timeline.Clock, dialPeers call.DialFunc) {
 	d.router = route.New(route.Options{
 		Directory: d.members,
 		Self:      d.identity,
@@ -115,6 +118,7 @@
 		Clock:       clock,
 		Logger:      d.logger,
 		Metrics:     d.metrics,
+		DialPeers:   dialPeers,
 		SampleShare: eventSampleShare,
 	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/route"
+	"github.com/mulberrybank/mulberrybank/internal/secure"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
@@ -53,7 +54,9 @@
 	keeper      *once.Keeper
 	proposer    *once.Proposer
 	admin       *admin.Server
-	platform    platform.Log
+	// identity for TLS, nil in plain text.
+	secure   *secure.Identity
+	platform platform.Log
 }
 
 // New checks the settings, opens every listener and builds the slices.
@@ -76,9 +79,13 @@
 		Region:      options.Settings.Region,
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
+	if err := d.loadIdentity(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", d.identity.Host, err)
+	}
 	if err := d.listen.open(&d.settings.Listen); err != nil {
 		return nil, fmt.Errorf("start %s: %w", d.identity.Host, err)
 	}
+	d.secureListeners()
 	if err := d.build(options); err != nil {
 		d.listen.close()
 		return nil, fmt.Errorf("start %s: %w", d.identity.Host, err)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -54,6 +54,9 @@
 	tasks.Go(d.members.Run)
 	tasks.Go(d.distributeAboveFloor)
 	tasks.Go(d.proposer.Run)
+	if d.secure != nil {
+		tasks.Go(d.secure.Run)
+	}
 }
 
 // distributeAboveFloor asks peers which offset was in force on this host
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -32,6 +32,9 @@
 		}
 		return d.traffic.Count(conn, class), nil
 	}
+	if d.secure != nil {
+		transport.TLSClientConfig = d.secure.PlatformClient()
+	}
 	timeout := time.Duration(d.settings.Platform.Timeout)
 	return platform.NewClient(d.settings.Platform.Address, timeout, transport)
 }
--- a/internal/demo/mesh.go
+++ b/internal/demo/mesh.go
@@ -105,6 +105,7 @@
 			Target:  anyPort,
 		},
 		Peers:       peers,
+		TLS:         settings.TLS{Mode: settings.SwitchOff},
 		Admin:       settings.Admin{MaxBody: maxBody},
 		Timeline:    settings.Timeline{Events: eventCapacity},
 		StopTimeout: settings.Duration(stopTimeout),
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -19,7 +19,7 @@
 	Peer Identity
 }
 
-// DialFunc opens a TCP connection. Tests replace it.
+// DialFunc opens a TCP connection, or a TLS one over it.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Dialer opens connections to other daemons.
@@ -68,5 +68,8 @@
 	if err != nil {
 		return Identity{}, err
 	}
+	if err := verifyName(raw, remote); err != nil {
+		return Identity{}, err
+	}
 	return remote, raw.SetDeadline(time.Time{})
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -73,6 +73,9 @@
 	if err != nil {
 		return Identity{}, "", err
 	}
+	if err := verifyName(raw, remote); err != nil {
+		return Identity{}, "", err
+	}
 	if err := writeHello(raw, s.self, kind); err != nil {
 		return Identity{}, "", err
 	}
--- /dev/null
+++ b/internal/secure/secure_test.go
@@ -0,0 +1,127 @@
+package secure_test
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/mulberrybank/mulberrybank/internal/logging"
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/secure"
+	"github.com/mulberrybank/mulberrybank/internal/secure/securetest"
+)
+
+func load(t *testing.T, files secure.Files) *secure.Identity {
+	t.Helper()
+	identity, err := secure.Load(files, logging.Part(logging.Discard(), "secure"))
+	assert.NilError(t, err)
+	return identity
+}
+
+// serve accepts connections of daemons over TLS until the test ends.
+func serve(t *testing.T, self peer.Identity, identity *secure.Identity) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := peer.NewServer(self, peer.NewTraffic(), logging.Part(logging.Discard(), "peer"))
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	tasks.Go(func() { _ = server.Serve(ctx, tls.NewListener(listener, identity.PeerServer())) })
+	t.Cleanup(func() {
+		cancel()
+		tasks.Wait()
+	})
+	return listener.Addr().String()
+}
+
+func dial(t *testing.T, self peer.Identity, identity *secure.Identity, address string) error {
+	t.Helper()
+	conn, err := peer.NewDialer(self, peer.NewTraffic(), identity.DialPeer()).Dial(t.Context(), "test", address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return err
+}
+
+var (
+	accra   = peer.Identity{Host: "accra-1", Zone: "greater-accra-a", Region: "greater-accra"}
+	ashanti = peer.Identity{Host: "ashanti-1", Zone: "ashanti-a", Region: "ashanti"}
+)
+
+func TestDaemonsAcceptEachOtherByCertificate(t *testing.T) {
+	authority := securetest.NewAuthority(t)
+	server := load(t, authority.Issue(t, t.TempDir(), 2, peer.CertificateName(accra)))
+	client := load(t, authority.Issue(t, t.TempDir(), 3, peer.CertificateName(ashanti)))
+	assert.NilError(t, dial(t, ashanti, client, serve(t, accra, server)))
+}
+
+func TestPeerWithoutValidCertificateIsRefused(t *testing.T) {
+	ours, theirs := securetest.NewAuthority(t), securetest.NewAuthority(t)
+	server := load(t, ours.Issue(t, t.TempDir(), 2, peer.CertificateName(accra)))
+	address := serve(t, accra, server)
+
+	t.Run("of another host", func(t *testing.T) {
+		client := load(t, ours.Issue(t, t.TempDir(), 3, "ashanti-2.ashanti-a"))
+		assert.Assert(t, dial(t, ashanti, client, address) != nil)
+	})
+	t.Run("of another zone", func(t *testing.T) {
+		client := load(t, ours.Issue(t, t.TempDir(), 4, "ashanti-1.northern-a"))
+		assert.Assert(t, dial(t, ashanti, client, address) != nil)
+	})
+	t.Run("of another authority", func(t *testing.T) {
+		files := theirs.Issue(t, t.TempDir(), 5, peer.CertificateName(ashanti))
+		ours.WriteAuthority(t, files.Authority)
+		assert.Assert(t, dial(t, ashanti, load(t, files), address) != nil)
+	})
+	t.Run("in plain text", func(t *testing.T) {
+		_, err := peer.NewDialer(ashanti, peer.NewTraffic(), nil).Dial(t.Context(), "test", address)
+		assert.Assert(t, err != nil)
+	})
+	t.Run("a server of another host", func(t *testing.T) {
+		client := load(t, ours.Issue(t, t.TempDir(), 6, peer.CertificateName(ashanti)))
+		impostor := accra
+		impostor.Host = "accra-9"
+		err := dial(t, ashanti, client, serve(t, impostor, server))
+		assert.ErrorContains(t, err, "accra-9.greater-accra-a")
+	})
+}
+
+func TestChangedFilesAreUsed(t *testing.T) {
+	authority := securetest.NewAuthority(t)
+	dir := t.TempDir()
+	identity := load(t, authority.Issue(t, dir, 2, peer.CertificateName(accra)))
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks conc.WaitGroup
+	tasks.Go(func() { assert.Check(t, identity.Run(ctx)) })
+	defer tasks.Wait()
+	defer cancel()
+
+	authority.Issue(t, dir, 7, peer.CertificateName(accra))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		certificate, err := identity.AdminServer().GetCertificate(nil)
+		if err == nil && certificate.Leaf.SerialNumber.Int64() == 7 {
+			return poll.Success()
+		}
+		return poll.Continue("the earlier certificate is still in use")
+	}, poll.WithDelay(10*time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
+func TestDamagedFilesLeaveTheEarlierInUse(t *testing.T) {
+	authority := securetest.NewAuthority(t)
+	files := authority.Issue(t, t.TempDir(), 2, peer.CertificateName(accra))
+	identity := load(t, files)
+	const content = "not a key"
+	assert.NilError(t, os.WriteFile(files.Key, []byte(content), 0o600))
+	err := identity.Reload()
+	assert.ErrorContains(t, err, files.Key)
+	certificate, err := identity.AdminServer().GetCertificate(nil)
+	assert.NilError(t, err)
+	assert.Equal(t, certificate.Leaf.SerialNumber.Int64(), int64(2))
+}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -50,6 +50,9 @@
 	if err := d.complete(value, ""); err != nil {
 		return nil, err
 	}
+	if err := d.checkTLS(&settings.TLS); err != nil {
+		return nil, err
+	}
 	return settings, nil
 }
 
--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -63,6 +63,10 @@
 		return `an IP address with a port, such as "10.0.0.7:7400"`
 	case "url":
 		return `an http or https URL without user, query or fragment, such as "http://10.0.0.1:7000"`
+	case "switch":
+		return `"on" or "off"`
+	case "file":
+		return "the name of a file"
 	case "level":
 		return `"debug", "info", "warning" or "error"`
 	default:
@@ -93,6 +97,8 @@
 		return err == nil
 	case "url":
 		return isBaseURL(text)
+	case "switch":
+		return text == SwitchOn || text == SwitchOff
 	case "level":
 		return text != "warn" && isLevel(text)
 	default:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,8 @@
 	Log      Log      `json:"log"`
 	Admin    Admin    `json:"admin"`
 	Timeline Timeline `json:"timeline"`
+	// TLS secures connections between daemons, to the platform and of operators.
+	TLS TLS `json:"tls"`
 	// StopTimeout bounds a graceful stop.
 	StopTimeout Duration `json:"stop_timeout" default:"10s" min:"100ms" max:"10m"`
 }
@@ -59,6 +61,28 @@
 	Level string `json:"level" default:"info" form:"level"`
 }
 
+// TLS names the files of the daemon's TLS identity. They are read again when
+// they change.
+type TLS struct {
+	// Mode is "on", or "off" for plain text.
+	Mode string `json:"mode" required:"true" form:"switch"`
+	// Certificate is a PEM file. The certificate bears the DNS name "HOST.ZONE".
+	Certificate string `json:"certificate" form:"file"`
+	// Key is a PEM file with the private key of the certificate.
+	Key string `json:"key" form:"file"`
+	// Authority is a PEM file with the certificates that sign those of daemons.
+	Authority string `json:"authority" form:"file"`
+}
+
+// Enabled reports whether connections are secured.
+func (t TLS) Enabled() bool { return t.Mode == SwitchOn }
+
+// Values of settings that switch something on or off.
+const (
+	SwitchOn  = "on"
+	SwitchOff = "off"
+)
+
 // Admin limits the administration API.
 type Admin struct {
 	// MaxBody bounds the body of one request.
