Let operators reach secured daemons and prove the whole path with TLS

Cause: the command line could not reach an administration port with TLS, and no test ran the processes with it. The whole path over separate processes passes with TLS, and a client in plain text fails.

--- a/cmd/mulberrybank/mesh_test.go
+++ b/cmd/mulberrybank/mesh_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +20,8 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/admin"
 	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/secure/securetest"
 	"github.com/mulberrybank/mulberrybank/internal/standin/logservice"
 	"github.com/mulberrybank/mulberrybank/internal/standin/target"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
@@ -74,13 +77,18 @@
 	service  string
 	address  string
 	settings string
-	daemon   *exec.Cmd
-	target   *exec.Cmd
+	// authority is a file, empty in plain text.
+	authority string
+	daemon    *exec.Cmd
+	target    *exec.Cmd
 }
 
 func (h *host) at(port int) string   { return fmt.Sprintf("%s:%d", h.address, port) }
 func (h *host) url(port int) string  { return "http://" + h.at(port) }
+
+// admin returns a client of the host's administration API in plain text.
 func (h *host) admin() *admin.Client { return admin.NewClient(h.at(adminPort), "", http.DefaultClient) }
+
 func (h *host) runs(t *testing.T) []target.Run {
 	t.Helper()
 	var runs []target.Run
@@ -93,14 +101,19 @@
 	t     *testing.T
 	log   string
 	hosts []*host
+	// authority signs the daemons' certificates, nil in plain text.
+	authority *securetest.Authority
 	// earlier holds events of processes that a test ended.
 	earlier [][]timeline.Event
 }
 
 // newMesh starts the log, two hosts in each of two zones and their targets.
-func newMesh(t *testing.T) *mesh {
+func newMesh(t *testing.T) *mesh { return startMesh(t, nil) }
+
+// startMesh starts a mesh, with TLS if there is an authority.
+func startMesh(t *testing.T, authority *securetest.Authority) *mesh {
 	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(256))
-	m := &mesh{t: t, log: network + ".1"}
+	m := &mesh{t: t, log: network + ".1", authority: authority}
 	m.start("standin", "log",
 		"--listen", fmt.Sprintf("%s:%d", m.log, logPort),
 		"--admin-listen", fmt.Sprintf("%s:%d", m.log, faultsPort))
@@ -139,17 +152,29 @@
   "listen": {"callers": %q, "calls": %q, "control": %q, "admin": %q, "target": %q},
   "platform": {"address": "http://%s:%d", "timeout": "1s"},
   "peers": %s,
-  "tls": {"mode": "off"},
+  "tls": %s,
   "timeline": {"events": 200000},
   "stop_timeout": "5s",
 }`, h.name, h.zone, h.region,
 		h.at(callersPort), h.at(callsPort), h.at(controlPort), h.at(adminPort), h.at(targetPort),
-		m.log, logPort, list)
+		m.log, logPort, list, m.tls(h))
 	path := filepath.Join(m.t.TempDir(), h.name+".json")
 	assert.NilError(m.t, os.WriteFile(path, []byte(text), 0o600))
 	return path
 }
 
+// tls returns the TLS settings of a host.
+func (m *mesh) tls(h *host) string {
+	if m.authority == nil {
+		return `{"mode": "off"}`
+	}
+	name := peer.CertificateName(peer.Identity{Host: h.name, Zone: h.zone})
+	files := m.authority.Issue(m.t, m.t.TempDir(), int64(len(h.name)), name, net.ParseIP(h.address))
+	h.authority = files.Authority
+	return fmt.Sprintf(`{"mode": "on", "certificate": %q, "key": %q, "authority": %q}`,
+		files.Certificate, files.Key, files.Authority)
+}
+
 // start starts a process that the test ends.
 func (m *mesh) start(args ...string) *exec.Cmd {
 	m.t.Helper()
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -7,7 +7,6 @@
 	"os"
 	"time"
 
-	"github.com/mulberrybank/mulberrybank/internal/admin"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
 
@@ -15,10 +14,9 @@
 type timelineCommand struct {
 	Check *timelineCheckCommand `arg:"subcommand:check" help:"verify the promises of the system on the events"`
 
-	Files     []string      `arg:"--file,separate" help:"file of events as JSON lines, may be repeated"`
-	Admin     []string      `arg:"--admin,separate" placeholder:"ADDRESS" help:"administration address of a daemon, may be repeated"`
-	TokenFile string        `arg:"--token-file,env:MULBERRYBANK_TOKEN_FILE" placeholder:"FILE" help:"file that holds the access token"`
-	Timeout   time.Duration `arg:"--timeout" default:"10s" help:"time limit of one request"`
+	Files []string `arg:"--file,separate" help:"file of events as JSON lines, may be repeated"`
+	Admin []string `arg:"--admin,separate" placeholder:"ADDRESS" help:"administration address of a daemon, may be repeated"`
+	access
 
 	Call    string `arg:"--call" help:"show one call"`
 	Version uint64 `arg:"--version" help:"show one version or offset"`
@@ -113,13 +111,13 @@
 }
 
 func (c *timelineCommand) fetch(ctx context.Context, env *env, address string) ([]timeline.Event, error) {
-	token, err := readToken(c.TokenFile)
+	client, err := c.open(env, address)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	ctx, cancel := c.limit(ctx)
 	defer cancel()
-	return admin.NewClient(address, token, env.http).Timeline(ctx)
+	return client.Timeline(ctx)
 }
 
 func readEvents(path string) ([]timeline.Event, error) {
