--- a/cmd/mulberrybank/mesh_test.go
+++ b/cmd/mulberrybank/mesh_test.go
@@ -83,8 +83,8 @@
 	target    *exec.Cmd
 }
 
-func (h *host) at(port int) string   { return fmt.Sprintf("%s:%d", h.address, port) }
-func (h *host) url(port int) string  { return "http://" + h.at(port) }
+func (h *host) at(port int) string  { return fmt.Sprintf("%s:%d", h.address, port) }
+func (h *host) url(port int) string { return "http://" + h.at(port) }
 
 // admin returns a client of the host's administration API in plain text.
 func (h *host) admin() *admin.Client { return admin.NewClient(h.at(adminPort), "", http.DefaultClient) }
