--- a/internal/timeline/check_versions.go
+++ b/internal/timeline/check_versions.go
@@ -16,15 +16,15 @@
 		if event.Kind != InForce {
 			continue
 		}
-		before := highest[event.Host]
-		if before == nil {
+		earlier := highest[event.Host]
+		if earlier == nil {
 			highest[event.Host] = event
 			continue
 		}
-		if event.Offset < before.Offset || event.Version < before.Version {
+		if event.Offset < earlier.Offset || event.Version < earlier.Version {
 			reason := fmt.Sprintf("host %s went from offset %d, version %d back to offset %d, version %d",
-				event.Host, before.Offset, before.Version, event.Offset, event.Version)
-			violations = append(violations, violation(VersionsGrow, reason, before, event))
+				event.Host, earlier.Offset, earlier.Version, event.Offset, event.Version)
+			violations = append(violations, violation(VersionsGrow, reason, earlier, event))
 			continue
 		}
 		highest[event.Host] = event
@@ -98,14 +98,14 @@
 }
 
 // checkAccepted holds a version in force to an accepted verdict. A version
-// without any verdict is an error only when the trace is whole.
+// without any verdict is an error only when the trace has its record.
 func (t *trace) checkAccepted(verdicts map[uint64]*Event, event *Event) []Violation {
 	if event.Version == 0 {
 		return nil
 	}
 	verdict := verdicts[event.Version]
 	if verdict == nil {
-		if t.missesVerdicts() {
+		if t.missesVerdict(event.Version) {
 			return nil
 		}
 		reason := fmt.Sprintf("version %d is in force on %s without a verdict", event.Version, event.Host)
@@ -121,14 +121,19 @@
 // outcomeAccepted is the outcome of a publication that became a version.
 const outcomeAccepted = "accepted"
 
-// missesVerdicts reports whether verdicts may lie outside the trace.
-func (t *trace) missesVerdicts() bool {
+// missesVerdict reports whether the verdict on a version may lie outside the
+// trace: events were lost, or no process had an older version in force.
+func (t *trace) missesVerdict(version uint64) bool {
+	older := false
 	for _, l := range t.lives {
 		if !l.whole() {
 			return true
 		}
 	}
-	return false
+	for _, tables := range t.inForce {
+		older = older || tables[0].Offset < version
+	}
+	return !older
 }
 
 // checkVersionsSpread holds accepted versions to be in force in time on every
@@ -159,7 +164,7 @@
 	var violations []Violation
 	for _, host := range t.hosts() {
 		l := t.livingAt(host, verdict.Time.Millis, until)
-		if l == nil || t.reached(host, verdict.Offset, until) || t.outOfReach(host, until) {
+		if l == nil || t.reached(host, verdict.Offset, until) || t.lost("", host, until) {
 			continue
 		}
 		reason := fmt.Sprintf("version %d was not in force on %s in time", verdict.Version, host)
@@ -178,55 +183,29 @@
 	return hosts
 }
 
-// livingAt returns the process of a host that lived from one time to another.
+// livingAt returns the process of a host that lived from one time to another,
+// nil for none. One that was followed by another process without a planned
+// stop lived no longer than its last event.
 func (t *trace) livingAt(host string, from, until int64) *life {
 	lives := t.byHost[host]
 	for i, l := range lives {
-		if !l.whole() || l.started.Time.Millis > from {
-			continue
-		}
-		if l.stopping != nil && l.stopping.Time.Millis < until {
-			continue
+		switch {
+		case !l.whole() || l.started.Time.Millis > from:
+		case l.stopping != nil && l.stopping.Time.Millis < until:
+		case i+1 < len(lives) && l.last.Time.Millis < until:
+		default:
+			return l
 		}
-		if i+1 < len(lives) {
-			continue
-		}
-		return l
 	}
 	return nil
 }
 
 // reached reports whether a host had an offset in force by a time.
 func (t *trace) reached(host string, offset uint64, until int64) bool {
-	for i := range t.events {
-		event := &t.events[i]
-		if event.Time.Millis > until {
-			return false
-		}
-		if event.Kind == InForce && event.Host == host && event.Offset >= offset {
+	for _, event := range before(t.inForce[host], until) {
+		if event.Offset >= offset {
 			return true
 		}
 	}
 	return false
 }
-
-// outOfReach reports whether other hosts had lost contact with a host at a time.
-func (t *trace) outOfReach(host string, at int64) bool {
-	lost := false
-	for i := range t.events {
-		event := &t.events[i]
-		if event.Time.Millis > at {
-			break
-		}
-		if event.Peer != host {
-			continue
-		}
-		switch event.Kind {
-		case Suspected, Unreachable:
-			lost = true
-		case Recovered:
-			lost = false
-		}
-	}
-	return lost
-}
