--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -406,3 +406,22 @@
 	listed := listedUnreachable(rows)
 	assert.DeepEqual(t, listed, map[string]bool{"dead": true})
 }
+
+// TestStuckHostBecomesUnreachable stops a process for good while its host
+// still accepts connections.
+func TestStuckHostBecomesUnreachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		m.startZone("north", 0, 8, 1)
+		m.settle(15*time.Second, "complete", knowsAll(8))
+		stuck := hostName("north", 0, 3)
+		m.net.pause(stuck, time.Minute)
+		others := func(d *daemon) bool {
+			return d.identity.Host == stuck || d.View().Members[stuck].Reach == Unreachable
+		}
+		t.Logf("unreachable after %s", m.settle(20*time.Second, "without the stuck host", others))
+		time.Sleep(time.Minute)
+		m.settle(10*time.Second, "complete", knowsAll(8))
+	})
+}
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	remote, err := d.greet(raw, kind)
+	remote, err := d.greet(ctx, raw, kind)
 	if err != nil {
 		_ = raw.Close()
 		return nil, fmt.Errorf("hello to %s: %w", address, err)
@@ -57,8 +57,9 @@
 }
 
 // greet exchanges hellos and returns who answered.
-func (d *Dialer) greet(raw net.Conn, kind string) (Identity, error) {
-	if err := raw.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
+func (d *Dialer) greet(ctx context.Context, raw net.Conn, kind string) (Identity, error) {
+	deadline, _ := ctx.Deadline()
+	if err := raw.SetDeadline(deadline); err != nil {
 		return Identity{}, err
 	}
 	if err := writeHello(raw, d.self, kind); err != nil {
