membership: take the floor also from what peers have in force

Peers of other zones have a version in force themselves; the floor is now at least that. A start that finds no peer keeps asking until its time is over; before, seeds that came up a second later were not asked.

--- a/internal/membership/floor.go
+++ b/internal/membership/floor.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 )
 
-// floorPeers bounds the peers asked for the floor.
-const floorPeers = 8
+const (
+	// floorPeers bounds the peers asked for the floor at one time.
+	floorPeers = 8
+	// floorRetry is the time between two attempts to find a peer that answers.
+	floorRetry = 200 * time.Millisecond
+)
 
 // floorAnswer is what one peer answered.
 type floorAnswer struct {
@@ -18,9 +23,24 @@
 }
 
 // Floor asks peers for the highest offset that they saw in force on this host
-// and returns it with the number of peers that answered. It asks the seeds,
-// learns from them who observed this host, and asks these.
+// or have in force themselves, and returns it with the number of peers that
+// answered. It asks the seeds, learns from them who observed this host, and
+// asks these. While nobody answers it tries again until ctx ends. It returns
+// at once when there are no seeds.
 func (m *Membership) Floor(ctx context.Context) (offset uint64, answered int) {
+	if len(m.seedPeers()) == 0 {
+		return 0, 0
+	}
+	for {
+		offset, answered = m.askAllFloors(ctx)
+		if answered > 0 || !pause(ctx, floorRetry) {
+			return offset, answered
+		}
+	}
+}
+
+// askAllFloors asks the seeds and then the observers of this host.
+func (m *Membership) askAllFloors(ctx context.Context) (offset uint64, answered int) {
 	asked := make(map[string]bool)
 	for _, peers := range []func() []wantedPeer{m.seedPeers, m.observers} {
 		var group []wantedPeer
@@ -34,9 +54,7 @@
 		offset = max(offset, floor)
 		answered += count
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return max(offset, m.floors[m.options.Self.Host]), answered
+	return offset, answered
 }
 
 // seedPeers returns the seeds as peers.
@@ -102,7 +120,8 @@
 			return result
 		}
 		m.mu.Lock()
-		result = floorAnswer{floor: m.floors[m.options.Self.Host], answered: true}
+		floor := max(m.floors[m.options.Self.Host], m.contacts[remote.Host].offset)
+		result = floorAnswer{floor: floor, answered: true}
 		m.mu.Unlock()
 		if !more {
 			return result
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/peer"
 )
 
 // startZones starts a mesh of two regions with three zones each.
@@ -104,9 +106,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := newMesh(t)
 		defer m.killAll()
+		host := hostName("r", 0, 5)
 		for number := range 8 {
-			options := Options{Position: func() (uint64, []byte) { return 41, []byte("d") }}
+			options := Options{Position: func() (uint64, []byte) { return 40, []byte("d") }}
 			options.Identity.Host = hostName("r", 0, number)
+			if options.Identity.Host == host {
+				options.Position = func() (uint64, []byte) { return 41, []byte("e") }
+			}
 			options.Identity.Zone, options.Identity.Region = "z", "r"
 			options.Identity.Incarnation = 1
 			options.Seeds = []string{hostName("r", 0, 0)}
@@ -114,7 +120,6 @@
 		}
 		m.settle(10*time.Second, "complete", knowsAll(8))
 		time.Sleep(3 * time.Second)
-		host := hostName("r", 0, 5)
 		m.kill(host)
 		m.kill(hostName("r", 0, 6))
 		m.settle(15*time.Second, "without the host", seesReach(host, Unreachable))
@@ -127,3 +132,20 @@
 		assert.Assert(t, answered >= 3, "answered by %d", answered)
 	})
 }
+
+// TestFloorAfterZoneDied lets a host return of which no observer is left.
+func TestFloorAfterZoneDied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		options := Options{Position: func() (uint64, []byte) { return 41, []byte("d") }}
+		options.Identity = peer.Identity{Host: "other", Zone: "y", Region: "r", Incarnation: 1}
+		returned := m.start("r", "z", "a", 2, "other")
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		time.AfterFunc(time.Second, func() { m.startWith(options) })
+		offset, answered := returned.Floor(ctx)
+		assert.Equal(t, offset, uint64(41))
+		assert.Equal(t, answered, 1)
+	})
+}
