membership: bring parts of the mesh together that never met

Bridges now also ask seeds that no entry names (new test: still apart 15 s after the cut healed, now together).

Also: a daemon that found another in its own region first sent heartbeats every 5 ms until it compared tables with it, because the check after an answer took seeds to be near; views show the highest offset known of every host, not only of direct peers; floors outlive the entries of left hosts.

--- a/internal/membership/age.go
+++ b/internal/membership/age.go
@@ -12,7 +12,7 @@
 	unreachableRetention = 24 * time.Hour
 	// leftRetention is how long hosts that left in order are kept.
 	leftRetention = time.Hour
-	// tombstoneRetention is how long positions of dropped entries are kept.
+	// tombstoneRetention is how long positions and floors of dropped hosts are kept.
 	tombstoneRetention = 48 * time.Hour
 	// contactRetention is how long the state of a contact is kept.
 	contactRetention = 10 * time.Minute
@@ -90,13 +90,13 @@
 		if !r.gone.IsZero() && now.Sub(r.gone) >= retention {
 			m.table.drop(host, now)
 			delete(m.lost, host)
-			delete(m.floors, host)
 			m.askRebuild()
 		}
 	}
 	for host, stone := range m.table.forgotten {
 		if now.Sub(stone.dropped) >= tombstoneRetention {
 			delete(m.table.forgotten, host)
+			delete(m.floors, host)
 		}
 	}
 	for host, c := range m.contacts {
@@ -116,6 +116,7 @@
 	members := make(map[string]Member, len(m.table.rows))
 	for host, r := range m.table.rows {
 		member := r.member()
+		member.InForce = m.floors[host]
 		if host != own.Host {
 			m.describeContact(&member, now)
 		}
@@ -140,7 +141,6 @@
 		if c.heard.After(member.Heard) {
 			member.Heard = c.heard
 		}
-		member.InForce = max(member.InForce, c.offset)
 	}
 	if member.Reach != Reachable && !isLost && m.heardWithin(member.Host, directTime, now) {
 		member.Reach = Reachable
--- a/internal/membership/choice.go
+++ b/internal/membership/choice.go
@@ -39,8 +39,13 @@
 			m.want(wanted, r.member(), zoneRole)
 		}
 	}
-	m.wantBridgePeers(wanted, own, zones)
-	m.wantSeeds(wanted)
+	rank, isBridge := bridgeRank(m.options.Self.Host, own.members)
+	if isBridge {
+		m.wantBridgePeers(wanted, rank, own, zones)
+	} else {
+		clear(m.watches)
+	}
+	m.wantSeeds(wanted, isBridge)
 	delete(wanted, m.options.Self.ControlAddress)
 	return wanted
 }
@@ -78,14 +83,9 @@
 	return peer.ScopeOf(m.options.Identity, remote)
 }
 
-// wantBridgePeers adds the peers in other zones when this daemon is a bridge,
-// and keeps the watches over those zones.
-func (m *Membership) wantBridgePeers(wanted map[string]wantedPeer, own *zoneMembers, zones zoneMap) {
-	rank, ok := bridgeRank(m.options.Self.Host, own.members)
-	if !ok {
-		clear(m.watches)
-		return
-	}
+// wantBridgePeers adds the peers in other zones that a bridge of some rank
+// dials, and keeps the watches over those zones.
+func (m *Membership) wantBridgePeers(wanted map[string]wantedPeer, rank int, own *zoneMembers, zones zoneMap) {
 	watched := make(map[string]bool)
 	for name, zone := range zones {
 		if zone.region == own.region && name != own.zone {
@@ -122,15 +122,25 @@
 	return w
 }
 
-// wantSeeds adds the seeds while no other peer answers.
-func (m *Membership) wantSeeds(wanted map[string]wantedPeer) {
+// wantSeeds adds the seeds while no other peer answers. A bridge adds those
+// that no entry names at any time, so that parts of the mesh that never met or
+// forgot each other come together.
+func (m *Membership) wantSeeds(wanted map[string]wantedPeer, isBridge bool) {
+	connected := false
 	for _, n := range m.neighbours {
-		if n.connected && n.role != seedRole {
-			return
+		connected = connected || n.connected && n.role != seedRole
+	}
+	if connected && !isBridge {
+		return
+	}
+	known := make(map[string]bool)
+	if connected {
+		for _, r := range m.table.rows {
+			known[r.controlAddress] = true
 		}
 	}
 	for _, address := range m.options.Seeds {
-		if _, ok := wanted[address]; !ok {
+		if _, ok := wanted[address]; !ok && !known[address] {
 			wanted[address] = wantedPeer{address: address, role: seedRole}
 		}
 	}
--- a/internal/membership/client.go
+++ b/internal/membership/client.go
@@ -50,7 +50,7 @@
 	m.raiseFloor(m.options.Self.Host, answer.GetFloor())
 	m.settle(n, request, answer, fresh, now)
 	continued := answer.GetMore() && fresh > 0
-	return continued || m.hasMore(n, remote.Host) || m.comparisonDue(n, n.scope, now)
+	return continued || m.hasMore(n, remote.Host) || m.comparisonDue(n, peer.ScopeOf(m.options.Identity, remote), now)
 }
 
 // hasMore reports whether there are entries to send to a neighbour.
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -106,6 +106,7 @@
 		c.offset = offset
 		c.digest = digest
 		m.raiseFloor(remote.Host, offset)
+		m.askRebuild()
 	}
 }
 
--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -407,6 +407,51 @@
 	assert.DeepEqual(t, listed, map[string]bool{"dead": true})
 }
 
+// TestPartsThatNeverMetComeTogether starts two regions that do not reach each
+// other.
+func TestPartsThatNeverMetComeTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		m.net.setCut(between(inRegion("south")))
+		m.startZone("north", 0, 4, 1)
+		m.startZone("south", 0, 4, 1)
+		m.settle(15*time.Second, "complete in its region", knowsAll(4))
+		time.Sleep(time.Minute)
+		m.net.heal()
+		m.settle(15*time.Second, "complete", knowsAll(8))
+	})
+}
+
+// TestSeedsAreAskedWhenAllKnownAreGone replaces all other hosts of a zone while
+// one daemon is cut off.
+func TestSeedsAreAskedWhenAllKnownAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		for _, host := range []string{"a", "b", "c", "d"} {
+			m.start("r", "z", host, 1, "a", "b", "new-0")
+		}
+		m.settle(15*time.Second, "complete", knowsAll(4))
+		order := bridgeOrder(m.daemons["a"].View().zone("z"))
+		lone := order[3].Host
+		m.net.setCut(between(func(id peer.Identity) bool { return id.Host == lone }))
+		for _, member := range order[:3] {
+			m.kill(member.Host)
+		}
+		for number := range 3 {
+			m.start("r", "z", fmt.Sprintf("new-%d", number), 1, "new-0")
+		}
+		time.Sleep(time.Minute)
+		m.net.heal()
+		m.settle(20*time.Second, "together", func(d *daemon) bool {
+			members := d.View().Members
+			return members[lone].Reach == Reachable && members["new-0"].Reach == Reachable &&
+				members[lone].Host != "" && members["new-0"].Host != ""
+		})
+	})
+}
+
 // TestStuckHostBecomesUnreachable stops a process for good while its host
 // still accepts connections.
 func TestStuckHostBecomesUnreachable(t *testing.T) {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -200,6 +200,7 @@
 	offset, _ := m.options.Position()
 	now := time.Now()
 	m.mu.Lock()
+	m.raiseFloor(m.options.Self.Host, offset)
 	before := m.self().entry
 	after := before
 	if edit != nil {
--- a/internal/membership/neighbour.go
+++ b/internal/membership/neighbour.go
@@ -38,7 +38,8 @@
 	kind = "membership"
 )
 
-// errOtherHost is returned when another host answers at an address.
+// errOtherHost is returned when another host answers at an address, or this
+// one itself.
 var errOtherHost = errors.New("another host answered")
 
 // wantedPeer is a daemon that this one should talk with.
@@ -186,7 +187,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if host != "" && conn.Peer.Host != host {
+	unexpected := host != "" && conn.Peer.Host != host
+	if unexpected || conn.Peer.Host == m.options.Self.Host {
 		_ = conn.Close()
 		return nil, fmt.Errorf("dial %s at %s: %w: %s", host, address, errOtherHost, conn.Peer.Host)
 	}
--- a/internal/membership/reach.go
+++ b/internal/membership/reach.go
@@ -1,12 +1,7 @@
 package membership
 
-// Contact lost is not death. A host is listed as suspect or unreachable by
-// the daemons of its zone that observe it; the zone's bridges list other
-// zones of which they hear nothing. Every daemon draws the same conclusions
-// from these lists, which are part of the entries.
-
-// listedUnreachable returns the hosts that their observers list. The word of
-// a daemon that is itself unreachable does not count.
+// listedUnreachable returns the hosts that their observers list in their
+// entries. The word of a daemon that is itself unreachable does not count.
 func listedUnreachable(rows map[string]*row) map[string]bool {
 	accused := accusations(rows, nil)
 	if len(accused) == 0 {
