Keep a daemon alive that leaves as the last of its zone

Cause: a daemon that has left does not count as living; when all others of its zone had left too, the zone was missing from the map and asking for its peers met a nil pointer. The whole process panicked during its graceful stop. Seen: one of five herd restarts of two zones. Ruled out: a data race.

--- a/internal/membership/choice.go
+++ b/internal/membership/choice.go
@@ -20,7 +20,7 @@
 func (m *Membership) wantedPeers() map[string]wantedPeer {
 	wanted := make(map[string]wantedPeer)
 	zones := livingZones(m.table.rows, m.listed)
-	own := zones[m.options.Self.Zone]
+	own := zones.of(m.options.Self)
 	for _, member := range ringNeighbours(m.options.Self.Host, own.members) {
 		m.want(wanted, member, zoneRole)
 	}
--- a/internal/membership/reach.go
+++ b/internal/membership/reach.go
@@ -48,6 +48,15 @@
 // zoneMap holds the living members by zone.
 type zoneMap map[string]*zoneMembers
 
+// of returns the zone of a member, empty when all of its hosts have left, the
+// member itself included.
+func (z zoneMap) of(self Member) *zoneMembers {
+	if zone, ok := z[self.Zone]; ok {
+		return zone
+	}
+	return &zoneMembers{zone: self.Zone, region: self.Region}
+}
+
 // livingZones groups the hosts that neither left nor are listed as
 // unreachable by their own zone.
 func livingZones(rows map[string]*row, listed map[string]Reach) zoneMap {
