Run a whole mesh in one process for failure tests of daemons

Cause: the demo's mesh could not cut zones off, and no test met partitions or herds with whole daemons.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/once"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 	"github.com/mulberrybank/mulberrybank/internal/secure"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
@@ -102,5 +103,14 @@
 // Events returns the events still kept by this process.
 func (d *Daemon) Events() []timeline.Event { return d.events.Events() }
 
+// Version returns the version in force, 0 for none.
+func (d *Daemon) Version() publish.Version {
+	table := d.enforcer.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Config.Version
+}
+
 // Traffic returns the control bytes by kind and scope.
 func (d *Daemon) Traffic() map[peer.Class]peer.Bytes { return d.traffic.Snapshot() }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"github.com/mulberrybank/mulberrybank/internal/inprocess"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
 
@@ -14,11 +15,11 @@
 const timeLimit = 30 * time.Second
 
 // places are the hosts of the demo: two zones of two regions.
-var places = []place{
-	{"accra-1", "greater-accra-a", "greater-accra", "railway/heater-status"},
-	{"accra-2", "greater-accra-a", "greater-accra", "railway/inspection-ledger"},
-	{"ashanti-1", "ashanti-a", "ashanti", "railway/heater-status"},
-	{"ashanti-2", "ashanti-a", "ashanti", "railway/inspection-ledger"},
+var places = []inprocess.Place{
+	{Host: "accra-1", Zone: "greater-accra-a", Region: "greater-accra", Service: "railway/heater-status"},
+	{Host: "accra-2", Zone: "greater-accra-a", Region: "greater-accra", Service: "railway/inspection-ledger"},
+	{Host: "ashanti-1", Zone: "ashanti-a", Region: "ashanti", Service: "railway/heater-status"},
+	{Host: "ashanti-2", Zone: "ashanti-a", Region: "ashanti", Service: "railway/inspection-ledger"},
 }
 
 // scene is one part of the demo.
@@ -46,7 +47,7 @@
 	defer cancel()
 	began := time.Now()
 	fmt.Fprintf(out, "Starting the platform's stand-in, %d daemons and their targets.\n", len(places))
-	mesh, err := startMesh(ctx, places)
+	mesh, err := inprocess.Start(ctx, places)
 	if err != nil {
 		return fmt.Errorf("start the mesh: %w", err)
 	}
@@ -54,12 +55,12 @@
 	for _, scene := range scenes {
 		fmt.Fprintf(out, "\n%s\n", scene.title)
 		if err := scene.run(s, ctx); err != nil {
-			mesh.stop()
+			mesh.Stop()
 			return fmt.Errorf("scene %q: %w", scene.title, err)
 		}
 	}
-	mesh.stop()
-	err = report(out, mesh.events())
+	mesh.Stop()
+	err = report(out, mesh.Events())
 	fmt.Fprintf(out, "The demo took %s.\n", time.Since(began).Round(time.Millisecond))
 	return err
 }
--- a/internal/demo/idle_test.go
+++ b/internal/demo/idle_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrybank/mulberrybank/internal/inprocess"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 )
 
@@ -23,16 +24,16 @@
 )
 
 // idlePlaces spreads hosts over five zones of two regions.
-func idlePlaces(count int) []place {
+func idlePlaces(count int) []inprocess.Place {
 	services := []string{"railway/heater-status", "railway/inspection-ledger"}
-	var places []place
+	var places []inprocess.Place
 	for i := range count {
 		zone := i % idleZones
-		places = append(places, place{
-			host:    fmt.Sprintf("host-%d", i),
-			zone:    fmt.Sprintf("zone-%d", zone),
-			region:  fmt.Sprintf("region-%d", zone/3),
-			service: services[i/idleZones%len(services)],
+		places = append(places, inprocess.Place{
+			Host:    fmt.Sprintf("host-%d", i),
+			Zone:    fmt.Sprintf("zone-%d", zone),
+			Region:  fmt.Sprintf("region-%d", zone/3),
+			Service: services[i/idleZones%len(services)],
 		})
 	}
 	return places
@@ -46,7 +47,7 @@
 	kinds map[string]uint64
 }
 
-func (m *mesh) cost(b *testing.B) cost {
+func costOf(b *testing.B, m *inprocess.Mesh) cost {
 	var usage syscall.Rusage
 	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
 	c := cost{
@@ -55,8 +56,8 @@
 		bytes: map[peer.Scope]uint64{},
 		kinds: map[string]uint64{},
 	}
-	for _, h := range m.hosts {
-		for class, bytes := range h.daemon.Traffic() {
+	for _, h := range m.Hosts {
+		for class, bytes := range h.Daemon.Traffic() {
 			c.bytes[class.Scope] += bytes.Sent + bytes.Received
 			c.kinds[class.Kind] += bytes.Sent + bytes.Received
 		}
@@ -80,15 +81,15 @@
 func measureIdle(b *testing.B, count int) {
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
-	m, err := startMesh(ctx, idlePlaces(count))
+	m, err := inprocess.Start(ctx, idlePlaces(count))
 	assert.NilError(b, err)
-	defer m.stop()
+	defer m.Stop()
 	assert.NilError(b, newShow(m, io.Discard).publication(ctx))
-	sleep(ctx, idleSettle)
+	inprocess.Pause(ctx, idleSettle)
 
-	before := m.cost(b)
-	sleep(ctx, idleSpan)
-	after := m.cost(b)
+	before := costOf(b, m)
+	inprocess.Pause(ctx, idleSpan)
+	after := costOf(b, m)
 
 	var memory runtime.MemStats
 	runtime.GC()
--- a/internal/demo/scenes.go
+++ b/internal/demo/scenes.go
@@ -5,14 +5,15 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
+	"github.com/mulberrybank/mulberrybank/examples"
 	"github.com/mulberrybank/mulberrybank/internal/admin"
+	"github.com/mulberrybank/mulberrybank/internal/inprocess"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/standin/logservice"
 	"github.com/mulberrybank/mulberrybank/internal/standin/target"
@@ -32,35 +33,31 @@
 
 // show plays scenes on a mesh.
 type show struct {
-	mesh    *mesh
+	mesh    *inprocess.Mesh
 	out     io.Writer
 	current *publish.Source
 	version uint64
 }
 
-func newShow(mesh *mesh, out io.Writer) *show { return &show{mesh: mesh, out: out} }
+func newShow(mesh *inprocess.Mesh, out io.Writer) *show { return &show{mesh: mesh, out: out} }
 
 func (s *show) say(format string, values ...any) {
 	fmt.Fprintf(s.out, "  "+format+"\n", values...)
 }
 
-// admin returns a client of the administration API of one host.
-func (s *show) admin(index int) *admin.Client {
-	return admin.NewClient(s.mesh.hosts[index].daemon.Addresses().Admin, "", http.DefaultClient)
-}
-
 // publish sends the changes from the current source through one daemon.
 func (s *show) publish(ctx context.Context, index int, next *publish.Source, author string) (*admin.Verdict, error) {
-	changes := publish.Diff(s.current, next)
-	changes.Id = uuid.NewString()
-	changes.Base = s.version
-	changes.Author = author
-	return s.admin(index).Publish(ctx, admin.FromPublication(changes))
+	return s.mesh.Publish(ctx, index, inprocess.Edition{
+		Author:  author,
+		Base:    s.version,
+		Current: s.current,
+		Next:    next,
+	})
 }
 
 // publication publishes the first version and waits until it is in force.
 func (s *show) publication(ctx context.Context) error {
-	next, err := source(workspace)
+	next, err := examples.Load(workspace)
 	if err != nil {
 		return err
 	}
@@ -70,43 +67,43 @@
 		return err
 	}
 	s.say("%s as version %d after %s", verdict.Outcome, verdict.Version, since(began))
-	if err := s.mesh.awaitOffset(ctx, verdict.Version); err != nil {
+	if err := s.mesh.AwaitOffset(ctx, verdict.Version); err != nil {
 		return err
 	}
-	s.say("in force on all %d daemons after %s", len(s.mesh.hosts), since(began))
+	s.say("in force on all %d daemons after %s", len(s.mesh.Hosts), since(began))
 	s.current, s.version = next, verdict.Version
-	return s.mesh.awaitTargets(ctx)
+	return s.mesh.AwaitTargets(ctx)
 }
 
 // calls makes look-ups through every daemon and work orders that may not be
 // repeated, each sent twice.
 func (s *show) calls(ctx context.Context) error {
 	for i := range lookUps {
-		answer, err := s.mesh.call(ctx, i, "/railway/status/heaters/17", "")
+		answer, err := s.mesh.Call(ctx, i, "/railway/status/heaters/17", "")
 		if err != nil {
 			return err
 		}
-		if answer.failed() {
+		if answer.Failed() {
 			return fmt.Errorf("look-up %d: %s", i, answer)
 		}
 	}
-	s.say("%d look-ups through %d daemons were answered", lookUps, len(s.mesh.hosts))
-	if err := s.mesh.awaitKeys(ctx); err != nil {
+	s.say("%d look-ups through %d daemons were answered", lookUps, len(s.mesh.Hosts))
+	if err := s.mesh.AwaitKeys(ctx); err != nil {
 		return err
 	}
 	ran := 0
 	for i := range orders {
 		key := uuid.Must(uuid.NewV7()).String()
 		for attempt := range 2 {
-			answer, err := s.mesh.call(ctx, i+attempt, "/railway/work-order/heater-17", key)
+			answer, err := s.mesh.Call(ctx, i+attempt, "/railway/work-order/heater-17", key)
 			if err != nil {
 				return err
 			}
-			if answer.failed() {
+			if answer.Failed() {
 				return fmt.Errorf("work order %d: %s", i, answer)
 			}
 		}
-		ran += s.mesh.runs(key)
+		ran += s.mesh.Runs(key)
 	}
 	s.say("%d work orders, each sent twice through different daemons, ran %d times", orders, ran)
 	if ran != orders {
@@ -142,7 +139,7 @@
 	if accepted != 1 {
 		return fmt.Errorf("%d of 2 publications were accepted", accepted)
 	}
-	return s.mesh.awaitOffset(ctx, s.version)
+	return s.mesh.AwaitOffset(ctx, s.version)
 }
 
 // badVersion publishes a route without its service.
@@ -165,40 +162,40 @@
 
 // drain drains one of the two targets of a service while calls go on.
 func (s *show) drain(ctx context.Context) error {
-	leaving := s.mesh.hosts[0]
+	leaving := s.mesh.Hosts[0]
 	var made, failed atomic.Int64
 	load, cancel := context.WithCancel(ctx)
 	var callers conc.WaitGroup
 	callers.Go(func() {
 		for i := 0; load.Err() == nil; i++ {
-			answer, err := s.mesh.call(ctx, i, "/railway/status/heaters/17", "")
+			answer, err := s.mesh.Call(ctx, i, "/railway/status/heaters/17", "")
 			made.Add(1)
-			if err != nil || answer.failed() {
+			if err != nil || answer.Failed() {
 				failed.Add(1)
 			}
-			sleep(load, loadPause)
+			inprocess.Pause(load, loadPause)
 		}
 	})
-	before := len(leaving.target.Records())
-	err := leaving.target.Set(target.Behaviour{State: target.StateDraining})
-	sleep(ctx, drainLoad)
+	before := len(leaving.Target.Records())
+	err := leaving.Target.Set(target.Behaviour{State: target.StateDraining})
+	inprocess.Pause(ctx, drainLoad)
 	cancel()
 	callers.Wait()
 	if err != nil {
 		return err
 	}
-	after := len(leaving.target.Records())
+	after := len(leaving.Target.Records())
 	s.say("%d calls, %d failed; the draining target took %d of them", made.Load(), failed.Load(), after-before)
 	if failed.Load() > 0 {
 		return fmt.Errorf("%d calls failed", failed.Load())
 	}
-	return leaving.target.Set(target.Behaviour{State: target.StateReady})
+	return leaving.Target.Set(target.Behaviour{State: target.StateReady})
 }
 
 // outage takes the platform away, restarts a daemon and calls through it.
 func (s *show) outage(ctx context.Context) error {
-	s.mesh.log.SetFaults(logservice.Faults{Refuse: true})
-	defer s.mesh.log.SetFaults(logservice.Faults{})
+	s.mesh.Log.SetFaults(logservice.Faults{Refuse: true})
+	defer s.mesh.Log.SetFaults(logservice.Faults{})
 	next := s.current.Clone()
 	next.Parameters["slots"] = "30"
 	short, cancel := context.WithTimeout(ctx, outageTimeout)
@@ -208,32 +205,22 @@
 		return errors.New("a publication succeeded without the platform")
 	}
 	s.say("a publication fails: %v", err)
-	if err := s.mesh.restart(ctx, 3); err != nil {
+	if err := s.mesh.Restart(ctx, 3); err != nil {
 		return err
 	}
-	if err := s.mesh.awaitOffset(ctx, s.version); err != nil {
+	if err := s.mesh.AwaitOffset(ctx, s.version); err != nil {
 		return err
 	}
-	s.say("%s restarted and has version %d from its peers", s.mesh.hosts[3].place.host, s.version)
-	answer, err := s.mesh.call(ctx, 3, "/railway/status/heaters/17", "")
+	s.say("%s restarted and has version %d from its peers", s.mesh.Hosts[3].Place.Host, s.version)
+	answer, err := s.mesh.Call(ctx, 3, "/railway/status/heaters/17", "")
 	if err != nil {
 		return err
 	}
 	s.say("a look-up through it: %s", answer)
-	if answer.failed() {
+	if answer.Failed() {
 		return errors.New("the look-up failed")
 	}
 	return nil
 }
 
 func since(began time.Time) time.Duration { return time.Since(began).Round(time.Millisecond) }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/inprocess/calls.go
+++ b/internal/inprocess/calls.go
@@ -1,4 +1,4 @@
-package demo
+package inprocess
 
 import (
 	"context"
@@ -16,55 +16,57 @@
 // pollInterval is the time between two looks at a condition.
 const pollInterval = 10 * time.Millisecond
 
-// answer is what a caller got.
-type answer struct {
-	status  int
-	outcome string
-	step    string
-	peer    string
+// Answer is what a caller got.
+type Answer struct {
+	Status int
+	// Outcome, Step and Peer are set on errors.
+	Outcome string
+	Step    string
+	Peer    string
 }
 
-func (a answer) failed() bool { return a.status != http.StatusOK }
+// Failed reports whether the call was not answered by its target.
+func (a Answer) Failed() bool { return a.Status != http.StatusOK }
 
-func (a answer) String() string {
-	if !a.failed() {
+func (a Answer) String() string {
+	if !a.Failed() {
 		return "answered"
 	}
-	return fmt.Sprintf("status %d, %s at step %s on %s", a.status, a.outcome, a.step, a.peer)
+	return fmt.Sprintf("status %d, %s at step %s on %s", a.Status, a.Outcome, a.Step, a.Peer)
 }
 
-// call sends one request through one of the daemons. A key makes it a call
+// Call sends one request through one of the daemons. A key makes it a call
 // that may not be repeated.
-func (m *mesh) call(ctx context.Context, index int, path, key string) (answer, error) {
-	address := m.hosts[index%len(m.hosts)].daemon.Addresses().Callers
+func (m *Mesh) Call(ctx context.Context, index int, path, key string) (Answer, error) {
+	address := m.Hosts[index%len(m.Hosts)].Daemon.Addresses().Callers
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, http.NoBody)
 	if err != nil {
-		return answer{}, fmt.Errorf("request to %s: %w", address, err)
+		return Answer{}, fmt.Errorf("request to %s: %w", address, err)
 	}
 	if key != "" {
 		request.Header.Set(call.HeaderKey, key)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return answer{}, fmt.Errorf("call through %s: %w", address, err)
+		return Answer{}, fmt.Errorf("call through %s: %w", address, err)
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return answer{}, fmt.Errorf("answer of %s: %w", address, err)
+		return Answer{}, fmt.Errorf("answer of %s: %w", address, err)
 	}
-	return answer{
-		status:  response.StatusCode,
-		outcome: response.Header.Get(call.HeaderOutcome),
-		step:    response.Header.Get(call.HeaderStep),
-		peer:    response.Header.Get(call.HeaderPeer),
+	return Answer{
+		Status:  response.StatusCode,
+		Outcome: response.Header.Get(call.HeaderOutcome),
+		Step:    response.Header.Get(call.HeaderStep),
+		Peer:    response.Header.Get(call.HeaderPeer),
 	}, nil
 }
 
-// runs counts how often targets ran a key.
-func (m *mesh) runs(key string) int {
+// Runs counts how often targets ran a key.
+func (m *Mesh) Runs(key string) int {
 	count := 0
-	for _, h := range m.hosts {
-		for _, run := range h.target.Records() {
+	for _, h := range m.Hosts {
+		for _, run := range h.Target.Records() {
 			if run.Key == key {
 				count++
 			}
@@ -73,17 +75,31 @@
 	return count
 }
 
-// awaitOffset waits until every daemon has an offset in force.
-func (m *mesh) awaitOffset(ctx context.Context, offset uint64) error {
-	return m.await(ctx, "configuration", func(client *admin.Client) bool {
+// AwaitOffset waits until every daemon has an offset in force.
+func (m *Mesh) AwaitOffset(ctx context.Context, offset uint64) error {
+	return m.AwaitOffsetOn(ctx, offset, m.all()...)
+}
+
+// AwaitOffsetOn waits until some daemons have an offset in force.
+func (m *Mesh) AwaitOffsetOn(ctx context.Context, offset uint64, indexes ...int) error {
+	return m.await(ctx, fmt.Sprintf("offset %d", offset), indexes, func(client *admin.Client) bool {
 		status, err := client.Status(ctx)
 		return err == nil && status.Offset >= offset
 	})
 }
 
-// awaitTargets waits until every daemon knows every target as ready.
-func (m *mesh) awaitTargets(ctx context.Context) error {
-	return m.await(ctx, "targets", func(client *admin.Client) bool {
+// all returns the indexes of all hosts.
+func (m *Mesh) all() []int {
+	indexes := make([]int, len(m.Hosts))
+	for i := range indexes {
+		indexes[i] = i
+	}
+	return indexes
+}
+
+// AwaitTargets waits until every daemon knows every target as ready.
+func (m *Mesh) AwaitTargets(ctx context.Context) error {
+	return m.await(ctx, "targets", m.all(), func(client *admin.Client) bool {
 		members, err := client.Members(ctx)
 		if err != nil {
 			return false
@@ -94,30 +110,40 @@
 				ready++
 			}
 		}
-		return ready == len(m.hosts)
+		return ready == len(m.Hosts)
 	})
 }
 
-// awaitKeys waits until keys of this time have a home, by making calls with
+// AwaitKeys waits until keys of this time have a home, by making calls with
 // fresh keys until one runs.
-func (m *mesh) awaitKeys(ctx context.Context) error {
-	return m.await(ctx, "a grant", func(*admin.Client) bool {
+func (m *Mesh) AwaitKeys(ctx context.Context) error {
+	return m.await(ctx, "a grant", m.all(), func(*admin.Client) bool {
 		key := uuid.Must(uuid.NewV7()).String()
-		answer, err := m.call(ctx, 0, "/railway/work-order/probe", key)
-		return err == nil && !answer.failed()
+		answer, err := m.Call(ctx, 0, "/railway/work-order/probe", key)
+		return err == nil && !answer.Failed()
 	})
 }
 
-// await waits until a condition holds on every daemon.
-func (m *mesh) await(ctx context.Context, what string, holds func(*admin.Client) bool) error {
-	for _, h := range m.hosts {
-		client := admin.NewClient(h.daemon.Addresses().Admin, "", http.DefaultClient)
+// await waits until a condition holds on some daemons.
+func (m *Mesh) await(ctx context.Context, what string, indexes []int, holds func(*admin.Client) bool) error {
+	for _, index := range indexes {
+		client := m.Admin(index)
 		for !holds(client) {
 			if ctx.Err() != nil {
-				return fmt.Errorf("wait for %s on %s: %w", what, h.place.host, ctx.Err())
+				return fmt.Errorf("wait for %s on %s: %w", what, m.Hosts[index].Place.Host, ctx.Err())
 			}
-			sleep(ctx, pollInterval)
+			Pause(ctx, pollInterval)
 		}
 	}
 	return nil
 }
+
+// Pause waits for d or the end of ctx.
+func Pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
