--- a/internal/once/proposer.go
+++ b/internal/once/proposer.go
@@ -29,8 +29,12 @@
 	maxJitter = rankDelay / 2
 	// appendTimeout bounds one append.
 	appendTimeout = 5 * time.Second
-	// retryDelay is the wait after an append, for its record to be folded.
-	retryDelay = 10 * time.Second
+	// recheckDelay bounds a wait, for the ranks follow the living.
+	recheckDelay = 30 * time.Second
+	// retryDelay is the wait after an append, for its record to be folded. It
+	// doubles with each failed append up to maxRetryDelay.
+	retryDelay    = 10 * time.Second
+	maxRetryDelay = time.Minute
 )
 
 // Chain is the chain of grants in force on this daemon.
@@ -65,6 +69,8 @@
 	log     *logrus.Entry
 	// notBefore is when the next append may be made.
 	notBefore time.Time
+	// retry is the wait after the next append.
+	retry time.Duration
 	// jitter is drawn once for each end of the chain.
 	jitter    time.Duration
 	jitterEnd int64
@@ -87,7 +93,8 @@
 	if options.Logger == nil {
 		options.Logger = logging.Discard()
 	}
-	return &Proposer{options: options, log: logging.Part(options.Logger, "once"), jitterEnd: -1}
+	log := logging.Part(options.Logger, "once")
+	return &Proposer{options: options, log: log, retry: retryDelay, jitterEnd: -1}
 }
 
 // Run proposes grants until ctx ends.
@@ -104,18 +111,21 @@
 	changed := p.options.Chain.Changed()
 	grants, known := p.options.Chain.Grants()
 	if !known {
-		wait(ctx, changed, retryDelay)
+		wait(ctx, changed, recheckDelay)
 		return
 	}
 	delay := p.turn(grants).Sub(p.options.Now())
-	if delay > 0 && !wait(ctx, changed, min(delay, retryDelay)) {
+	if delay > 0 && !wait(ctx, changed, min(delay, recheckDelay)) {
 		return
 	}
-	if delay > retryDelay || ctx.Err() != nil {
+	if delay > recheckDelay || ctx.Err() != nil {
 		return
 	}
-	p.propose(ctx, grants)
-	p.notBefore = p.options.Now().Add(retryDelay + p.rankDelay(grants))
+	p.notBefore = p.options.Now().Add(p.retry + p.rankDelay(grants))
+	p.retry = min(2*p.retry, maxRetryDelay)
+	if p.propose(ctx, grants) {
+		p.retry = retryDelay
+	}
 }
 
 // turn is when this daemon may append the grant that follows a chain.
@@ -143,28 +153,30 @@
 	return min(time.Duration(rank)*rankDelay, maxRankDelay) + p.jitter
 }
 
-func (p *Proposer) propose(ctx context.Context, grants Grants) {
+// propose appends the next grant and reports whether the log took it.
+func (p *Proposer) propose(ctx context.Context, grants Grants) bool {
 	grant := NextGrant(grants, p.options.Directory.View(), p.options.Now(), p.options.Reach)
 	if grant == nil {
-		return
+		return true
 	}
 	payload, err := p.options.Encode(grant)
 	if err != nil {
 		p.log.WithError(err).Error("cannot encode a grant")
-		return
+		return false
 	}
 	appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	offset, err := p.options.Log.Append(appendCtx, platform.ConfigurationStream, payload)
 	if err != nil {
 		p.log.WithError(fmt.Errorf("append grant: %w", err)).Warn("grant not appended")
-		return
+		return false
 	}
 	p.options.Events.Record(timeline.Event{
 		Kind:   timeline.Granted,
 		Offset: offset,
 		Detail: fmt.Sprintf("%d to %d", grant.GetFromMs(), grant.GetUntilMs()),
 	})
+	return true
 }
 
 // wait returns true when the delay has passed, false when changed was closed
