--- a/internal/once/keeper_test.go
+++ b/internal/once/keeper_test.go
@@ -161,3 +161,23 @@
 	_, replayed := run.Replay()
 	assert.Assert(t, replayed)
 }
+
+func TestMintedKeyHasAnAcceptedHome(t *testing.T) {
+	now := epoch.Add(time.Minute)
+	keeper := keeperOf(&now, nil)
+	chain := once.Grants{grant(epoch, epoch.Add(time.Hour), "a", "b", "c", "d")}
+	for range 100 {
+		key, err := keeper.Mint(chain, service, func(host string) bool { return host == "c" })
+		assert.NilError(t, err)
+		home, err := keeper.Home(chain, service, key)
+		assert.NilError(t, err)
+		assert.Equal(t, home, "c")
+		parsed, err := once.ParseKey(key)
+		assert.NilError(t, err)
+		assert.Equal(t, parsed.Millis(), now.UnixMilli())
+	}
+	_, err := keeper.Mint(chain, service, func(string) bool { return false })
+	assert.NilError(t, err)
+	_, err = keeper.Mint(chain, "huts/registry", func(string) bool { return true })
+	assertRefused(t, err, once.NoHome)
+}
--- a/internal/once/key.go
+++ b/internal/once/key.go
@@ -6,8 +6,12 @@
 	"github.com/google/uuid"
 )
 
-// keyVersion is the UUID version whose leading bits carry a time.
-const keyVersion = 7
+const (
+	// keyVersion is the UUID version whose leading bits carry a time.
+	keyVersion = 7
+	// timeOctets is how many leading octets of a key carry its time.
+	timeOctets = 6
+)
 
 // Key is the parsed key of a call that may not be repeated.
 type Key struct {
@@ -30,7 +34,7 @@
 // Millis is the time that the key carries, in milliseconds since the epoch.
 func (k Key) Millis() int64 {
 	var millis int64
-	for _, octet := range k.id[:6] {
+	for _, octet := range k.id[:timeOctets] {
 		millis = millis<<8 | int64(octet)
 	}
 	return millis
--- a/internal/once/memory.go
+++ b/internal/once/memory.go
@@ -40,6 +40,8 @@
 	done   chan struct{}
 	ended  bool
 	answer *Answer
+	// index is the place in the heap.
+	index int
 }
 
 // memory holds the keys at or after a watermark of key time that never falls.
@@ -88,12 +90,7 @@
 		return
 	}
 	delete(m.entries, gone.id)
-	for i, candidate := range m.byTime {
-		if candidate == gone {
-			heap.Remove(&m.byTime, i)
-			return
-		}
-	}
+	heap.Remove(&m.byTime, gone.index)
 }
 
 // store keeps an answer, at the cost of the oldest ones when there is no room.
@@ -128,10 +125,19 @@
 
 func (h entryHeap) Len() int           { return len(h) }
 func (h entryHeap) Less(i, j int) bool { return h[i].id.key.Millis() < h[j].id.key.Millis() }
-func (h entryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Swap exchanges two entries for container/heap.
+func (h entryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
 
 // Push appends an entry for container/heap.
-func (h *entryHeap) Push(x any) { *h = append(*h, x.(*entry)) }
+func (h *entryHeap) Push(x any) {
+	added := x.(*entry)
+	added.index = len(*h)
+	*h = append(*h, added)
+}
 
 // Pop removes the last entry for container/heap.
 func (h *entryHeap) Pop() any {
