--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/mulberrybank/mulberrybank/internal/admin"
 	"github.com/mulberrybank/mulberrybank/internal/call"
 	"github.com/mulberrybank/mulberrybank/internal/distribute"
@@ -11,7 +13,6 @@
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/once"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
-	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
@@ -22,10 +23,13 @@
 	clock := timeline.NewClock(time.Now)
 	d.events = timeline.NewBuffer(clock, d.identity.Host, d.identity.Zone, d.identity.Incarnation, d.settings.Timeline.Events)
 	if d.platform == nil {
-		d.platform = platform.NewClient(d.settings.Platform.Address, time.Duration(d.settings.Platform.Timeout), nil)
+		d.platform = d.platformClient()
 	}
 	d.enforcer = enforce.New(publish.NewFold(), d.events)
 	d.server = peer.NewServer(d.identity, d.traffic, logging.Part(d.logger, "peer"))
+	if options.Dial == nil && d.secure != nil {
+		options.Dial = d.secure.DialPeer()
+	}
 	dialer := peer.NewDialer(d.identity, d.traffic, options.Dial)
 	if err := d.buildMembership(dialer); err != nil {
 		return err
@@ -33,8 +37,10 @@
 	if err := d.buildDistribution(dialer); err != nil {
 		return err
 	}
-	d.buildCalls(clock)
+	d.buildCalls(clock, call.DialFunc(options.Dial))
 	d.buildAdmin()
+	d.metrics.RegisterMetricsWriter(d.writeTraffic)
+	d.metrics.RegisterMetricsWriter(metrics.WriteProcessMetrics)
 	return nil
 }
 
@@ -79,7 +85,7 @@
 	return d.distributor.Register(d.server.Mux())
 }
 
-func (d *Daemon) buildCalls(clock *timeline.Clock) {
+func (d *Daemon) buildCalls(clock *timeline.Clock, dialPeers call.DialFunc) {
 	d.router = route.New(route.Options{
 		Directory: d.members,
 		Self:      d.identity,
@@ -112,6 +118,7 @@
 		Clock:       clock,
 		Logger:      d.logger,
 		Metrics:     d.metrics,
+		DialPeers:   dialPeers,
 		SampleShare: eventSampleShare,
 	})
 }
@@ -122,7 +129,7 @@
 		Zone:        d.identity.Zone,
 		Submitter:   publish.NewSubmitter(d.platform, d.enforcer),
 		Enforcer:    d.enforcer,
-		Archive:     &admin.LogArchive{Log: d.platform},
+		Archive:     &admin.LogArchive{Log: d.platform, State: distribute.SnapshotState},
 		Directory:   d.members,
 		Convergence: d.convergence,
 		Staleness:   d.staleness,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,8 @@
 	Log      Log      `json:"log"`
 	Admin    Admin    `json:"admin"`
 	Timeline Timeline `json:"timeline"`
+	// TLS secures connections between daemons, to the platform and of operators.
+	TLS TLS `json:"tls"`
 	// StopTimeout bounds a graceful stop.
 	StopTimeout Duration `json:"stop_timeout" default:"10s" min:"100ms" max:"10m"`
 }
@@ -45,6 +47,10 @@
 type Platform struct {
 	// Address is the base URL of the log.
 	Address string `json:"address" required:"true" form:"url"`
+	// Zone and Region say where the log stands, for the byte counts. Traffic
+	// to a log of unknown region counts as crossing regions.
+	Zone   string `json:"zone" default:"unknown" form:"name"`
+	Region string `json:"region" default:"unknown" form:"name"`
 	// Timeout bounds one request besides its wait.
 	Timeout Duration `json:"timeout" default:"2s" min:"10ms" max:"1m"`
 }
@@ -55,6 +61,28 @@
 	Level string `json:"level" default:"info" form:"level"`
 }
 
+// TLS names the files of the daemon's TLS identity. They are read again when
+// they change.
+type TLS struct {
+	// Mode is "on", or "off" for plain text.
+	Mode string `json:"mode" required:"true" form:"switch"`
+	// Certificate is a PEM file. The certificate bears the DNS name "HOST.ZONE".
+	Certificate string `json:"certificate" form:"file"`
+	// Key is a PEM file with the private key of the certificate.
+	Key string `json:"key" form:"file"`
+	// Authority is a PEM file with the certificates that sign those of daemons.
+	Authority string `json:"authority" form:"file"`
+}
+
+// Enabled reports whether connections are secured.
+func (t TLS) Enabled() bool { return t.Mode == SwitchOn }
+
+// Values of settings that switch something on or off.
+const (
+	SwitchOn  = "on"
+	SwitchOff = "off"
+)
+
 // Admin limits the administration API.
 type Admin struct {
 	// MaxBody bounds the body of one request.
