Prove outcomes, whole answers and drains against the targets' own records

Full duplex is now on only for answers that begin before a streamed request has ended; such a connection is closed after the answer, and no read of the body goes on after its handler.

--- /dev/null
+++ b/internal/call/fault_test.go
@@ -0,0 +1,358 @@
+package call_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/standin/target"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+// twoHops returns a mesh in which the first host's calls go to the second.
+func twoHops(t *testing.T, config *publish.Configuration, change func(int, *call.Options)) (*mesh, *node, *node) {
+	m := newMesh(t, 2, config, change)
+	m.nodes[0].only(m.nodes[1])
+	return m, m.nodes[0], m.nodes[1]
+}
+
+// single makes calls once, without retries.
+func single(_ *publish.Service, route *publish.Route) { route.Retries = 0 }
+
+func TestHangingTargetEndsByDeadlineAsUnknown(t *testing.T) {
+	m, from, to := twoHops(t, config(single), nil)
+	to.behave(target.Behaviour{Hang: true})
+	got := from.get(t, lookups, call.HeaderDeadline, "100ms")
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	assert.Equal(t, got.outcome(), string(call.Unknown))
+	assert.Equal(t, got.header.Get(call.HeaderPeer), "b")
+	eventually(t, "the run is cancelled", func() bool {
+		runs := m.runsOf(got.id())
+		return len(runs) == 1 && runs[0].Cancelled
+	})
+}
+
+func TestCancellationReachesTheTarget(t *testing.T) {
+	patient := func(_ *publish.Service, route *publish.Route) { route.Deadline = time.Hour }
+	m, from, to := twoHops(t, config(patient), nil)
+	to.behave(target.Behaviour{Hang: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		_, err := from.do(t, ctx, http.MethodGet, lookups, nil)
+		assert.Check(t, err != nil)
+	})
+	all := func(target.Run) bool { return true }
+	eventually(t, "the request runs", func() bool { return len(m.runs(all)) == 1 })
+	cancel()
+	tasks.Wait()
+	eventually(t, "the run is cancelled", func() bool { return m.runs(all)[0].Cancelled })
+	assert.Equal(t, len(m.runs(all)), 1, "a cancelled call is not retried")
+}
+
+func TestDeadTargetIsNotRunAndRetriedElsewhere(t *testing.T) {
+	m := newMesh(t, 2, config(nil), nil)
+	dead := "127.0.0.1:1"
+	m.nodes[1].address.Store(&dead)
+	m.nodes[0].only(m.nodes[1])
+	got := m.nodes[0].get(t, lookups)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, got.outcome(), string(call.NotRun))
+	assert.Equal(t, got.step(), call.StepTarget)
+	m.share()
+	for range 20 {
+		assert.Equal(t, m.nodes[0].get(t, lookups).status, http.StatusOK)
+	}
+}
+
+func TestCutAnswerIsNeverWhole(t *testing.T) {
+	for _, size := range []string{"1000", "1000000"} {
+		t.Run(size, func(t *testing.T) {
+			_, from, to := twoHops(t, config(single), nil)
+			to.behave(target.Behaviour{CutBody: true})
+			got, err := from.do(t, t.Context(), http.MethodGet, lookups+"?size="+size, nil)
+			if err != nil || got.bodyErr != nil {
+				return
+			}
+			assert.Equal(t, got.status, http.StatusBadGateway)
+			assert.Equal(t, got.outcome(), string(call.Unknown))
+		})
+	}
+}
+
+// A short answer of known length that is cut is still told as an error, and
+// an idempotent call goes to another target.
+func TestCutShortAnswerIsRetried(t *testing.T) {
+	cutting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("half"))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer cutting.Close()
+	m := newMesh(t, 2, config(nil), nil)
+	address := strings.TrimPrefix(cutting.URL, "http://")
+	m.nodes[1].address.Store(&address)
+	m.nodes[0].only(m.nodes[1])
+	got := m.nodes[0].get(t, lookups)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, got.outcome(), string(call.Unknown))
+	assert.Equal(t, got.step(), call.StepAnswer)
+	m.share()
+	for range 10 {
+		assert.Equal(t, m.nodes[0].post(t, lookups, "whole").status, http.StatusOK)
+	}
+}
+
+// Connections between daemons that went silent end calls as unknown by their
+// deadline and are replaced.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	network := &silence{}
+	m, from, _ := twoHops(t, config(single), func(i int, o *call.Options) {
+		if i == 0 {
+			o.Dial = network.dial
+		}
+	})
+	assert.Equal(t, from.get(t, lookups).status, http.StatusOK)
+	assert.Equal(t, network.fall(), 1)
+	got := from.get(t, lookups, call.HeaderDeadline, "100ms")
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	assert.Equal(t, got.outcome(), string(call.Unknown))
+	assert.Equal(t, len(m.runsOf(got.id())), 0)
+	assert.Equal(t, from.get(t, lookups).status, http.StatusOK)
+	assert.Equal(t, network.dialled(), 2)
+}
+
+func TestLargeBodiesBothWays(t *testing.T) {
+	_, from, _ := twoHops(t, config(nil), nil)
+	sent := make([]byte, 8<<20)
+	_, _ = rand.Read(sent)
+	for name, body := range map[string]io.Reader{
+		"known length": bytes.NewReader(sent),
+		"streamed":     io.MultiReader(bytes.NewReader(sent)),
+	} {
+		got, err := from.do(t, t.Context(), http.MethodPost, lookups, body)
+		assert.NilError(t, err, name)
+		assert.NilError(t, got.bodyErr, name)
+		assert.Assert(t, bytes.Equal(got.body, sent), name)
+		assert.Equal(t, got.trailer.Get(target.AnswerTrailer), got.id())
+	}
+}
+
+// Pieces of a streamed request come back while the request is still open.
+func TestStreamsGoBothWaysAtOnce(t *testing.T) {
+	_, from, _ := twoHops(t, config(nil), nil)
+	reader, writer := io.Pipe()
+	request, err := http.NewRequest(http.MethodPost, from.callers.URL+"/"+lookups, reader)
+	assert.NilError(t, err)
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	answers := make(chan *http.Response, 1)
+	tasks.Go(func() {
+		response, err := from.callers.Client().Do(request)
+		assert.Check(t, err)
+		answers <- response
+	})
+	_, err = writer.Write([]byte("first"))
+	assert.NilError(t, err)
+	response := <-answers
+	defer response.Body.Close()
+	for _, piece := range []string{"first", "second", "third"} {
+		if piece != "first" {
+			_, err = writer.Write([]byte(piece))
+			assert.NilError(t, err)
+		}
+		got := make([]byte, len(piece))
+		_, err = io.ReadFull(response.Body, got)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), piece)
+	}
+	assert.NilError(t, writer.Close())
+	rest, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rest), 0)
+}
+
+func TestTrailersOfRequestsReachTheTarget(t *testing.T) {
+	_, from, to := twoHops(t, config(nil), nil)
+	trailers := make(chan http.Header, 1)
+	own := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		trailers <- r.Trailer
+		w.Header().Set(http.TrailerPrefix+"Late", "yes")
+	}))
+	defer own.Close()
+	address := strings.TrimPrefix(own.URL, "http://")
+	to.address.Store(&address)
+	request, err := http.NewRequest(http.MethodPost, from.callers.URL+"/"+lookups, io.MultiReader(strings.NewReader("x")))
+	assert.NilError(t, err)
+	request.Trailer = http.Header{"Sum": {"123"}}
+	response, err := from.callers.Client().Do(request)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, (<-trailers).Get("Sum"), "123")
+}
+
+// A caller that does not read holds its slot no longer than its deadline.
+func TestSlowReaderGetsAllOrLosesItsSlot(t *testing.T) {
+	m, from, _ := twoHops(t, config(single), nil)
+	open := func(deadline string) *http.Response {
+		request, err := http.NewRequest(http.MethodGet, from.callers.URL+"/"+lookups+"?size=50000000", nil)
+		assert.NilError(t, err)
+		request.Header.Set(call.HeaderDeadline, deadline)
+		response, err := from.callers.Client().Do(request)
+		assert.NilError(t, err)
+		return response
+	}
+	stuck := open("200ms")
+	defer stuck.Body.Close()
+	eventually(t, "the run ends", func() bool {
+		runs := m.runsOf(stuck.Header.Get(call.HeaderCall))
+		return len(runs) == 1 && runs[0].Cancelled
+	})
+	assert.NilError(t, from.server.Drain(t.Context()))
+	_, err := io.Copy(io.Discard, stuck.Body)
+	assert.Assert(t, err != nil, "a cut answer must be an error")
+
+	slow := open("20s")
+	defer slow.Body.Close()
+	total := 0
+	block := make([]byte, 1<<20)
+	for {
+		n, err := slow.Body.Read(block)
+		total += n
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(t, err)
+		time.Sleep(time.Microsecond)
+	}
+	assert.Equal(t, total, 50_000_000)
+}
+
+func TestDrainingTargetRefusesTruthfully(t *testing.T) {
+	m, from, to := twoHops(t, config(single), nil)
+	self := to.member
+	self.TargetState = membership.Draining
+	view := *to.dir.View()
+	view.Self = self
+	to.dir.view.Store(&view)
+	got := from.get(t, lookups)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.outcome(), string(call.NotRun))
+	assert.Equal(t, got.step(), call.StepDrain)
+	assert.Equal(t, len(m.runsOf(got.id())), 0)
+}
+
+// A daemon that stops finishes what it has, refuses work for its target and
+// passes its own callers on.
+func TestDrainFinishesAndPassesOn(t *testing.T) {
+	m := newMesh(t, 2, config(single), nil)
+	stopping := m.nodes[0]
+	hold := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(hold) })
+	own := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-hold
+		_, _ = io.WriteString(w, "finished")
+	}))
+	defer own.Close()
+	address := strings.TrimPrefix(own.URL, "http://")
+	stopping.address.Store(&address)
+	stopping.only(stopping)
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer finish()
+	tasks.Go(func() {
+		got, err := stopping.do(t, t.Context(), http.MethodGet, lookups, nil)
+		assert.Check(t, err)
+		assert.Check(t, string(got.body) == "finished")
+	})
+	eventually(t, "the call is in progress", func() bool { return stopping.server.Load().Busy == 1 })
+	drained := make(chan error, 1)
+	tasks.Go(func() { drained <- stopping.server.Drain(t.Context()) })
+	m.share()
+	eventually(t, "the gate refuses", func() bool {
+		m.nodes[1].only(stopping)
+		got := m.nodes[1].get(t, lookups)
+		return got.step() == call.StepDrain && got.outcome() == string(call.NotRun)
+	})
+	const calls = 20
+	for range calls {
+		assert.Equal(t, stopping.get(t, lookups).status, http.StatusOK)
+	}
+	assert.Equal(t, len(m.nodes[1].target.Records()), calls)
+	select {
+	case <-drained:
+		t.Fatal("drained while a call was in progress")
+	default:
+	}
+	finish()
+	assert.NilError(t, <-drained)
+}
+
+func TestDrainEndsWithItsContext(t *testing.T) {
+	m := newMesh(t, 1, config(nil), nil)
+	n := m.nodes[0]
+	n.behave(target.Behaviour{Hang: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer cancel()
+	tasks.Go(func() { _, _ = n.do(t, ctx, http.MethodGet, lookups, nil) })
+	eventually(t, "the call is in progress", func() bool { return n.server.Load().Busy == 1 })
+	ended, end := context.WithCancel(t.Context())
+	end()
+	err := n.server.Drain(ended)
+	assert.ErrorContains(t, err, "1 calls in progress")
+}
+
+// After an attempt that may have run, a later one that did not run does not
+// make the whole call not-run.
+func TestOutcomeCoversAllAttempts(t *testing.T) {
+	cutting := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer cutting.Close()
+	m := newMesh(t, 2, config(nil), nil)
+	address := strings.TrimPrefix(cutting.URL, "http://")
+	m.nodes[0].address.Store(&address)
+	dead := "127.0.0.1:1"
+	m.nodes[1].address.Store(&dead)
+	both := 0
+	for range 20 {
+		got, err := m.nodes[0].do(t, t.Context(), http.MethodPost, lookups, strings.NewReader(""))
+		assert.NilError(t, err)
+		if len(m.nodes[0].events.of(timeline.Sent, got.id())) < 2 {
+			continue
+		}
+		both++
+		assert.Equal(t, got.outcome(), string(call.Unknown))
+	}
+	assert.Assert(t, both > 0)
+}
+
+// A call that may not be repeated is not tried again once it may have run.
+func TestKeyedCallIsNotRetriedAfterUnknown(t *testing.T) {
+	m := newMesh(t, 1, config(nil), nil)
+	m.nodes[0].behave(target.Behaviour{CutBody: true})
+	key := newKey(t)
+	got := m.nodes[0].post(t, orders, "order", call.HeaderKey, key)
+	assert.Equal(t, got.outcome(), string(call.Unknown))
+	assert.Equal(t, len(m.nodes[0].events.of(timeline.Sent, got.id())), 1)
+	assert.Equal(t, len(m.runsOfKey(key)), 1)
+}
--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -40,7 +40,7 @@
 		writeError(w, id, failure)
 		return
 	}
-	defer bound(w, c.request.deadline)()
+	defer bound(w, c.request.deadline, c.request.body)()
 	ctx, cancel := context.WithDeadline(r.Context(), c.request.deadline)
 	defer cancel()
 	s.answerCaller(ctx, w, c)
@@ -52,9 +52,11 @@
 	if failure != nil {
 		c.trace.failed(failure)
 		s.countFailure(failure)
+		c.request.body.stop(w)
 		writeError(w, c.request.id, failure)
 		return
 	}
+	c.request.body.duplex(w)
 	if err := result.relay(w); err != nil {
 		c.trace.failed(s.fail(Unknown, StepAnswer, statusOf(ctx, err), err))
 		s.counters.cut.Inc()
@@ -81,15 +83,14 @@
 }
 
 // bound ends reads and writes of a request's connection soon after a
-// deadline. The result lifts the bound for the next request.
-func bound(w http.ResponseWriter, deadline time.Time) (lift func()) {
+// deadline. The result ends the reading of the body and lifts the bound on
+// writes; the server itself lifts that on reads before the next request.
+func bound(w http.ResponseWriter, deadline time.Time, body *body) (lift func()) {
 	control := http.NewResponseController(w)
-	_ = control.EnableFullDuplex()
 	_ = control.SetWriteDeadline(deadline.Add(writeGrace))
-	_ = control.SetReadDeadline(deadline.Add(writeGrace))
 	return func() {
+		body.stop(w)
 		_ = control.SetWriteDeadline(time.Time{})
-		_ = control.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -194,15 +195,17 @@
 		s.answerPeer(w, r.Header.Get(HeaderCall), failure)
 		return
 	}
-	defer bound(w, q.deadline)()
+	defer bound(w, q.deadline, q.body)()
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	result, failure := s.serveTarget(ctx, q)
 	if failure != nil {
+		q.body.stop(w)
 		s.answerPeer(w, q.id, failure)
 		return
 	}
 	s.setReports(w.Header())
+	q.body.duplex(w)
 	if err := result.relay(w); err != nil {
 		s.counters.cut.Inc()
 		panic(http.ErrAbortHandler)
--- a/internal/call/mesh_test.go
+++ b/internal/call/mesh_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -150,9 +151,86 @@
 	dir     *directory
 	keys    *keys
 	member  membership.Member
+	// address replaces that of the target.
+	address atomic.Pointer[string]
 }
 
-func (n *node) TargetAddress() string { return n.target.Address() }
+func (n *node) TargetAddress() string {
+	if address := n.address.Load(); address != nil {
+		return *address
+	}
+	return n.target.Address()
+}
+
+// behave changes the behaviour of the host's target.
+func (n *node) behave(behaviour target.Behaviour) {
+	if err := n.target.Set(behaviour); err != nil {
+		panic(err)
+	}
+}
+
+// silence is a network whose open connections can go silent for good: writes
+// seem to work, nothing ever arrives. New connections work.
+type silence struct {
+	mu    sync.Mutex
+	conns []*silentConn
+}
+
+func (s *silence) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wrapped := &silentConn{Conn: conn, closed: make(chan struct{})}
+	s.conns = append(s.conns, wrapped)
+	return wrapped, nil
+}
+
+// fall silences all connections that are open now and returns their number.
+func (s *silence) fall() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		conn.silent.Store(true)
+	}
+	return len(s.conns)
+}
+
+func (s *silence) dialled() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *silentConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.silent.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
 
 // mesh is a few hosts on the loopback interface.
 type mesh struct {
@@ -303,3 +381,14 @@
 	assert.NilError(t, err)
 	return key.String()
 }
+
+// eventually waits for a condition that other tasks bring about.
+func eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("never came about: %s", what)
+}
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -1,24 +1,17 @@
 package call
 
 import (
-	"bytes"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
 
 const (
-	// bufferLimit is the length in bytes up to which bodies are read whole
-	// before they are passed on.
-	bufferLimit = 64 << 10
 	// hopMargin is how much sooner the next hop's deadline ends, so that its
 	// answer still arrives.
 	hopMargin = 2 * time.Millisecond
@@ -45,51 +38,6 @@
 	body    *body
 }
 
-// body is the body of a request: short ones are read whole and can be sent
-// again, others are passed on as they come.
-type body struct {
-	whole   []byte
-	stream  io.Reader
-	length  int64
-	trailer http.Header
-	// touched is set once the stream was read from.
-	touched atomic.Bool
-}
-
-// errBodyCut says that a request's body ended early.
-var errBodyCut = errors.New("request body was cut")
-
-// readBody takes the body of a request, reading it whole if it is short.
-func readBody(r *http.Request) (*body, error) {
-	if r.ContentLength < 0 || r.ContentLength > bufferLimit {
-		return &body{stream: r.Body, length: r.ContentLength, trailer: r.Trailer}, nil
-	}
-	whole := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, whole); err != nil {
-		return nil, fmt.Errorf("%w: %w", errBodyCut, err)
-	}
-	return &body{whole: whole, length: r.ContentLength}, nil
-}
-
-// repeatable reports whether the body can be sent from its start.
-func (b *body) repeatable() bool { return b.stream == nil || !b.touched.Load() }
-
-// open returns a reader for one attempt. It hides what would let the
-// transport send a request twice by itself.
-func (b *body) open() io.ReadCloser {
-	if b.stream == nil {
-		return io.NopCloser(bytes.NewReader(b.whole))
-	}
-	return io.NopCloser(&streamReader{body: b})
-}
-
-type streamReader struct{ body *body }
-
-func (r *streamReader) Read(p []byte) (int, error) {
-	r.body.touched.Store(true)
-	return r.body.stream.Read(p)
-}
-
 // outgoing builds the HTTP request that carries an attempt to an address.
 func (q *request) outgoing(ctx context.Context, address string, left time.Duration) (*http.Request, error) {
 	path, err := url.PathUnescape(q.path)
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -160,6 +160,9 @@
 	return nil
 }
 
+// Load is the present load of the own target.
+func (s *Server) Load() route.Load { return s.gate.load() }
+
 // Close closes idle connections.
 func (s *Server) Close() {
 	s.targets.CloseIdleConnections()
--- a/internal/standin/target/http.go
+++ b/internal/standin/target/http.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -67,6 +68,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if !t.takeWorker(r.Context()) {
+		return
+	}
+	defer t.giveWorker()
 	run := newRun(r)
 	index := t.runs.begin(run)
 	status := 0
@@ -89,6 +94,25 @@
 	answer(w, r, status, behaviour.CutBody)
 }
 
+// takeWorker waits until the request may run. It reports whether it may.
+func (t *Target) takeWorker(ctx context.Context) bool {
+	if t.workers == nil {
+		return true
+	}
+	select {
+	case t.workers <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (t *Target) giveWorker() {
+	if t.workers != nil {
+		<-t.workers
+	}
+}
+
 func newRun(r *http.Request) Run {
 	attempt, _ := strconv.Atoi(r.Header.Get(call.HeaderAttempt))
 	deadline, _ := time.ParseDuration(r.Header.Get(call.HeaderDeadline))
@@ -106,15 +130,15 @@
 // work spends the service time. It reports whether the request may be
 // answered: it was not cancelled and its deadline has not passed.
 func work(ctx context.Context, behaviour Behaviour, deadline time.Duration) bool {
+	if behaviour.Hang {
+		<-ctx.Done()
+		return false
+	}
 	if deadline > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, deadline)
 		defer cancel()
 	}
-	if behaviour.Hang {
-		<-ctx.Done()
-		return false
-	}
 	duration := behaviour.serviceTime()
 	if duration <= 0 {
 		return ctx.Err() == nil
@@ -131,7 +155,17 @@
 
 func answer(w http.ResponseWriter, r *http.Request, status int, cut bool) {
 	id := r.Header.Get(call.HeaderCall)
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	var body io.Reader = r.Body
+	if r.ContentLength >= 0 && r.ContentLength <= blockSize {
+		whole, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		body = bytes.NewReader(whole)
+	} else {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set("Trailer", AnswerTrailer)
 	if sum := r.Header.Get("Content-Type"); sum != "" {
 		w.Header().Set("Content-Type", sum)
@@ -142,7 +176,7 @@
 	case err == nil && size >= 0 && size <= maxSize:
 		writeBlocks(w, size, cut)
 	default:
-		echo(w, r.Body, cut)
+		echo(w, body, cut)
 	}
 	w.Header().Set(AnswerTrailer, id)
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -36,6 +36,9 @@
 	Daemon string
 	// Slots is how many requests the target says it runs at once.
 	Slots int
+	// Workers is how many requests really run at once, the others wait in
+	// order; 0 means no bound.
+	Workers int
 	// Behaviour to begin with; an empty state means ready.
 	Behaviour Behaviour
 	Logger    *logrus.Logger
@@ -47,6 +50,8 @@
 	log      *logrus.Entry
 	runs     recorder
 	listener net.Listener
+	// workers holds a token for each request that runs, nil for no bound.
+	workers chan struct{}
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -69,7 +74,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("target: listen at %s: %w", options.Listen, err)
 	}
+	var workers chan struct{}
+	if options.Workers > 0 {
+		workers = make(chan struct{}, options.Workers)
+	}
 	return &Target{
+		workers:   workers,
 		options:   options,
 		log:       logging.Part(options.Logger, "target"),
 		listener:  listener,
