--- a/internal/call/body.go
+++ b/internal/call/body.go
@@ -55,13 +55,29 @@
 
 // open returns a reader for one attempt. Its type hides from the transport
 // that the body could be sent again: the transport must not do so by itself.
-func (b *body) open() io.ReadCloser {
+// It would repeat requests of the methods that HTTP calls idempotent, and
+// those with an idempotency key, if it saw that they had no body.
+func (b *body) open(method string, header http.Header) io.ReadCloser {
+	if b.length == 0 && !transportMayRepeat(method, header) {
+		return http.NoBody
+	}
 	if b.stream == nil {
 		return io.NopCloser(bytes.NewReader(b.whole))
 	}
 	return &attemptBody{body: b}
 }
 
+// transportMayRepeat reports whether net/http would send a request without
+// body again after a connection failed.
+func transportMayRepeat(method string, header http.Header) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return header["Idempotency-Key"] != nil || header["X-Idempotency-Key"] != nil
+	}
+}
+
 // unfinished reports whether the stream has not been read to its end.
 func (b *body) unfinished() bool { return b.stream != nil && !b.ended.Load() }
 
--- a/internal/call/property_test.go
+++ b/internal/call/property_test.go
@@ -18,9 +18,11 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/call"
 	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/once"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
 	"github.com/mulberrybank/mulberrybank/internal/standin/target"
+	_ "github.com/mulberrybank/mulberrybank/internal/testseed"
 )
 
 // fault is what is wrong with a host for the length of one iteration.
@@ -213,3 +215,61 @@
 	assert.Equal(t, got.outcome(), string(call.Unknown))
 	assert.Equal(t, requests.Load(), int64(2))
 }
+
+// A second attempt with a key waits for the first one's answer and gets it.
+func TestSecondAttemptGetsTheFirstOnesAnswer(t *testing.T) {
+	keeper := once.NewKeeper(once.Options{Host: "a", Started: time.Now().Add(-time.Hour)})
+	grants := once.Grants{&once.Grant{
+		FromMs: 0, UntilMs: time.Now().Add(time.Hour).UnixMilli(),
+		Services: []*once.ServiceHomes{{Service: "railway/status", Hosts: []string{"a"}}},
+	}}
+	m := newMesh(t, 1, config(nil), func(_ int, o *call.Options) { o.Keys = keeperKeys{keeper, grants} })
+	n := m.nodes[0]
+	n.behave(target.Behaviour{Delay: settings.Duration(50 * time.Millisecond)})
+	key := newKey(t)
+	var tasks conc.WaitGroup
+	for range 5 {
+		tasks.Go(func() {
+			got := n.post(t, orders, "order", call.HeaderKey, key)
+			assert.Check(t, got.status == http.StatusOK && string(got.body) == "order", "%d %s", got.status, got.body)
+		})
+	}
+	tasks.Wait()
+	assert.Equal(t, len(m.runsOfKey(key)), 1)
+}
+
+// keeperKeys are the keys of a keeper.
+type keeperKeys struct {
+	keeper *once.Keeper
+	grants once.Grants
+}
+
+func (k keeperKeys) Home(_ *publish.Configuration, service, key string) (string, error) {
+	return k.keeper.Home(k.grants, service, key)
+}
+
+func (k keeperKeys) Begin(_ *publish.Configuration, service, key string) (call.KeyRun, error) {
+	run, err := k.keeper.Begin(k.grants, service, key)
+	if err != nil {
+		return nil, err
+	}
+	return keeperRun{run}, nil
+}
+
+type keeperRun struct{ *once.Run }
+
+func (r keeperRun) Replay() (*call.StoredAnswer, bool) {
+	answer, ok := r.Run.Replay()
+	if !ok {
+		return nil, false
+	}
+	return &call.StoredAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}, true
+}
+
+func (r keeperRun) Finish(answer *call.StoredAnswer) {
+	if answer == nil {
+		r.Run.Finish(nil)
+		return
+	}
+	r.Run.Finish(&once.Answer{Status: answer.Status, Header: answer.Header, Body: answer.Body})
+}
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -61,7 +61,7 @@
 		URL:           target,
 		Host:          q.host,
 		Header:        header,
-		Body:          q.body.open(),
+		Body:          q.body.open(q.method, header),
 		ContentLength: q.body.length,
 		Trailer:       q.body.trailer,
 		ProtoMajor:    1,
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -19,7 +19,7 @@
 	Peer Identity
 }
 
-// DialFunc opens a TCP connection. Tests replace it.
+// DialFunc opens a TCP connection, or a TLS one over it.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Dialer opens connections to other daemons.
@@ -52,7 +52,7 @@
 		return nil, fmt.Errorf("hello to %s: %w", address, err)
 	}
 	class := Class{Kind: kind, Scope: ScopeOf(d.self, remote)}
-	counted := d.traffic.Count(raw, class)
+	counted := d.traffic.Count(timedConn{raw}, class)
 	return &Conn{Conn: drpcconn.New(counted), Peer: remote}, nil
 }
 
@@ -68,5 +68,8 @@
 	if err != nil {
 		return Identity{}, err
 	}
+	if err := verifyName(raw, remote); err != nil {
+		return Identity{}, err
+	}
 	return remote, raw.SetDeadline(time.Time{})
 }
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -33,6 +33,8 @@
 	PlatformLost    Kind = "platform-lost"
 	PlatformFound   Kind = "platform-found"
 	UpstreamChosen  Kind = "upstream-chosen"
+	// EventsDropped stands at the head of a list of events that is not whole.
+	EventsDropped Kind = "events-dropped"
 )
 
 // Event is one thing that happened on one process.
@@ -66,7 +68,8 @@
 
 // Recorder takes events of one process. It never blocks.
 type Recorder interface {
-	// Record stamps the event with time, host, zone and incarnation.
+	// Record stamps the event with host, zone and incarnation, and with the
+	// time unless the event has one already.
 	Record(event Event)
 }
 
