Benchmarks of added latency, allocations and goodput at overload

One run compares calls to a target directly, through its daemon and through two, and a service of 6 targets at 0.5 to 4 times its capacity with a naive caller of the same targets.

--- /dev/null
+++ b/internal/call/measure_test.go
@@ -0,0 +1,175 @@
+package call_test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/load"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/settings"
+	"github.com/mulberrybank/mulberrybank/internal/standin/target"
+)
+
+// Paths to one target: without a daemon, through its own, and through another.
+const (
+	direct = "direct"
+	one    = "one daemon"
+	two    = "two daemons"
+)
+
+// warmup is how long calls are made before they count.
+const warmup = 500 * time.Millisecond
+
+// measured returns a mesh of two hosts and a caller for each path.
+func measured(b *testing.B) (callers map[string]*load.HTTPCaller) {
+	wide := func(service *publish.Service, _ *publish.Route) { service.Slots, service.Queue = 100, 100 }
+	m := newMesh(b, 2, config(wide), sampleNothing)
+	m.nodes[1].only(m.nodes[1])
+	m.nodes[0].only(m.nodes[1])
+	caller := func(address, path string) *load.HTTPCaller {
+		transport := load.NewTransport()
+		b.Cleanup(transport.CloseIdleConnections)
+		return &load.HTTPCaller{Addresses: []string{address}, LookupPath: path, Timeout: 5 * time.Second, Transport: transport}
+	}
+	return map[string]*load.HTTPCaller{
+		direct: caller(m.nodes[1].target.Address(), "/points?size=200"),
+		one:    caller(m.nodes[1].callers.Listener.Addr().String(), "/"+lookups+"/points?size=200"),
+		two:    caller(m.nodes[0].callers.Listener.Addr().String(), "/"+lookups+"/points?size=200"),
+	}
+}
+
+// BenchmarkCall makes one call after the other: time and allocations of all
+// processes that a call passes, the caller's and the target's among them.
+func BenchmarkCall(b *testing.B) {
+	callers := measured(b)
+	for _, path := range []string{direct, one, two} {
+		b.Run(path, func(b *testing.B) {
+			b.ReportAllocs()
+			for number := range b.N {
+				if _, ending := callers[path].Call(b.Context(), number); ending != load.Answered {
+					b.Fatal("call failed")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkAddedLatency compares latencies at constant rates in one run.
+func BenchmarkAddedLatency(b *testing.B) {
+	callers := measured(b)
+	var results []*load.Result
+	for _, rate := range []float64{116, 1000} {
+		for _, path := range []string{direct, one, two} {
+			results = append(results, measure(b, path, callers[path], rate, 8*time.Second))
+		}
+	}
+	assert.NilError(b, load.WriteTable(os.Stdout, results...))
+	writePlot(b, "MULBERRYBANK_LATENCY_SVG", results[:3]...)
+}
+
+// writePlot writes a plot to the file that an environment variable names.
+func writePlot(b *testing.B, variable string, results ...*load.Result) {
+	path := os.Getenv(variable)
+	if path == "" {
+		return
+	}
+	file, err := os.Create(path)
+	assert.NilError(b, err)
+	defer file.Close()
+	assert.NilError(b, load.WriteSVG(file, results...))
+}
+
+func measure(b *testing.B, name string, caller load.Caller, rate float64, length time.Duration) *load.Result {
+	result, err := load.Run(b.Context(), load.Options{
+		Name: name, Caller: caller, Rate: rate, Warmup: warmup, Duration: length,
+	})
+	assert.NilError(b, err)
+	return result
+}
+
+// serviceSize is a service of the brief: 6 upstreams with so many slots.
+type serviceSize struct {
+	slots int
+	work  time.Duration
+}
+
+const upstreams = 6
+
+// capacity is the calls a second that so many targets can do.
+func (s serviceSize) capacity(targets int) float64 {
+	return float64(targets*s.slots) / s.work.Seconds()
+}
+
+// troubled is what is wrong with the first targets: one slow, one that fails
+// while it says that it is healthy, one that drains.
+func troubled(work time.Duration) []target.Behaviour {
+	return []target.Behaviour{
+		{Delay: settings.Duration(10 * work)},
+		{Fail: true, LieHealthy: true},
+		{State: target.StateDraining, Delay: settings.Duration(work)},
+	}
+}
+
+// BenchmarkGoodput offers 0.5 to 4 times the capacity of the healthy targets
+// to a service through its daemons and, as the baseline, to its targets.
+func BenchmarkGoodput(b *testing.B) {
+	for _, size := range []serviceSize{{slots: 6, work: 50 * time.Millisecond}, {slots: 20, work: 100 * time.Millisecond}} {
+		for _, first := range [][]target.Behaviour{nil, troubled(size.work)} {
+			b.Run(fmt.Sprintf("slots=%d/troubled=%d", size.slots, len(first)), func(b *testing.B) {
+				goodput(b, size, first)
+			})
+		}
+	}
+}
+
+func goodput(b *testing.B, size serviceSize, first []target.Behaviour) {
+	const (
+		deadline = 500 * time.Millisecond
+		length   = 2 * time.Second
+	)
+	capacity := size.capacity(upstreams - len(first))
+	var results []*load.Result
+	for _, times := range []float64{0.5, 1, 2, 4} {
+		mesh, naive := goodputCallers(b, size, first, deadline)
+		results = append(results,
+			measure(b, fmt.Sprintf("mesh %gx", times), mesh, times*capacity, length),
+			measure(b, fmt.Sprintf("naive %gx", times), naive, times*capacity, length))
+	}
+	assert.NilError(b, load.WriteTable(os.Stdout, results...))
+}
+
+func goodputCallers(b *testing.B, size serviceSize, first []target.Behaviour, deadline time.Duration) (mesh, naive load.Caller) {
+	sized := func(service *publish.Service, _ *publish.Route) {
+		service.Slots, service.Queue = size.slots, size.slots
+		service.QueueTimeout = deadline / 2
+	}
+	m := newMesh(b, upstreams, config(sized), sampleNothing)
+	var daemons, targets []string
+	for i, n := range m.nodes {
+		behaviour := target.Behaviour{Delay: settings.Duration(size.work)}
+		if i < len(first) {
+			behaviour = first[i]
+		}
+		n.behave(behaviour)
+		n.setState(behaviour.State)
+		daemons = append(daemons, n.callers.Listener.Addr().String())
+		targets = append(targets, n.target.Address())
+	}
+	m.share()
+	transport := func() http.RoundTripper {
+		transport := load.NewTransport()
+		b.Cleanup(transport.CloseIdleConnections)
+		return transport
+	}
+	mesh = &load.HTTPCaller{Addresses: daemons, LookupPath: "/" + lookups, Timeout: deadline, Transport: transport()}
+	naive = &load.NaiveCaller{
+		Addresses: targets, Path: "/", Timeout: deadline, AttemptTimeout: deadline / 2,
+		Retries: 3, Transport: transport(),
+	}
+	return mesh, naive
+}
--- a/internal/call/mesh_test.go
+++ b/internal/call/mesh_test.go
@@ -169,6 +169,16 @@
 	}
 }
 
+// setState changes what membership knows of the host's target, once shared.
+func (n *node) setState(state string) {
+	n.member.TargetState = membership.Ready
+	if state == target.StateDraining {
+		n.member.TargetState = membership.Draining
+	}
+}
+
+func sampleNothing(_ int, o *call.Options) { o.SampleShare = 0 }
+
 // silence is a network whose open connections can go silent for good: writes
 // seem to work, nothing ever arrives. New connections work.
 type silence struct {
@@ -267,7 +277,8 @@
 func newNode(t testing.TB, i int, config *publish.Configuration, change func(int, *call.Options)) *node {
 	n := &node{name: string(rune('a' + i)), events: &events{}, tables: &tables{}, dir: &directory{}}
 	var err error
-	n.target, err = target.New(target.Options{Service: "railway/status", Listen: "127.0.0.1:0", Slots: 4})
+	slots := config.Services["railway/status"].Slots
+	n.target, err = target.New(target.Options{Service: "railway/status", Listen: "127.0.0.1:0", Slots: slots, Workers: slots})
 	assert.NilError(t, err)
 	n.tables.table.Store(&enforce.Table{Offset: 7, Config: config})
 	n.keys = &keys{host: "a", runs: make(map[string]*keyRun)}
@@ -286,7 +297,7 @@
 	n.member = membership.Member{
 		Host: n.name, Zone: self.Zone, Region: self.Region, State: membership.Alive,
 		CallsAddress: strings.TrimPrefix(n.peers.URL, "http://"),
-		Service:      "railway/status", Slots: 4, TargetState: membership.Ready,
+		Service:      "railway/status", Slots: slots, TargetState: membership.Ready,
 	}
 	return n
 }
--- a/internal/standin/target/http.go
+++ b/internal/standin/target/http.go
@@ -25,6 +25,9 @@
 	blockSize = 32 << 10
 )
 
+// answerBlock is what answers of a given size are made of.
+var answerBlock = bytes.Repeat([]byte("points heater on"), blockSize/16)
+
 // handler serves the control paths; every other path is a request to run.
 func (t *Target) handler() http.Handler {
 	router := httprouter.New()
@@ -187,12 +190,8 @@
 	if cut {
 		limit = size / 2
 	}
-	block := make([]byte, blockSize)
-	for i := range block {
-		block[i] = byte('a' + i%26)
-	}
 	for limit > 0 {
-		n, err := w.Write(block[:min(limit, blockSize)])
+		n, err := w.Write(answerBlock[:min(limit, blockSize)])
 		limit -= int64(n)
 		if err != nil {
 			return
