--- a/internal/call/keyed.go
+++ b/internal/call/keyed.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/once"
 )
 
 // maxStored bounds an answer that is kept for its key, in bytes.
@@ -24,7 +25,7 @@
 	if s.keys == nil {
 		return nil, s.fail(NotRun, StepKey, http.StatusServiceUnavailable, errNoKeys)
 	}
-	claim, err := s.keys.Begin(q.config, q.service.Name, q.key)
+	claim, err := s.claim(ctx, q)
 	if err != nil {
 		return nil, s.fail(NotRun, StepKey, http.StatusConflict, err)
 	}
@@ -37,18 +38,38 @@
 	result, failure, handed := s.run(ctx, q, self)
 	if !handed {
 		claim.Abandon()
+		return nil, failure
 	}
 	if failure != nil {
+		claim.Finish(nil)
 		return nil, failure
 	}
 	stored, err := store(result)
 	if err != nil {
+		claim.Finish(nil)
 		return nil, s.fail(Unknown, StepAnswer, statusOf(ctx, err), err)
 	}
 	claim.Finish(stored)
 	return replay(stored), nil
 }
 
+// claim begins the run of a key. While another attempt with the key runs it
+// waits for that one's answer.
+func (s *Server) claim(ctx context.Context, q *request) (KeyRun, error) {
+	for {
+		claim, err := s.keys.Begin(q.config, q.service.Name, q.key)
+		var refusal *once.Refusal
+		if err == nil || !errors.As(err, &refusal) || refusal.Done == nil {
+			return claim, err
+		}
+		select {
+		case <-refusal.Done:
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
 // store reads an answer whole.
 func store(result *answer) (*StoredAnswer, error) {
 	whole, err := io.ReadAll(io.LimitReader(result.body, maxStored+1))
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -14,6 +14,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/route"
+	_ "github.com/mulberrybank/mulberrybank/internal/testseed"
 )
 
 const slots = 6
