Give teams tokens with a role in their workspace, and quotas

Anyone who reached the API could change any workspace. A workspace now lists tokens by hash in what its templates render to, so they travel, roll back and expire with the configuration; a root token in the settings publishes a workspace first. A publisher may not change the tokens: the daemon folds the publication into a copy and compares. Two ways around that are closed: a base that the daemon does not know yet is unavailable, and a publication that is refused here is not appended, because another workspace's change could make the log accept it. Publications are limited by workspace on each daemon; a limit over all daemons would need agreement.

--- a/internal/admin/access.go
+++ b/internal/admin/access.go
@@ -4,50 +4,19 @@
 	"errors"
 	"net/http"
 	"strings"
-)
-
-// Role is what a token may do in a workspace. A higher role includes the lower.
-type Role int
 
-// Roles.
-const (
-	// Public needs no token.
-	Public Role = iota
-	// Reader may read configuration, history and status.
-	Reader
-	// Publisher may also publish and roll back.
-	Publisher
-	// Administrator may also change tokens, drain hosts and read events.
-	Administrator
+	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
 
-func (r Role) String() string {
-	switch r {
-	case Public:
-		return "public"
-	case Reader:
-		return "reader"
-	case Publisher:
-		return "publisher"
-	default:
-		return "administrator"
-	}
-}
-
-// ParseRole reads the name of a role that a token may have.
-func ParseRole(name string) (Role, bool) {
-	for _, role := range []Role{Reader, Publisher, Administrator} {
-		if role.String() == name {
-			return role, true
-		}
-	}
-	return Public, false
-}
+// Public is the role of requests that need no token.
+const Public publish.Role = "public"
 
 // Principal is who made a request.
 type Principal struct {
 	// Name is recorded as the author of publications, empty when unknown.
 	Name string
+	// Role is the principal's role in the workspace asked for.
+	Role publish.Role
 }
 
 // Authorizer decides who may do what.
@@ -55,7 +24,7 @@
 	// Authorize returns who holds a token that has at least a role in a
 	// workspace; an empty workspace stands for the whole mesh. The error is
 	// ErrNoToken or ErrForbidden.
-	Authorize(token, workspace string, role Role) (Principal, error)
+	Authorize(token, workspace string, role publish.Role) (Principal, error)
 }
 
 // Errors of an Authorizer.
@@ -67,7 +36,9 @@
 // allowAll is the authorizer of a daemon without access control.
 type allowAll struct{}
 
-func (allowAll) Authorize(string, string, Role) (Principal, error) { return Principal{}, nil }
+func (allowAll) Authorize(string, string, publish.Role) (Principal, error) {
+	return Principal{Role: publish.Administrator}, nil
+}
 
 // authorize sets the principal of a request, or returns the problem to answer
 // with.
@@ -83,11 +54,14 @@
 	case errors.Is(err, ErrNoToken):
 		return &Problem{Type: TypeUnauthorized, Title: "a valid token is needed", Status: http.StatusUnauthorized}
 	default:
-		return &Problem{Type: TypeForbidden, Title: "the token does not allow this", Status: http.StatusForbidden,
-			Detail: "role " + r.role.String() + " is needed"}
+		return forbidden("role " + string(r.role) + " is needed")
 	}
 }
 
+func forbidden(detail string) *Problem {
+	return &Problem{Type: TypeForbidden, Title: "the token does not allow this", Status: http.StatusForbidden, Detail: detail}
+}
+
 func bearer(r *http.Request) string {
 	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !found {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -224,6 +224,6 @@
 
 type denyAll struct{}
 
-func (denyAll) Authorize(string, string, admin.Role) (admin.Principal, error) {
+func (denyAll) Authorize(string, string, publish.Role) (admin.Principal, error) {
 	return admin.Principal{}, admin.ErrForbidden
 }
--- a/internal/admin/openapi_test.go
+++ b/internal/admin/openapi_test.go
@@ -61,7 +61,7 @@
 		method := strings.ToLower(route.Method)
 		routes = append(routes, method+" "+path)
 		operation := described[path][method]
-		assert.Equal(t, operation.Role, route.Role.String(), path)
+		assert.Equal(t, operation.Role, string(route.Role), path)
 		assert.Equal(t, len(operation.Security) > 0, route.Role != admin.Public, path)
 		var inPath []string
 		for _, parameter := range operation.Parameters {
--- a/internal/admin/publications.go
+++ b/internal/admin/publications.go
@@ -1,7 +1,6 @@
 package admin
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -17,7 +16,7 @@
 	if err != nil {
 		return err
 	}
-	return s.submit(w, r.Context(), publication)
+	return s.submit(w, r, publication)
 }
 
 // validate answers with the verdict that a publication would get now.
@@ -30,7 +29,7 @@
 		return err
 	}
 	defer s.replayed()
-	verdict, err := s.try(publication)
+	verdict, _, err := s.try(publication)
 	if err != nil {
 		return unavailable("validate", err)
 	}
@@ -63,7 +62,7 @@
 	publication.Author = authorOf(r.principal, body.Author)
 	publication.Reason = body.Reason
 	publication.Daemon = s.Host
-	return s.submit(w, r.Context(), publication)
+	return s.submit(w, r, publication)
 }
 
 // readPublication reads a publication and checks access to its workspace.
@@ -111,13 +110,22 @@
 }
 
 // submit publishes and answers with the verdict.
-func (s *Server) submit(w http.ResponseWriter, ctx context.Context, publication *publish.Publication) error {
-	verdict, err := s.Submitter.Submit(ctx, publication)
+func (s *Server) submit(w http.ResponseWriter, r *request, publication *publish.Publication) error {
+	if problem := s.quotas.take(publication.GetWorkspace()); problem != nil {
+		return problem
+	}
+	refusal, err := s.guardTokens(r.principal, publication)
+	if err != nil {
+		return err
+	}
+	if refusal != nil {
+		return s.answer(w, *refusal)
+	}
+	verdict, err := s.Submitter.Submit(r.Context(), publication)
 	var notWritten *publish.NotWrittenError
 	switch {
 	case err == nil:
-		s.count(verdict)
-		return writeJSON(w, statusOf(verdict), fromVerdict(verdict))
+		return s.answer(w, verdict)
 	case errors.As(err, &notWritten):
 		return unavailable("append", err)
 	default:
@@ -126,9 +134,11 @@
 	}
 }
 
-func (s *Server) count(verdict publish.Verdict) {
+// answer counts a verdict and answers with it.
+func (s *Server) answer(w http.ResponseWriter, verdict publish.Verdict) error {
 	name := `mulberrybank_admin_publications_total{outcome=` + strconv.Quote(verdict.Outcome.String()) + `}`
 	s.Metrics.GetOrCreateCounter(name).Inc()
+	return writeJSON(w, statusOf(verdict), fromVerdict(verdict))
 }
 
 // statusOf maps a verdict to the status of its answer.
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -4,6 +4,8 @@
 	"net/http"
 
 	"github.com/julienschmidt/httprouter"
+
+	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
 
 // Route is one path of the API.
@@ -13,7 +15,7 @@
 	Path string
 	// Role is what a token needs in the workspace that the path or the body
 	// names, or in the whole mesh when neither names one.
-	Role   Role
+	Role   publish.Role
 	handle handler
 }
 
@@ -26,7 +28,7 @@
 	*http.Request
 	params httprouter.Params
 	// role is what the token needs.
-	role Role
+	role publish.Role
 	// principal is who made the request, once it is authorized.
 	principal Principal
 }
@@ -46,17 +48,17 @@
 // Routes lists the paths of the API.
 func (s *Server) Routes() []Route {
 	return []Route{
-		{http.MethodPost, "/v1/publications", Publisher, s.publish},
-		{http.MethodPost, "/v1/validate", Publisher, s.validate},
-		{http.MethodGet, "/v1/workspaces/:workspace/history", Reader, s.history},
-		{http.MethodGet, "/v1/workspaces/:workspace/source", Reader, s.source},
-		{http.MethodGet, "/v1/workspaces/:workspace/diff", Reader, s.diff},
-		{http.MethodPost, "/v1/workspaces/:workspace/rollback", Publisher, s.rollback},
-		{http.MethodGet, "/v1/status", Reader, s.status},
-		{http.MethodGet, "/v1/members", Reader, s.members},
-		{http.MethodPost, "/v1/drain", Administrator, s.drain},
-		{http.MethodDelete, "/v1/drain", Administrator, s.resume},
-		{http.MethodGet, "/v1/timeline", Administrator, s.timeline},
+		{http.MethodPost, "/v1/publications", publish.Publisher, s.publish},
+		{http.MethodPost, "/v1/validate", publish.Publisher, s.validate},
+		{http.MethodGet, "/v1/workspaces/:workspace/history", publish.Reader, s.history},
+		{http.MethodGet, "/v1/workspaces/:workspace/source", publish.Reader, s.source},
+		{http.MethodGet, "/v1/workspaces/:workspace/diff", publish.Reader, s.diff},
+		{http.MethodPost, "/v1/workspaces/:workspace/rollback", publish.Publisher, s.rollback},
+		{http.MethodGet, "/v1/status", publish.Reader, s.status},
+		{http.MethodGet, "/v1/members", publish.Reader, s.members},
+		{http.MethodPost, "/v1/drain", publish.Administrator, s.drain},
+		{http.MethodDelete, "/v1/drain", publish.Administrator, s.resume},
+		{http.MethodGet, "/v1/timeline", publish.Administrator, s.timeline},
 		{http.MethodGet, "/v1/openapi.json", Public, s.openAPI},
 		{http.MethodGet, "/metrics", Public, s.metrics},
 		{http.MethodGet, "/healthz", Public, s.healthz},
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -78,6 +78,8 @@
 	Timeline http.Handler
 	// Authorizer decides who may do what, nil allows everything.
 	Authorizer Authorizer
+	// Quota limits publications by workspace.
+	Quota Quota
 	// MaxBody bounds the body of one request in bytes, 0 for DefaultMaxBody.
 	MaxBody int64
 	Logger  *logrus.Logger
@@ -96,6 +98,7 @@
 	router *httprouter.Router
 	// replays limits how many requests rebuild old state at once.
 	replays chan struct{}
+	quotas  *quotas
 }
 
 // maxReplays is how many requests may rebuild old state at once.
@@ -119,6 +122,7 @@
 	if s.Authorizer == nil {
 		s.Authorizer = allowAll{}
 	}
+	s.quotas = newQuotas(s.Quota, s.Now)
 	s.log = logging.Part(s.Logger, "admin")
 	s.router = s.newRouter()
 	return s
--- a/internal/publish/configuration.go
+++ b/internal/publish/configuration.go
@@ -37,6 +37,8 @@
 	Version  Version
 	Services []*Service
 	Routes   []*Route
+	// Tokens give access to the administration of the workspace, by name.
+	Tokens []Token
 }
 
 // Service is a set of targets that run the same program.
--- a/internal/publish/document.go
+++ b/internal/publish/document.go
@@ -10,6 +10,7 @@
 type document struct {
 	Services []serviceDocument `json:"services"`
 	Routes   []routeDocument   `json:"routes"`
+	Tokens   []Token           `json:"tokens"`
 }
 
 type serviceDocument struct {
--- a/internal/publish/limits.go
+++ b/internal/publish/limits.go
@@ -20,6 +20,8 @@
 	MaxServices = 100
 	// MaxRoutes bounds the routes of a workspace.
 	MaxRoutes = 1000
+	// MaxTokens bounds the tokens of a workspace.
+	MaxTokens = 100
 	// MaxSlots bounds the slots of one target.
 	MaxSlots = 10_000
 	// MaxQueue bounds the requests that wait at one target.
--- a/internal/publish/render.go
+++ b/internal/publish/render.go
@@ -34,11 +34,13 @@
 		for _, route := range rendered.Routes {
 			workspace.Routes = append(workspace.Routes, route.route(source.Name))
 		}
+		workspace.Tokens = append(workspace.Tokens, rendered.Tokens...)
 	}
 	if problems := checkWorkspace(workspace); len(problems) > 0 {
 		return nil, problems
 	}
 	slices.SortFunc(workspace.Services, func(a, b *Service) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(workspace.Tokens, func(a, b Token) int { return strings.Compare(a.Name, b.Name) })
 	slices.SortFunc(workspace.Routes, func(a, b *Route) int { return strings.Compare(a.Name, b.Name) })
 	return workspace, nil
 }
--- a/internal/publish/validate.go
+++ b/internal/publish/validate.go
@@ -78,6 +78,7 @@
 	var found problems
 	found.count("services", len(workspace.Services), MaxServices)
 	found.count("routes", len(workspace.Routes), MaxRoutes)
+	checkTokens(&found, workspace.Tokens)
 	services := map[string]bool{}
 	for _, service := range workspace.Services {
 		if services[service.Name] {
--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -25,6 +25,7 @@
 var (
 	durationType = reflect.TypeFor[Duration]()
 	sizeType     = reflect.TypeFor[Size]()
+	hashPattern  = regexp.MustCompile(`^[0-9a-f]{64}$`)
 	namePattern  = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
 )
 
@@ -65,6 +66,10 @@
 		return `an http or https URL without user, query or fragment, such as "http://10.0.0.1:7000"`
 	case "level":
 		return `"debug", "info", "warning" or "error"`
+	case "access":
+		return `"` + AccessOpen + `" or "` + AccessTokens + `"`
+	case "hash":
+		return "64 lower-case hexadecimal digits, or nothing"
 	default:
 		return "a text"
 	}
@@ -95,6 +100,10 @@
 		return isBaseURL(text)
 	case "level":
 		return text != "warn" && isLevel(text)
+	case "access":
+		return text == AccessOpen || text == AccessTokens
+	case "hash":
+		return text == "" || hashPattern.MatchString(text)
 	default:
 		return true
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,16 @@
 type Admin struct {
 	// MaxBody bounds the body of one request.
 	MaxBody Size `json:"max_body" default:"1MiB" min:"1KiB" max:"64MiB"`
+	// Access is "tokens" when requests need a token, or "open".
+	Access string `json:"access" default:"open" form:"access"`
+	// RootSHA256 is the hash of a token that may do everything, for the first
+	// publication of a workspace. Empty means that there is none.
+	RootSHA256 string `json:"root_sha256" form:"hash"`
+	// PublishInterval is the mean time between two publications of one
+	// workspace through this daemon, 0s for no limit.
+	PublishInterval Duration `json:"publish_interval" default:"1s" min:"0s" max:"1h"`
+	// PublishBurst is how many publications of one workspace may come at once.
+	PublishBurst int `json:"publish_burst" default:"20" min:"1" max:"10000"`
 }
 
 // Timeline limits the events kept in memory.
@@ -71,6 +81,12 @@
 	Events int `json:"events" default:"65536" min:"1" max:"4194304"`
 }
 
+// Values of Admin.Access.
+const (
+	AccessOpen   = "open"
+	AccessTokens = "tokens"
+)
+
 // Default values of settings that may be left out.
 const (
 	DefaultPlatformTimeout = 2 * time.Second
