Let settings turn access control on, and make tokens on the command line

Tokens were only checked in tests. The settings name who may use the API ("open", which is logged, or "tokens"), the hash of a root token and the quota; the program makes tokens into files that only their owner reads, because a token among the arguments is shown to every user of the machine.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 	Diff     *diffCommand     `arg:"subcommand:diff" help:"compare two versions of a workspace as rendered"`
 	Rollback *rollbackCommand `arg:"subcommand:rollback" help:"publish the content of an old version again"`
 	Drain    *drainCommand    `arg:"subcommand:drain" help:"take a target out of service, or put it back"`
+	Token    *tokenCommand    `arg:"subcommand:token" help:"make an access token"`
 	Timeline *timelineCommand `arg:"subcommand:timeline" help:"show or check the events of many processes"`
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/admin"
 	"github.com/mulberrybank/mulberrybank/internal/admin/admintest"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/standin/logservice"
 )
 
@@ -64,7 +65,7 @@
 }
 
 func TestEveryCommandHasHelpWithAnExample(t *testing.T) {
-	for _, name := range []string{"validate", "publish", "status", "members", "history", "diff", "rollback", "drain", "timeline"} {
+	for _, name := range []string{"validate", "publish", "status", "members", "history", "diff", "rollback", "drain", "token", "timeline"} {
 		status, stdout, _ := invoke(t, name, "--help")
 		assert.Equal(t, status, exitOK)
 		assert.Assert(t, strings.Contains(stdout, "Example:\n  mulberrybank "+name), stdout)
@@ -157,3 +158,35 @@
 	assert.Equal(t, status, exitFailed)
 	assert.Assert(t, strings.Contains(stdout, "versions-grow: host host-9 went from offset 7"), stdout)
 }
+
+func TestTokenOpensASecuredWorkspace(t *testing.T) {
+	dir := t.TempDir()
+	root, ci := filepath.Join(dir, "root.token"), filepath.Join(dir, "ci.token")
+	_, stdout, _ := invoke(t, "token", "root", "--role=administrator", "--file="+root, "--json")
+	var token publish.Token
+	assert.NilError(t, json.Unmarshal([]byte(stdout), &token))
+	_, stdout, _ = invoke(t, "token", "ci", "--role=publisher", "--file="+ci)
+	_, document, _ := strings.Cut(stdout, "\n")
+
+	mesh := admintest.New(logservice.New(logservice.Options{}))
+	options := mesh.Options()
+	options.Authorizer = &admin.TokenAuthorizer{Tables: mesh, RootSHA256: token.SHA256}
+	server := httptest.NewServer(admin.New(options).Handler())
+	defer server.Close()
+	at := "--admin=" + server.URL
+	workspace := writeWorkspace(t, `{"slots": 20}`)
+	assert.NilError(t, os.WriteFile(filepath.Join(workspace, "templates", "access.tmpl"), []byte(document), 0o600))
+
+	status, _, stderr := invoke(t, "publish", workspace, at)
+	assert.Equal(t, status, exitFailed)
+	assert.Assert(t, strings.Contains(stderr, "a valid token is needed"), stderr)
+	status, _, stderr = invoke(t, "publish", workspace, at, "--token-file="+root)
+	assert.Equal(t, status, exitOK, stderr)
+	assert.NilError(t, os.WriteFile(filepath.Join(workspace, "parameters.json"), []byte(`{"slots": 30}`), 0o600))
+	status, stdout, stderr = invoke(t, "publish", workspace, at, "--token-file="+ci)
+	assert.Equal(t, status, exitOK, stdout+stderr)
+	_, stdout, _ = invoke(t, "history", "heaters", at, "--token-file="+ci)
+	assert.Assert(t, strings.Contains(stdout, "ci"), stdout)
+	status, _, _ = invoke(t, "token", "ci", "--role=publisher", "--file="+ci)
+	assert.Equal(t, status, exitFailed)
+}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -135,6 +135,8 @@
 		Staleness:   d.staleness,
 		Drainer:     d.members,
 		Timeline:    d.events.Handler(),
+		Authorizer:  d.authorizer(),
+		Quota:       d.quota(),
 		MaxBody:     int64(d.settings.Admin.MaxBody),
 		Logger:      d.logger,
 		Metrics:     d.metrics,
