Describe every setting and workspace field and hold the page to the code

Operators had the struct tags and the limits only. The page lists each setting and each field with type, default, range and meaning; tests compute the rows from the tags, the document types and the limits and compare both ways.

Seen failing: a changed default, a changed limit of a field and of a workspace, a field more in the code, a field renamed on the page.

--- /dev/null
+++ b/internal/publish/page_test.go
@@ -0,0 +1,107 @@
+package publish
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// page is the operators' page of workspaces, seen from this package.
+const page = "../../docs/CONFIGURATION.md"
+
+// rowPattern matches a row of the page's tables of fields, without its last cell.
+var rowPattern = regexp.MustCompile("(?m)^\\| `[a-z0-9_.]+` \\| [^|]+ \\| [^|]+ \\| [^|]+ \\|")
+
+// bounds are the default and the range of fields that have them.
+var bounds = map[string][2]string{
+	"services.slots":         {"required", span(1, MaxSlots)},
+	"services.queue":         {"`0`", span(0, MaxQueue)},
+	"services.queue_timeout": {"`" + DefaultQueueTimeout.String() + "`", span("0s", MaxQueueTimeout)},
+	"services.connections":   {code(DefaultConnections), span(1, MaxConnections)},
+	"services.slow_start":    {"`0s`", span("0s", MaxSlowStart)},
+	"routes.service":         {"required", "a name as above, or `WORKSPACE/SERVICE`"},
+	"routes.deadline":        {"`" + DefaultDeadline.String() + "`", span(MinDeadline, MaxDeadline)},
+	"routes.idempotent":      {"`false`", "`true` or `false`"},
+	"routes.retries":         {"`0`", span(0, MaxRetries)},
+	"routes.retry_budget":    {"`0`", span(0, 1)},
+	"routes.hedge":           {"`0s`", "`0s`, or a positive duration below the deadline"},
+	"tokens.sha256":          {"required", "64 lower-case hexadecimal digits"},
+	"tokens.role":            {"required", "`reader`, `publisher` or `administrator`"},
+}
+
+func code(value any) string { return fmt.Sprintf("`%v`", value) }
+
+func span(low, high any) string { return code(low) + " to " + code(high) }
+
+// TestPageListsTheFields holds names, types, defaults and ranges on the page
+// to the documents that templates render to, both ways.
+func TestPageListsTheFields(t *testing.T) {
+	text, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	_, section, _ := strings.Cut(string(text), "## Fields of a workspace")
+	section, _, _ = strings.Cut(section, "\n## ")
+	var rows []string
+	list := reflect.TypeFor[document]()
+	for i := range list.NumField() {
+		rows = append(rows, rowsOf(list.Field(i).Type.Elem(), list.Field(i).Tag.Get("json"))...)
+	}
+	assert.DeepEqual(t, rowPattern.FindAllString(section, -1), rows)
+}
+
+func rowsOf(item reflect.Type, path string) []string {
+	var rows []string
+	for i := range item.NumField() {
+		name := path + "." + item.Field(i).Tag.Get("json")
+		bound, ok := bounds[name]
+		if !ok {
+			bound = [2]string{"required", fmt.Sprintf("a name of 1 to %d lower-case letters, digits and hyphens", MaxNameBytes)}
+		}
+		rows = append(rows, fmt.Sprintf("| `%s` | %s | %s | %s |", name, typeText(item.Field(i).Type), bound[0], bound[1]))
+	}
+	return rows
+}
+
+func typeText(t reflect.Type) string {
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch {
+	case t == reflect.TypeFor[duration]():
+		return "duration"
+	case t.Kind() == reflect.Bool:
+		return "boolean"
+	case t.Kind() == reflect.String:
+		return "text"
+	default:
+		return "number"
+	}
+}
+
+// TestPageListsTheLimits holds the sizes of a workspace on the page to the code.
+func TestPageListsTheLimits(t *testing.T) {
+	text, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	for name, limit := range map[string]int{
+		"workspaces in the mesh":             MaxWorkspaces,
+		"templates of a workspace":           MaxTemplates,
+		"parameters of a workspace":          MaxParameters,
+		"services of a workspace":            MaxServices,
+		"routes of a workspace":              MaxRoutes,
+		"tokens of a workspace":              MaxTokens,
+		"bytes of templates and parameters":  MaxSourceBytes,
+		"bytes that the templates render to": MaxRenderedBytes,
+		"bytes of one publication":           MaxEntryBytes,
+		"bytes of a reason or an author":     MaxTextBytes,
+		"verdicts and publication ids kept":  KeptVerdicts,
+		"bytes of the name of a template":    MaxNameBytes,
+		"bytes of the id of one publication": MaxIDBytes,
+	} {
+		row := fmt.Sprintf("| %s | %d |", name, limit)
+		assert.Assert(t, strings.Contains(string(text), row), row)
+	}
+}
--- /dev/null
+++ b/internal/settings/page_test.go
@@ -0,0 +1,75 @@
+package settings
+
+import (
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// page is the operators' page of settings, seen from this package.
+const page = "../../docs/CONFIGURATION.md"
+
+// rowPattern matches a row of the page's tables of settings, without its last cell.
+var rowPattern = regexp.MustCompile("(?m)^\\| `[a-z0-9_.]+` \\| [^|]+ \\| [^|]+ \\| [^|]+ \\|")
+
+// TestPageListsTheSettings holds names, types, defaults and ranges on the page
+// to the struct tags, both ways.
+func TestPageListsTheSettings(t *testing.T) {
+	text, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	_, section, _ := strings.Cut(string(text), "## Settings of a daemon")
+	section, _, _ = strings.Cut(section, "\n## ")
+	assert.DeepEqual(t, rowPattern.FindAllString(section, -1), rows(reflect.TypeFor[Settings](), ""))
+}
+
+// rows returns the row of each setting in the order of the types.
+func rows(group reflect.Type, path string) []string {
+	var all []string
+	for i := range group.NumField() {
+		field := group.Field(i)
+		name := join(path, field.Tag.Get("json"))
+		if field.Type.Kind() == reflect.Struct {
+			all = append(all, rows(field.Type, name)...)
+			continue
+		}
+		cells := []string{"`" + name + "`", typeText(field.Type), defaultText(field), rangeText(field)}
+		all = append(all, "| "+strings.Join(cells, " | ")+" |")
+	}
+	return all
+}
+
+func typeText(t reflect.Type) string {
+	switch {
+	case t == durationType:
+		return "duration"
+	case t == sizeType:
+		return "size"
+	case t.Kind() == reflect.Slice:
+		return "list of texts"
+	case t.Kind() == reflect.Int:
+		return "number"
+	default:
+		return "text"
+	}
+}
+
+func defaultText(field reflect.StructField) string {
+	if field.Tag.Get("required") == "true" {
+		return "required"
+	}
+	if value := field.Tag.Get("default"); value != "" {
+		return "`" + value + "`"
+	}
+	return "none"
+}
+
+func rangeText(field reflect.StructField) string {
+	if low := field.Tag.Get("min"); low != "" {
+		return "`" + low + "` to `" + field.Tag.Get("max") + "`"
+	}
+	return formText(field.Tag.Get("form"))
+}
