--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -125,6 +125,7 @@
 	s.quotas = newQuotas(s.Quota, s.Now)
 	s.log = logging.Part(s.Logger, "admin")
 	s.router = s.newRouter()
+	s.registerGauges(s.Metrics)
 	return s
 }
 
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -39,6 +39,7 @@
 	}
 	d.buildCalls(clock, call.DialFunc(options.Dial))
 	d.buildAdmin()
+	d.events.RegisterMetrics(d.metrics)
 	d.metrics.RegisterMetricsWriter(d.writeTraffic)
 	d.metrics.RegisterMetricsWriter(metrics.WriteProcessMetrics)
 	return nil
