--- /dev/null
+++ b/internal/cli/page_test.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	arg "github.com/alexflint/go-arg"
+	"gotest.tools/v3/assert"
+)
+
+// documented returns the commands in the code blocks of a page.
+func documented(text string) []string {
+	var found []string
+	for line := range strings.Lines(text) {
+		if !strings.HasPrefix(line, "    ") {
+			continue
+		}
+		line = strings.TrimPrefix(strings.TrimSpace(line), "$ ")
+		line = strings.TrimPrefix(line, "./")
+		if rest, ok := strings.CutPrefix(line, program+" "); ok {
+			rest, _, _ = strings.Cut(rest, " > ")
+			found = append(found, strings.TrimSuffix(rest, " &"))
+		}
+	}
+	return found
+}
+
+// fields splits a command line at spaces outside of double quotes.
+func fields(line string) []string {
+	quoted := false
+	return strings.FieldsFunc(line, func(r rune) bool {
+		if r == '"' {
+			quoted = !quoted
+		}
+		return r == ' ' && !quoted
+	})
+}
+
+func TestDocumentedCommandsParse(t *testing.T) {
+	pages, err := filepath.Glob("../../docs/*.md")
+	assert.NilError(t, err)
+	count := 0
+	for _, page := range append(pages, "../../README.md") {
+		text, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		for _, line := range documented(string(text)) {
+			parser, err := arg.NewParser(arg.Config{Program: program, Out: io.Discard}, &commands{})
+			assert.NilError(t, err)
+			assert.NilError(t, parser.Parse(fields(line)), "%s: %s", page, line)
+			count++
+		}
+	}
+	assert.Assert(t, count > 10, "%d commands found", count)
+}
+
+func TestExamplesParse(t *testing.T) {
+	for _, name := range []string{"daemon", "demo", "validate", "publish", "status", "members", "history", "diff", "rollback", "drain", "token", "timeline"} {
+		all := &commands{}
+		parser, err := arg.NewParser(arg.Config{Program: program, Out: io.Discard}, all)
+		assert.NilError(t, err)
+		_ = parser.Parse([]string{name})
+		selected, ok := parser.Subcommand().(exampled)
+		assert.Assert(t, ok, name)
+		for _, line := range documented("    " + strings.ReplaceAll(selected.example(), "\n", "\n    ")) {
+			fresh, err := arg.NewParser(arg.Config{Program: program, Out: io.Discard}, &commands{})
+			assert.NilError(t, err)
+			assert.NilError(t, fresh.Parse(fields(line)), line)
+		}
+	}
+}
--- a/internal/cli/rollback.go
+++ b/internal/cli/rollback.go
@@ -10,7 +10,7 @@
 // rollbackCommand publishes the content of an old version as a new one.
 type rollbackCommand struct {
 	Workspace string `arg:"positional,required" help:"name of the workspace"`
-	Version   uint64 `arg:"--version,required" help:"version whose content is published again"`
+	Version   uint64 `arg:"--to,required" placeholder:"VERSION" help:"version whose content is published again"`
 	Base      uint64 `arg:"--base" placeholder:"VERSION" help:"version to replace, the current one when left out"`
 	authorship
 	connection
@@ -19,7 +19,7 @@
 }
 
 func (*rollbackCommand) example() string {
-	return `mulberrybank rollback heaters --version 12 --reason "night service late" --wait`
+	return `mulberrybank rollback heaters --to 12 --reason "night service late" --wait`
 }
 
 func (c *rollbackCommand) run(ctx context.Context, env *env) error {
