--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -39,6 +39,7 @@
 	}
 	d.buildCalls(clock, call.DialFunc(options.Dial))
 	d.buildAdmin()
+	d.events.RegisterMetrics(d.metrics)
 	d.metrics.RegisterMetricsWriter(d.writeTraffic)
 	d.metrics.RegisterMetricsWriter(metrics.WriteProcessMetrics)
 	return nil
@@ -135,6 +136,8 @@
 		Staleness:   d.staleness,
 		Drainer:     d.members,
 		Timeline:    d.events.Handler(),
+		Authorizer:  d.authorizer(),
+		Quota:       d.quota(),
 		MaxBody:     int64(d.settings.Admin.MaxBody),
 		Logger:      d.logger,
 		Metrics:     d.metrics,
