distribute: probe a source before the present one is left for it

During an outage of the log every daemon found each of its sources stale in turn and changed source 28 times a minute (TestPlatformOutageCostsFewReads, 120 daemons). Longer hold-offs alone were ruled out, because they also delay the way back.

A daemon that has stopped folding goes on following, so that the summaries name it: TestConvergenceNamesTheMissing failed before, since the stopped daemon went from source to source.

--- a/internal/distribute/catchup.go
+++ b/internal/distribute/catchup.go
@@ -33,7 +33,15 @@
 	}
 	d.compare(asking.Host, offset, digest)
 	own, ownDigest := d.enforcer.Position()
-	return catchUpAnswer{Snapshot: snap, Records: records, Offset: own, Digest: ownDigest}, nil
+	return catchUpAnswer{
+		Snapshot: snap,
+		Records:  records,
+		Offset:   own,
+		Digest:   ownDigest,
+		Fresh:    d.state.freshness(),
+		Path:     d.state.path(),
+		Stopped:  d.enforcer.Stopped() != nil,
+	}, nil
 }
 
 // shedAnswer names other daemons of this zone that may answer.
--- a/internal/distribute/choice.go
+++ b/internal/distribute/choice.go
@@ -10,14 +10,29 @@
 const (
 	firstHoldOff = 200 * time.Millisecond
 	maxHoldOff   = 30 * time.Second
-	// staleHoldOff is the first hold-off of a source that answers but is cut
-	// off from the log.
-	staleHoldOff = 5 * time.Second
-	// staleLimit is how old the state of a source may be before another
-	// source is tried.
-	staleLimit = 8 * time.Second
+	// maxLogHoldOff is the same for the log, so that its return is seen soon.
+	maxLogHoldOff = 5 * time.Second
+	// staleHoldOff and maxStaleHoldOff bound the hold-off of a source that
+	// answers but is cut off from the log.
+	staleHoldOff    = 10 * time.Second
+	maxStaleHoldOff = 5 * time.Minute
+	// readerStaleLimit is how old the state of a zone's reader may be before
+	// it tries another source.
+	readerStaleLimit = 8 * time.Second
+	// followerStaleLimit is the same for the others, who leave it to their
+	// readers to find a way first.
+	followerStaleLimit = time.Minute
 )
 
+// staleLimit returns how old the state of a daemon may be before it tries
+// another source.
+func staleLimit(reader bool) time.Duration {
+	if reader {
+		return readerStaleLimit
+	}
+	return followerStaleLimit
+}
+
 // health remembers what happened with each source. It is owned by one task.
 type health struct {
 	now     func() time.Time
@@ -38,9 +53,13 @@
 func (h *health) entry(source Source) *sourceHealth {
 	entry, ok := h.entries[source]
 	if !ok {
+		limit := maxHoldOff
+		if source.Log {
+			limit = maxLogHoldOff
+		}
 		entry = &sourceHealth{
-			failures: newBackOff(firstHoldOff),
-			stales:   newBackOff(staleHoldOff),
+			failures: newBackOff(firstHoldOff, limit),
+			stales:   newBackOff(staleHoldOff, maxStaleHoldOff),
 		}
 		h.entries[source] = entry
 	}
@@ -74,6 +93,15 @@
 	}
 }
 
+// clearStale forgets which sources were stale, because the log is reached
+// again.
+func (h *health) clearStale() {
+	for _, entry := range h.entries {
+		entry.staleUntil = time.Time{}
+		entry.stales.Reset()
+	}
+}
+
 // worked forgets the failures of a source.
 func (h *health) worked(source Source) {
 	entry := h.entry(source)
@@ -118,12 +146,12 @@
 	return Source{}, wait, false
 }
 
-// newBackOff returns jittered intervals that double up to maxHoldOff.
-func newBackOff(first time.Duration) *backoff.ExponentialBackOff {
+// newBackOff returns jittered intervals that double up to a limit.
+func newBackOff(first, limit time.Duration) *backoff.ExponentialBackOff {
 	intervals := backoff.NewExponentialBackOff()
 	intervals.InitialInterval = first
 	intervals.Multiplier = 2
-	intervals.MaxInterval = maxHoldOff
+	intervals.MaxInterval = limit
 	intervals.Reset()
 	return intervals
 }
--- a/internal/distribute/client.go
+++ b/internal/distribute/client.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return catchUpAnswer{}, fmt.Errorf("catch up from %s: %w", conn.Peer.Host, err)
 	}
-	return catchUpFromWire(answer), nil
+	return catchUpFromWire(answer, d.now()), nil
 }
 
 // exchange trades summaries with the reader of another region.
--- a/internal/distribute/distribute.go
+++ b/internal/distribute/distribute.go
@@ -72,6 +72,7 @@
 	followers      *followers
 	regions        *regions
 	diverged       *divergedPeers
+	tellStopped    sync.Once
 }
 
 // New returns a distributor that does nothing before Run.
--- a/internal/distribute/encoding.go
+++ b/internal/distribute/encoding.go
@@ -60,7 +60,7 @@
 	return &snapshot{Offset: wire.GetOffset(), Digest: wire.GetDigest(), State: wire.GetState()}
 }
 
-func catchUpToWire(answer catchUpAnswer) *CatchUpAnswer {
+func catchUpToWire(answer catchUpAnswer, now time.Time) *CatchUpAnswer {
 	return &CatchUpAnswer{
 		Records:      platform.RecordsToWire(answer.Records),
 		Snapshot:     snapshotToWire(answer.Snapshot),
@@ -68,10 +68,13 @@
 		Digest:       answer.Digest,
 		RetryAfterMs: uint32(answer.RetryAfter.Milliseconds()),
 		Elsewhere:    answer.Elsewhere,
+		AgeMs:        ageToWire(answer.Fresh, now),
+		Path:         answer.Path,
+		Stopped:      answer.Stopped,
 	}
 }
 
-func catchUpFromWire(wire *CatchUpAnswer) catchUpAnswer {
+func catchUpFromWire(wire *CatchUpAnswer, now time.Time) catchUpAnswer {
 	return catchUpAnswer{
 		Records:    platform.RecordsFromWire(wire.GetRecords()),
 		Snapshot:   snapshotFromWire(wire.GetSnapshot()),
@@ -79,6 +82,9 @@
 		Digest:     wire.GetDigest(),
 		RetryAfter: time.Duration(wire.GetRetryAfterMs()) * time.Millisecond,
 		Elsewhere:  wire.GetElsewhere(),
+		Fresh:      ageFromWire(wire.GetAgeMs(), now),
+		Path:       wire.GetPath(),
+		Stopped:    wire.GetStopped(),
 	}
 }
 
--- a/internal/distribute/follow.go
+++ b/internal/distribute/follow.go
@@ -116,12 +116,34 @@
 	return nil
 }
 
-// take folds a snapshot and the records after it.
+// take folds a snapshot and the records after it. A daemon that has stopped
+// folding takes nothing and goes on following, so that it is not lost from
+// the summaries.
 func (d *Distributor) take(snap *snapshot, records []platform.Record) error {
+	if d.hasStopped() {
+		return nil
+	}
 	if snap != nil {
 		if err := d.state.restore(snap); err != nil {
 			return err
 		}
 	}
-	return d.state.apply(records)
+	if err := d.state.apply(records); err != nil && !d.hasStopped() {
+		return err
+	}
+	return nil
+}
+
+// hasStopped reports whether the fold of this daemon has stopped for good,
+// and says so once.
+func (d *Distributor) hasStopped() bool {
+	err := d.enforcer.Stopped()
+	if err == nil {
+		return false
+	}
+	d.tellStopped.Do(func() {
+		d.counters.stopped.Inc()
+		d.logger.WithError(err).Error("Folding has stopped. The configuration in force stays as it is.")
+	})
+	return true
 }
--- a/internal/distribute/followers.go
+++ b/internal/distribute/followers.go
@@ -54,6 +54,17 @@
 	}
 }
 
+// hosts returns the hosts that follow this one directly.
+func (f *followers) hosts() map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	hosts := make(map[string]bool, len(f.list))
+	for known := range f.list {
+		hosts[known.identity.Host] = true
+	}
+	return hosts
+}
+
 // summaries returns what the followers said of their subtrees, and names
 // those below an offset.
 func (f *followers) summaries(offset uint64) []ZoneSummary {
--- a/internal/distribute/hints.go
+++ b/internal/distribute/hints.go
@@ -111,7 +111,7 @@
 			return err
 		}
 		if answer.RetryAfter > 0 {
-			return &shedError{peer: ahead.host, retryAfter: answer.RetryAfter}
+			return &shedError{retryAfter: answer.RetryAfter}
 		}
 		if err := d.take(answer.Snapshot, answer.Records); err != nil {
 			return err
--- a/internal/distribute/messages.go
+++ b/internal/distribute/messages.go
@@ -51,6 +51,10 @@
 	RetryAfter time.Duration
 	// Elsewhere names control addresses to ask instead.
 	Elsewhere []string
+	// Fresh, Path and Stopped are as in update.
+	Fresh   time.Time
+	Path    []string
+	Stopped bool
 }
 
 // link is one end of a stream between two daemons.
--- a/internal/distribute/metrics.go
+++ b/internal/distribute/metrics.go
@@ -13,6 +13,7 @@
 	pulls       *metrics.Counter
 	shed        *metrics.Counter
 	divergences *metrics.Counter
+	stopped     *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) *counters {
@@ -21,6 +22,7 @@
 		reads:       set.GetOrCreateCounter("mulberrybank_log_reads_total"),
 		pulls:       set.GetOrCreateCounter("mulberrybank_pulls_total"),
 		shed:        set.GetOrCreateCounter("mulberrybank_catch_ups_shed_total"),
+		stopped:     set.GetOrCreateCounter("mulberrybank_folding_stopped"),
 		divergences: set.GetOrCreateCounter("mulberrybank_divergences_total"),
 	}
 }
--- a/internal/distribute/parents.go
+++ b/internal/distribute/parents.go
@@ -40,8 +40,16 @@
 // logSource is the log itself.
 var logSource = Source{Log: true}
 
-// candidates returns the sources of one daemon, the preferred one first.
-func candidates(view *membership.View, peers []string) []Source {
+// plan is where one daemon may get records from.
+type plan struct {
+	// Sources has the preferred one first.
+	Sources []Source
+	// Reader says that the daemon may read the log for others of its zone.
+	Reader bool
+}
+
+// makePlan returns the plan of the daemon whose view it is given.
+func makePlan(view *membership.View, peers []string) plan {
 	var list sourceList
 	self := view.Self.Host
 	zones := rankZones(view)
@@ -59,7 +67,7 @@
 		list.addPeers(peers)
 	}
 	list.addLog()
-	return list.without(self)
+	return plan{Sources: list.without(self), Reader: rank < readersPerZone}
 }
 
 // rankZones returns the living daemons of each zone, the zone's readers first.
--- a/internal/distribute/read.go
+++ b/internal/distribute/read.go
@@ -52,9 +52,12 @@
 	if err != nil {
 		return err
 	}
-	if err := d.state.apply(result.Records); err != nil {
+	if err := d.take(nil, result.Records); err != nil {
 		return fmt.Errorf("fold the log's records after %d: %w", offset, err)
 	}
+	if d.hasStopped() {
+		return errStopped
+	}
 	if have, _ := d.enforcer.Position(); have+1 >= result.Next {
 		d.state.confirm(d.now())
 	}
--- a/internal/distribute/server.go
+++ b/internal/distribute/server.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return catchUpToWire(answer), nil
+	return catchUpToWire(answer, s.distributor.now()), nil
 }
 
 func (s *server) Exchange(_ context.Context, request *ExchangeRequest) (*ExchangeAnswer, error) {
--- a/internal/distribute/upstream.go
+++ b/internal/distribute/upstream.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
 
@@ -26,8 +26,8 @@
 	errEnded = errors.New("the peer ended the stream")
 	// errLoop says that the peer gets its records from this daemon.
 	errLoop = errors.New("the peer follows this daemon")
-	// errStopped says that the peer cannot fold what comes next.
-	errStopped = errors.New("the peer has stopped folding")
+	// errStopped says that a daemon cannot fold what comes next.
+	errStopped = errors.New("folding has stopped")
 	// errBetter says that a better source is there.
 	errBetter = errors.New("a better source is there")
 )
@@ -36,13 +36,15 @@
 type upstream struct {
 	mu     sync.Mutex
 	health *health
+	// stale is set while this daemon is cut off from the log.
+	stale bool
 }
 
 // runUpstream uses one source after the other until ctx ends.
 func (d *Distributor) runUpstream(ctx context.Context) {
 	up := &upstream{health: newHealth(d.now)}
 	for ctx.Err() == nil {
-		source, wait, ok := up.choose(d.sources())
+		source, wait, ok := up.choose(d.plan().Sources)
 		if !ok {
 			d.sleep(ctx, wait)
 			continue
@@ -56,9 +58,17 @@
 	}
 }
 
-// sources returns the candidates under the present view.
-func (d *Distributor) sources() []Source {
-	return candidates(d.directory.View(), d.peers)
+// plan returns where this daemon may get records from under the present view.
+// A daemon does not follow its own followers, and one that has stopped folding
+// leaves the log to others.
+func (d *Distributor) plan() plan {
+	made := makePlan(d.directory.View(), d.peers)
+	following := d.followers.hosts()
+	stopped := d.hasStopped()
+	made.Sources = slices.DeleteFunc(made.Sources, func(s Source) bool {
+		return s.Log && stopped || following[s.Host]
+	})
+	return made
 }
 
 // choose picks the source to use next.
@@ -90,7 +100,7 @@
 	return d.follow(ctx, up, source)
 }
 
-// watchSources ends the use of a source when a better one is there.
+// watchSources ends the use of a source when a better one has answered.
 func (d *Distributor) watchSources(ctx context.Context, up *upstream, source Source, end context.CancelCauseFunc) {
 	ticker := time.NewTicker(reconsiderInterval)
 	defer ticker.Stop()
@@ -100,62 +110,59 @@
 		case <-ctx.Done():
 			return
 		}
-		better, ok := d.better(up, source)
-		if !ok {
-			continue
-		}
-		if better.Log && !d.probeLog(ctx, up) {
-			continue
+		if better, ok := d.better(up, source); ok && d.probe(ctx, up, better) {
+			end(errBetter)
+			return
 		}
-		end(errBetter)
-		return
-	}
-}
-
-// probeLog tries the log before a source that works is left for it.
-func (d *Distributor) probeLog(ctx context.Context, up *upstream) bool {
-	offset, _ := d.enforcer.Position()
-	_, err := d.readOnce(ctx, platform.ConfigurationStream, offset+1, 0)
-	var expired *platform.ExpiredError
-	if err == nil || errors.As(err, &expired) {
-		return true
 	}
-	up.mu.Lock()
-	defer up.mu.Unlock()
-	up.health.failed(logSource)
-	return false
 }
 
 // better marks the current source when it has grown stale and returns the
 // source to use in its place, if there is one.
 func (d *Distributor) better(up *upstream, current Source) (Source, bool) {
-	sources := d.sources()
-	stale := d.now().Sub(d.state.freshness()) > staleLimit
+	next := d.plan()
+	stale := d.now().Sub(d.state.freshness()) > staleLimit(next.Reader)
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	if !current.Log {
+	if up.stale && !stale {
+		up.health.clearStale()
+	}
+	up.stale = stale
+	if !current.Log && !d.hasStopped() {
 		up.health.observe(current, stale)
 	}
-	best, _, ok := up.health.choose(sources)
+	best, _, ok := up.health.choose(next.Sources)
 	return best, ok && best != current
 }
 
 // left notes why the use of a source ended.
 func (d *Distributor) left(up *upstream, source Source, err error) {
-	up.mu.Lock()
-	defer up.mu.Unlock()
-	var shed *shedError
-	switch {
-	case errors.Is(err, errBetter):
-	case errors.As(err, &shed):
-		up.health.shed(source, shed.retryAfter)
-	default:
-		up.health.failed(source)
+	if !errors.Is(err, errBetter) {
+		up.failed(source, err)
 	}
 	d.counters.left(source, err)
 	d.logger.WithError(err).Debugf("Left %s.", source)
 }
 
+// failed leaves a source alone for a while.
+func (u *upstream) failed(source Source, err error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var shed *shedError
+	if errors.As(err, &shed) {
+		u.health.shed(source, shed.retryAfter)
+		return
+	}
+	u.health.failed(source)
+}
+
+// observe notes whether a source that answers is cut off from the log.
+func (u *upstream) observe(source Source, stale bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.health.observe(source, stale)
+}
+
 // worked notes that a source has answered.
 func (u *upstream) worked(source Source) {
 	u.mu.Lock()
@@ -174,11 +181,8 @@
 }
 
 // shedError says that a peer has too much to do.
-type shedError struct {
-	peer       string
-	retryAfter time.Duration
-}
+type shedError struct{ retryAfter time.Duration }
 
 func (e *shedError) Error() string {
-	return fmt.Sprintf("%s sheds requests for %s", e.peer, e.retryAfter)
+	return fmt.Sprintf("the peer sheds requests for %s", e.retryAfter)
 }
