peer: bound accepted connections and count refused ones

A herd of daemons that returns dials within a second; without a limit each of them held a task and buffers before it was known what it asks for. Byte counts by kind and scope are written with the other metrics, and heartbeats now also compare digests.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -26,6 +26,8 @@
 	}
 	d.enforcer = enforce.New(publish.NewFold(), d.events)
 	d.server = peer.NewServer(d.identity, d.traffic, logging.Part(d.logger, "peer"))
+	d.server.RegisterMetrics(d.metrics)
+	d.traffic.Register(d.metrics)
 	dialer := peer.NewDialer(d.identity, d.traffic, options.Dial)
 	if err := d.buildMembership(dialer); err != nil {
 		return err
@@ -62,6 +64,7 @@
 // peerPosition tells distribution where a peer stands.
 func (d *Daemon) peerPosition(host, control string, offset uint64, digest []byte) {
 	d.distributor.Hint(host, control, offset)
+	d.distributor.Compare(host, offset, digest)
 }
 
 func (d *Daemon) buildDistribution(dialer *peer.Dialer) error {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -19,18 +19,26 @@
 	traffic *Traffic
 	log     *logrus.Entry
 	mux     *drpcmux.Mux
+	gate    *gate
 }
 
 // NewServer returns a server without services; slices register on Mux.
 func NewServer(self Identity, traffic *Traffic, log *logrus.Entry) *Server {
-	return &Server{self: self, traffic: traffic, log: log, mux: drpcmux.New()}
+	return &Server{
+		self:    self,
+		traffic: traffic,
+		log:     log,
+		mux:     drpcmux.New(),
+		gate:    newGate(maxConnections, acceptsPerSecond, acceptBurst),
+	}
 }
 
 // Mux is where slices register their services before Serve.
 func (s *Server) Mux() *drpcmux.Mux { return s.mux }
 
-// Serve accepts connections until ctx ends, one task for each. It closes the
-// listener and returns when every task has ended.
+// Serve accepts connections until ctx ends, one task for each. Connections
+// over the limits are closed at once. It closes the listener and returns when
+// every task has ended.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -44,7 +52,13 @@
 		if err != nil {
 			return fmt.Errorf("accept on %s: %w", listener.Addr(), err)
 		}
-		tasks.Go(func() { s.serveConn(ctx, raw) })
+		if !s.gate.admit(raw) {
+			continue
+		}
+		tasks.Go(func() {
+			defer s.gate.leave()
+			s.serveConn(ctx, raw)
+		})
 	}
 }
 
