--- a/internal/distribute/distribute.go
+++ b/internal/distribute/distribute.go
@@ -92,7 +92,7 @@
 	if options.Events == nil {
 		options.Events = timeline.Discard{}
 	}
-	return &Distributor{
+	d := &Distributor{
 		self:           options.Self,
 		log:            options.Log,
 		enforcer:       options.Enforcer,
@@ -114,6 +114,8 @@
 		regions:        newRegions(options.Clock),
 		diverged:       newDivergedPeers(),
 	}
+	d.registerGauges(options.Metrics)
+	return d
 }
 
 // Run keeps the fold up to date until ctx ends.
--- a/internal/distribute/failure_test.go
+++ b/internal/distribute/failure_test.go
@@ -121,6 +121,13 @@
 			silent += int(n.metrics.GetOrCreateCounter(`mulberrybank_sources_left_total{source="peer",cause="silent"}`).Get())
 		}
 		assert.Assert(t, silent > 0, "found by its silence")
+		// The parents have dropped the followers whose connections are gone.
+		time.Sleep(2 * silenceLimit)
+		followers := 0
+		for _, n := range m.nodes {
+			followers += n.dist.followers.count()
+		}
+		assert.Equal(t, followers, len(m.nodes)-len(m.rooted()))
 	})
 }
 
@@ -368,6 +375,32 @@
 	return hosts
 }
 
+func TestPeerThatFollowsThisDaemonIsRefused(t *testing.T) {
+	m := newMesh(t)
+	m.zone("greater-accra", "a", 2)
+	d := m.startNode("a-0", &fakeFold{}).dist
+	err := d.takeUpdate(Source{Host: "a-1"}, update{Path: []string{"a-1", "b-0", "a-0"}})
+	assert.ErrorIs(t, err, errLoop)
+	assert.ErrorIs(t, checkSource(catchUpAnswer{Path: []string{"a-1", "a-0"}}, "a-0"), errLoop)
+}
+
+func TestStaleSourcesAreTriedAgainWhenTheLogIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		m.zone("greater-accra", "a", 3)
+		d := m.startNode("a-0", &fakeFold{}).dist
+		sources := d.plan().Sources
+		up := &upstream{health: newHealth(time.Now), stale: true}
+		up.observe(sources[0], true)
+		best, _, _ := up.choose(sources)
+		assert.Assert(t, best != sources[0])
+		d.state.confirm(time.Now())
+		best, ok := d.better(up, best)
+		assert.Assert(t, ok)
+		assert.Equal(t, best, sources[0])
+	})
+}
+
 func TestStartWithPeersOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMesh(t)
--- a/internal/distribute/follow.go
+++ b/internal/distribute/follow.go
@@ -128,10 +128,7 @@
 			return err
 		}
 	}
-	if err := d.state.apply(records); err != nil && !d.hasStopped() {
-		return err
-	}
-	return nil
+	return d.state.apply(records)
 }
 
 // hasStopped reports whether the fold of this daemon has stopped for good,
--- a/internal/distribute/followers.go
+++ b/internal/distribute/followers.go
@@ -54,6 +54,13 @@
 	}
 }
 
+// count returns how many streams to followers are open.
+func (f *followers) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.list)
+}
+
 // hosts returns the hosts that follow this one directly.
 func (f *followers) hosts() map[string]bool {
 	f.mu.Lock()
--- a/internal/distribute/metrics.go
+++ b/internal/distribute/metrics.go
@@ -27,6 +27,14 @@
 	}
 }
 
+// registerGauges adds what is measured when the metrics are read.
+func (d *Distributor) registerGauges(set *metrics.Set) {
+	set.GetOrCreateGauge("mulberrybank_followers", func() float64 { return float64(d.followers.count()) })
+	set.GetOrCreateGauge("mulberrybank_configuration_age_seconds", func() float64 {
+		return age(d.now(), d.state.freshness()).Seconds()
+	})
+}
+
 // left counts the end of the use of a source by its cause.
 func (c *counters) left(source Source, err error) {
 	kind := "peer"
--- /dev/null
+++ b/internal/distribute/property_test.go
@@ -0,0 +1,309 @@
+package distribute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+// step is one disturbance of a mesh.
+type step struct {
+	Kind  string
+	A, B  int
+	Pause time.Duration
+}
+
+func (s step) String() string { return fmt.Sprintf("%s(%d,%d) then %s", s.Kind, s.A, s.B, s.Pause) }
+
+var stepKinds = []string{
+	"publish", "publish", "restart", "cut", "heal", "silence", "log out", "log in", "zone out",
+	"pause", "deliver", "lose", "find", "expire",
+}
+
+// run applies the step to a mesh.
+func (s step) run(m *mesh, hosts []string) {
+	a, b := hosts[s.A%len(hosts)], hosts[s.B%len(hosts)]
+	switch s.Kind {
+	case "publish":
+		m.log.add(fmt.Sprint(s.A, s.B))
+	case "restart":
+		m.kill(a)
+		m.start(a)
+	case "cut", "heal":
+		one, other := m.members[a].Zone, m.members[b].Zone
+		m.net.separate(s.Kind == "cut" && one != other, m.hostsOf(one), m.hostsOf(other))
+	case "silence":
+		m.net.silence(a, b)
+	case "log out", "log in":
+		m.log.setOut(s.Kind == "log out")
+	case "zone out":
+		m.log.setOut(true, m.hostsOf(m.members[a].Zone)...)
+	case "pause":
+		time.AfterFunc(4*time.Second, m.net.pause(a))
+	case "deliver":
+		m.deliver(a, s.A, s.B)
+	case "lose":
+		m.lost(membership.Unreachable, a)
+	case "find":
+		m.lost(membership.Reachable, m.hostsOf(m.members[a].Zone)...)
+	case "expire":
+		m.expireUpTo(a)
+	}
+	time.Sleep(s.Pause)
+}
+
+// deliver hands old and repeated records to a daemon.
+func (m *mesh) deliver(host string, from, to int) {
+	log := &hostLog{fakeLog: m.log, host: "operator", net: m.net}
+	result, _, err := log.readNow(platform.ConfigurationStream, m.log.oldestKept(platform.ConfigurationStream))
+	if err != nil || len(result.Records) == 0 {
+		return
+	}
+	from, to = from%len(result.Records), to%len(result.Records)
+	piece := slices.Clone(result.Records[min(from, to) : max(from, to)+1])
+	slices.Reverse(piece)
+	_ = m.nodes[host].dist.take(nil, append(piece, piece...))
+}
+
+// expireUpTo writes a snapshot of one daemon and drops what it covers.
+func (m *mesh) expireUpTo(host string) {
+	snap, err := m.nodes[host].dist.state.encode()
+	if err != nil || snap.Offset == 0 {
+		return
+	}
+	m.log.put(platform.SnapshotStream, mustMarshal(m.t, snapshotToWire(snap)))
+	if snap.Offset+1 > m.log.oldestKept(platform.ConfigurationStream) {
+		m.log.expire(platform.ConfigurationStream, snap.Offset+1)
+	}
+}
+
+func (l *fakeLog) oldestKept(stream string) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(1, l.oldest[stream])
+}
+
+// healAll ends every failure.
+func (m *mesh) healAll(hosts []string) {
+	m.net.separate(false, hosts, hosts)
+	m.log.setOut(false)
+	m.log.setOut(false, hosts...)
+	m.lost(membership.Reachable, hosts...)
+}
+
+// verify returns an error unless every daemon is at an offset with one digest
+// and none ever went back.
+func (m *mesh) verify(offset uint64, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	digests := make(map[string][]string)
+	for host, n := range m.nodes {
+		if err := n.enforcer.Wait(ctx, offset); err != nil {
+			have, _ := n.enforcer.Position()
+			return fmt.Errorf("%s has %d by %v: %w", host, have, n.dist.state.path(), err)
+		}
+		_, digest := n.enforcer.Position()
+		digests[string(digest)] = append(digests[string(digest)], host)
+		if err := n.events.neverBack(); err != nil {
+			return fmt.Errorf("%s: %w", host, err)
+		}
+	}
+	if len(digests) != 1 {
+		return fmt.Errorf("digests differ: %v", digests)
+	}
+	return nil
+}
+
+// neverBack checks the order of the offsets in force.
+func (l *eventLog) neverBack() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := uint64(0)
+	for _, event := range l.events {
+		if event.Kind != timeline.InForce {
+			continue
+		}
+		if event.Offset <= last {
+			return fmt.Errorf("offset %d in force after %d", event.Offset, last)
+		}
+		last = event.Offset
+	}
+	return nil
+}
+
+func drawStep(t *rapid.T) step {
+	return step{
+		Kind:  rapid.SampledFrom(stepKinds).Draw(t, "kind"),
+		A:     rapid.IntRange(0, 11).Draw(t, "a"),
+		B:     rapid.IntRange(0, 11).Draw(t, "b"),
+		Pause: time.Duration(rapid.IntRange(0, 8000).Draw(t, "pause")) * time.Millisecond,
+	}
+}
+
+// TestAnyDisturbanceHeals disturbs a mesh in any order and checks that every
+// daemon ends at the tail of the log with one digest and never went back.
+func TestAnyDisturbanceHeals(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 8).Draw(rt, "steps")
+		var failure error
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t)
+			for _, zone := range []string{"a", "b", "c", "d"} {
+				m.zone("region-"+string("xxyy"[zone[0]-'a']), zone, 3)
+			}
+			hosts := m.except()
+			slices.Sort(hosts)
+			m.log.add("first")
+			m.startAll()
+			for _, step := range steps {
+				step.run(m, hosts)
+			}
+			m.healAll(hosts)
+			last := m.log.add("last")
+			failure = m.verify(last, 2*time.Minute)
+		})
+		if failure != nil {
+			rt.Fatalf("%v", failure)
+		}
+	})
+}
+
+// drawView draws a mesh as one daemon knows it.
+func drawView(t *rapid.T) *membership.View {
+	members := make(map[string]membership.Member)
+	zones := rapid.IntRange(1, 4).Draw(t, "zones")
+	for z := range zones {
+		for i := range rapid.IntRange(1, 60).Draw(t, "hosts") {
+			host := fmt.Sprintf("%d-%d", z, i)
+			members[host] = membership.Member{
+				Host: host, Zone: fmt.Sprint(z), Region: fmt.Sprint(z / 2), ControlAddress: host, State: membership.Alive,
+				Reach: rapid.SampledFrom([]membership.Reach{0, 0, 0, membership.Suspect, membership.Unreachable}).Draw(t, "reach"),
+			}
+		}
+	}
+	return &membership.View{Members: members, Self: members["0-0"]}
+}
+
+// as returns the view as another member would have it.
+func as(view *membership.View, host string) *membership.View {
+	return &membership.View{Members: view.Members, Self: view.Members[host]}
+}
+
+func TestPlansFormShallowTrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		view := drawView(t)
+		zones := rankZones(view)
+		readers := make(map[string]int)
+		children := make(map[string]int)
+		for host, member := range view.Members {
+			if !living(member) {
+				continue
+			}
+			made := makePlan(as(view, host), nil)
+			assert.Assert(t, slices.Contains(made.Sources, logSource), "every plan ends at the log")
+			assert.Assert(t, !slices.ContainsFunc(made.Sources, func(s Source) bool { return s.Host == host }))
+			if made.Sources[0].Log {
+				readers[member.Region]++
+			}
+			children[made.Sources[0].Host]++
+		}
+		for region, count := range readers {
+			assert.Equal(t, count, 1, "readers of region %s", region)
+		}
+		for host, count := range children {
+			if host == "" {
+				continue
+			}
+			size := len(zones[view.Members[host].Zone])
+			assert.Assert(t, count <= 10+size/2, "%s has %d children in a zone of %d", host, count, size)
+		}
+	})
+}
+
+// TestViewsThatDifferMakeNoLoop gives each daemon of a zone a view of its own;
+// following the first source never leads back.
+func TestViewsThatDifferMakeNoLoop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		full := drawView(t)
+		parent := make(map[string]string)
+		for host, member := range full.Members {
+			if member.Zone != "0" {
+				continue
+			}
+			partial := as(full, host)
+			partial.Members = make(map[string]membership.Member)
+			for other, entry := range full.Members {
+				if other == host || rapid.Bool().Draw(t, "known") {
+					partial.Members[other] = entry
+				}
+			}
+			first := makePlan(partial, nil).Sources[0]
+			if full.Members[first.Host].Zone == "0" && rankedBefore(first.Host, host) {
+				parent[host] = first.Host
+			} else if full.Members[first.Host].Zone == "0" && !first.Log && !makePlan(partial, nil).Reader {
+				t.Fatalf("%s follows %s, which ranks after it", host, first.Host)
+			}
+		}
+		for host := range parent {
+			for at, hops := host, 0; parent[at] != ""; at, hops = parent[at], hops+1 {
+				assert.Assert(t, hops < len(parent), "%s is in a loop", host)
+			}
+		}
+	})
+}
+
+func rankedBefore(a, b string) bool {
+	return byScore("0", membership.Member{Host: a}, membership.Member{Host: b}) < 0
+}
+
+func TestTailIsBoundedAndWithoutGaps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var kept tail
+		kept.reset(rapid.Uint64Range(0, 5).Draw(t, "start"))
+		for range rapid.IntRange(0, 30).Draw(t, "records") {
+			size := rapid.SampledFrom([]int{10, 1 << 20, 5 << 20}).Draw(t, "size")
+			kept.add(platform.Record{Offset: kept.end + 1, Payload: make([]byte, size)})
+		}
+		assert.Assert(t, kept.bytes <= tailBytes || len(kept.records) == 1)
+		from := rapid.Uint64Range(0, kept.end).Draw(t, "from")
+		if !kept.covers(from) {
+			return
+		}
+		for from < kept.end {
+			batch := kept.after(from, batchBytes)
+			assert.Assert(t, len(batch) > 0)
+			for _, record := range batch {
+				assert.Equal(t, record.Offset, from+1)
+				assert.Assert(t, record.Payload != nil)
+				from = record.Offset
+			}
+		}
+	})
+}
+
+func TestFalseClaimOfSnapshotChangesNothing(t *testing.T) {
+	m := newMesh(t)
+	m.zone("greater-accra", "a", 1)
+	fold := &fakeFold{}
+	node := m.startNode("a-0", fold)
+	assert.NilError(t, node.dist.take(nil, []platform.Record{{Offset: 1}, {Offset: 2}}))
+	old, err := (&fakeFold{offset: 1}).Snapshot()
+	assert.NilError(t, err)
+	packed, err := compress(old)
+	assert.NilError(t, err)
+	err = node.dist.take(&snapshot{Offset: 9, State: packed}, nil)
+	assert.Assert(t, err != nil && !errors.Is(err, errStopped))
+	offset, _ := node.enforcer.Position()
+	assert.Equal(t, offset, uint64(2))
+}
