--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -27,6 +27,8 @@
 	}
 	d.enforcer = enforce.New(publish.NewFold(), d.events)
 	d.server = peer.NewServer(d.identity, d.traffic, logging.Part(d.logger, "peer"))
+	d.server.RegisterMetrics(d.metrics)
+	d.traffic.Register(d.metrics)
 	if options.Dial == nil && d.secure != nil {
 		options.Dial = d.secure.DialPeer()
 	}
@@ -40,7 +42,6 @@
 	d.buildCalls(clock, call.DialFunc(options.Dial))
 	d.buildAdmin()
 	d.events.RegisterMetrics(d.metrics)
-	d.metrics.RegisterMetricsWriter(d.writeTraffic)
 	d.metrics.RegisterMetricsWriter(metrics.WriteProcessMetrics)
 	return nil
 }
@@ -69,6 +70,7 @@
 // peerPosition tells distribution where a peer stands.
 func (d *Daemon) peerPosition(host, control string, offset uint64, digest []byte) {
 	d.distributor.Hint(host, control, offset)
+	d.distributor.Compare(host, offset, digest)
 }
 
 func (d *Daemon) buildDistribution(dialer *peer.Dialer) error {
