Show each fact in one metric

Cause: two slices counted the same: the age of the configuration and whether folding has stopped. The page of metrics named one of each, and its test failed.

--- a/internal/distribute/follow.go
+++ b/internal/distribute/follow.go
@@ -139,7 +139,6 @@
 		return false
 	}
 	d.tellStopped.Do(func() {
-		d.counters.stopped.Inc()
 		d.logger.WithError(err).Error("Folding has stopped. The configuration in force stays as it is.")
 	})
 	return true
--- a/internal/distribute/metrics.go
+++ b/internal/distribute/metrics.go
@@ -13,7 +13,6 @@
 	pulls       *metrics.Counter
 	shed        *metrics.Counter
 	divergences *metrics.Counter
-	stopped     *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) *counters {
@@ -22,7 +21,6 @@
 		reads:       set.GetOrCreateCounter("mulberrybank_log_reads_total"),
 		pulls:       set.GetOrCreateCounter("mulberrybank_pulls_total"),
 		shed:        set.GetOrCreateCounter("mulberrybank_catch_ups_shed_total"),
-		stopped:     set.GetOrCreateCounter("mulberrybank_folding_stopped"),
 		divergences: set.GetOrCreateCounter("mulberrybank_divergences_total"),
 	}
 }
@@ -30,9 +28,6 @@
 // registerGauges adds what is measured when the metrics are read.
 func (d *Distributor) registerGauges(set *metrics.Set) {
 	set.GetOrCreateGauge("mulberrybank_followers", func() float64 { return float64(d.followers.count()) })
-	set.GetOrCreateGauge("mulberrybank_configuration_age_seconds", func() float64 {
-		return age(d.now(), d.state.freshness()).Seconds()
-	})
 }
 
 // left counts the end of the use of a source by its cause.
