membership: keep the last connections of a daemon that has left

A daemon alone in its zone that had left chose its neighbours again after 100 ms, found none and closed its connections. A peer that took longer to answer was not told (seen with a peer that pauses for 300 ms), and the stop returned as if it had been. The tasks now stay until the process ends.

A daemon that its peers list no longer takes itself for unreachable.

--- a/internal/membership/age.go
+++ b/internal/membership/age.go
@@ -110,6 +110,7 @@
 func (m *Membership) publishLocked(now time.Time) {
 	own := m.options.Self
 	m.listed = listedUnreachable(m.table.rows)
+	delete(m.listed, own.Host)
 	zones := livingZones(m.table.rows, m.listed)
 	m.silent = silentZones(own.Zone, own.Region, zones, m.table.rows)
 	m.overridden = false
--- a/internal/membership/floor.go
+++ b/internal/membership/floor.go
@@ -73,7 +73,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	self := m.options.Self.Host
-	own := livingZones(m.table.rows, m.listed)[m.options.Self.Zone].members
+	own := livingZones(m.table.rows, m.listed).of(m.options.Self).members
 	near := append(ringNeighbours(self, own), ringObservers(self, own)...)
 	var peers []wantedPeer
 	for _, member := range near {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -96,6 +96,24 @@
 	})
 }
 
+// TestDepartTellsOtherRegions stops a daemon that is alone in its region while
+// a peer is slow to answer.
+func TestDepartTellsOtherRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		m.start("north", "north-0", "a", 1)
+		m.start("south", "south-0", "b", 1, "a")
+		m.start("west", "west-0", "c", 1, "a")
+		m.settle(10*time.Second, "complete", knowsAll(3))
+		time.Sleep(5 * time.Second)
+		m.net.pause("a", 300*time.Millisecond)
+		assert.NilError(t, m.daemons["b"].Depart(t.Context()))
+		assert.Equal(t, m.daemons["a"].stateOf("b"), Left)
+		assert.Equal(t, m.daemons["c"].stateOf("b"), Left)
+	})
+}
+
 // stateOf returns what a daemon has been told, ahead of its view.
 func (d *daemon) stateOf(host string) State {
 	d.mu.Lock()
--- a/internal/membership/neighbour.go
+++ b/internal/membership/neighbour.go
@@ -102,10 +102,14 @@
 	}
 }
 
-// reconcile makes the running tasks those of the wanted peers.
+// reconcile makes the running tasks those of the wanted peers. A daemon that
+// has left keeps those it has, which still tell their peers.
 func (m *Membership) reconcile(ctx context.Context, tasks *conc.WaitGroup) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.self().state == Left {
+		return
+	}
 	wanted := m.wantedPeers()
 	for address, n := range m.neighbours {
 		want, ok := wanted[address]
