Give homes to services whose targets come after a grant

Cause: a grant fixes the homes of all services for its interval, and intervals only follow each other. A service published, or first announced, after a grant had no home for up to 15 minutes, and every call with a key was refused. Seen: the whole path with TLS under the race detector; a target's announcement came a second after the first grant, and no key ran within 30 s. Ruled out: the secured connections, and the home's start margin of 3 s. After: an addition fills services without homes within seconds and never touches homes that exist. Without that last rule TestKeysRunAtMostOnce finds a key that ran twice, and so does the test of an addition. Conclusion: safe because nobody owned those keys; the log's order decides.

--- a/internal/once/grants.go
+++ b/internal/once/grants.go
@@ -26,7 +26,13 @@
 // A grant may begin later than the chain ends; keys between have no home.
 // Grants whose interval ended KeepGrants before the append are dropped.
 func (g Grants) Add(grant *Grant, appended time.Time) (Grants, bool) {
-	if !wellFormed(grant) || !g.followedBy(grant) {
+	if !wellFormed(grant) {
+		return g, false
+	}
+	if grant.GetAdditions() {
+		return g.fill(grant)
+	}
+	if !g.followedBy(grant) {
 		return g, false
 	}
 	if grant.GetUntilMs() > appended.Add(MaxReach).UnixMilli() {
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -20,7 +20,7 @@
 func TestKeysRunAtMostOnce(t *testing.T) {
 	keys, ran, replayed := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
+		w := newWorld(t, rapid.Bool().Draw(t, "homes at first"))
 		for range worldSteps {
 			w.step()
 			w.checkAtMostOnce()
@@ -37,7 +37,7 @@
 // TestKeysRunInQuietTimes renews the chain for a day; every fresh key runs.
 func TestKeysRunInQuietTimes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
+		w := newWorld(t, true)
 		for range 24 * 12 {
 			w.now = w.now.Add(once.DefaultReach / 3)
 			w.appends = append(w.appends, w.nextGrant(w.anyHost("proposer"), w.hosts))
--- a/internal/once/proposal.go
+++ b/internal/once/proposal.go
@@ -29,6 +29,26 @@
 	return grants.compact(&Grant{FromMs: from, UntilMs: until, Services: homesOf(view)})
 }
 
+// NextAddition gives homes to the services that have targets now and no home
+// somewhere between now and the end of the chain, such as a service that was
+// published after the last grant. It returns nil when there is none.
+func NextAddition(grants Grants, view *membership.View, now time.Time) *Grant {
+	from := now.Add(-firstGrantLead).UnixMilli()
+	if grants.End() <= now.UnixMilli() {
+		return nil
+	}
+	var lacking []*ServiceHomes
+	for _, entry := range homesOf(view) {
+		if grants.lacks(entry.GetService(), from) {
+			lacking = append(lacking, entry)
+		}
+	}
+	if len(lacking) == 0 {
+		return nil
+	}
+	return &Grant{FromMs: from, UntilMs: grants.End(), Services: lacking, Additions: true}
+}
+
 // homesOf lists the homes of every service.
 func homesOf(view *membership.View) []*ServiceHomes {
 	services := map[string]*ServiceHomes{}
--- a/internal/once/proposer.go
+++ b/internal/once/proposer.go
@@ -31,6 +31,9 @@
 	appendTimeout = 5 * time.Second
 	// recheckDelay bounds a wait, for the ranks follow the living.
 	recheckDelay = 30 * time.Second
+	// additionDelay is how long a service stays without homes before it is
+	// given some, so that more of its targets are known.
+	additionDelay = 2 * time.Second
 	// retryDelay is the wait after an append, for its record to be folded. It
 	// doubles with each failed append up to maxRetryDelay.
 	retryDelay    = 10 * time.Second
@@ -71,6 +74,9 @@
 	notBefore time.Time
 	// retry is the wait after the next append.
 	retry time.Duration
+	// lackingSince is when services without homes were first seen, zero while
+	// there are none.
+	lackingSince time.Time
 	// jitter is drawn once for each end of the chain.
 	jitter    time.Duration
 	jitterEnd int64
@@ -106,16 +112,22 @@
 }
 
 // step waits until this daemon should append the next grant and appends it,
-// or returns early when the configuration has changed.
+// or returns early when the configuration or the members have changed.
 func (p *Proposer) step(ctx context.Context) {
 	changed := p.options.Chain.Changed()
+	moved := p.options.Directory.Changed()
 	grants, known := p.options.Chain.Grants()
 	if !known {
-		wait(ctx, changed, recheckDelay)
+		wait(ctx, changed, nil, recheckDelay)
 		return
 	}
-	delay := p.turn(grants).Sub(p.options.Now())
-	if delay > 0 && !wait(ctx, changed, min(delay, recheckDelay)) {
+	turn, addition := p.turn(grants), p.additionTurn(grants)
+	if !addition.IsZero() && addition.Before(turn) {
+		p.stepAddition(ctx, grants, changed, moved, addition)
+		return
+	}
+	delay := turn.Sub(p.options.Now())
+	if delay > 0 && !wait(ctx, changed, moved, min(delay, recheckDelay)) {
 		return
 	}
 	if delay > recheckDelay || ctx.Err() != nil {
@@ -123,11 +135,39 @@
 	}
 	p.notBefore = p.options.Now().Add(p.retry + p.rankDelay(grants))
 	p.retry = min(2*p.retry, maxRetryDelay)
-	if p.propose(ctx, grants) {
+	if p.propose(ctx, NextGrant(grants, p.options.Directory.View(), p.options.Now(), p.options.Reach)) {
 		p.retry = retryDelay
 	}
 }
 
+// stepAddition waits until this daemon should give homes to services without
+// any, and appends the addition.
+func (p *Proposer) stepAddition(ctx context.Context, grants Grants, changed, moved <-chan struct{}, turn time.Time) {
+	delay := turn.Sub(p.options.Now())
+	if delay > 0 && !wait(ctx, changed, moved, delay) {
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	p.lackingSince = p.options.Now().Add(retryDelay)
+	p.propose(ctx, NextAddition(grants, p.options.Directory.View(), p.options.Now()))
+}
+
+// additionTurn is when this daemon may give homes to services without any,
+// zero while there are none.
+func (p *Proposer) additionTurn(grants Grants) time.Time {
+	now := p.options.Now()
+	if NextAddition(grants, p.options.Directory.View(), now) == nil {
+		p.lackingSince = time.Time{}
+		return time.Time{}
+	}
+	if p.lackingSince.IsZero() {
+		p.lackingSince = now
+	}
+	return p.lackingSince.Add(additionDelay + p.rankDelay(grants))
+}
+
 // turn is when this daemon may append the grant that follows a chain.
 func (p *Proposer) turn(grants Grants) time.Time {
 	if p.notBefore.IsZero() {
@@ -153,9 +193,8 @@
 	return min(time.Duration(rank)*rankDelay, maxRankDelay) + p.jitter
 }
 
-// propose appends the next grant and reports whether the log took it.
-func (p *Proposer) propose(ctx context.Context, grants Grants) bool {
-	grant := NextGrant(grants, p.options.Directory.View(), p.options.Now(), p.options.Reach)
+// propose appends a grant, if there is one, and reports whether the log took it.
+func (p *Proposer) propose(ctx context.Context, grant *Grant) bool {
 	if grant == nil {
 		return true
 	}
@@ -179,9 +218,9 @@
 	return true
 }
 
-// wait returns true when the delay has passed, false when changed was closed
-// or ctx ended before.
-func wait(ctx context.Context, changed <-chan struct{}, delay time.Duration) bool {
+// wait returns true when the delay has passed, false when one of the channels
+// was closed or ctx ended before.
+func wait(ctx context.Context, changed, moved <-chan struct{}, delay time.Duration) bool {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
@@ -189,6 +228,8 @@
 		return true
 	case <-changed:
 		return false
+	case <-moved:
+		return false
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/once/proposer_test.go
+++ b/internal/once/proposer_test.go
@@ -74,6 +74,12 @@
 
 // start runs the living daemons and returns one of them.
 func (f fleet) start(ctx context.Context, dead map[string]bool) daemon {
+	return startFleet(ctx, f, f, dead)
+}
+
+// startFleet runs the living daemons of a fleet by the members that a
+// directory shows.
+func startFleet(ctx context.Context, directory membership.Directory, f fleet, dead map[string]bool) daemon {
 	payload := []byte("a record, so that the empty configuration is in force")
 	_, _ = f.log.Append(ctx, platform.ConfigurationStream, payload)
 	var last daemon
@@ -84,7 +90,7 @@
 		last = daemon{enforce.New(publish.NewFold(), timeline.Discard{})}
 		go last.follow(ctx, f.log)
 		proposer := once.NewProposer(once.ProposerOptions{
-			Host: host, Log: f.log, Directory: f, Chain: last, Encode: publish.EncodeGrant,
+			Host: host, Log: f.log, Directory: directory, Chain: last, Encode: publish.EncodeGrant,
 			Rand: rand.New(rand.NewPCG(1, uint64(len(host)))),
 		})
 		go func() { _ = proposer.Run(ctx) }()
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -73,7 +73,9 @@
 	10 * time.Second, time.Minute, once.KeyWindow, once.KeyWindow + time.Millisecond, once.DefaultReach,
 }
 
-func newWorld(t *rapid.T) *world {
+// newWorld returns a world whose first grant lists every host as a home, or
+// none.
+func newWorld(t *rapid.T, homes bool) *world {
 	w := &world{t: t, now: epoch, chains: []once.Grants{nil}, handed: map[string]int{}}
 	for i := range worldHosts {
 		skew := time.Duration(rapid.Int64Range(-int64(maxSkew), int64(maxSkew)).Draw(t, "skew"))
@@ -82,7 +84,11 @@
 		w.start(added)
 	}
 	w.now = w.now.Add(time.Minute)
-	w.appends = append(w.appends, w.nextGrant(w.hosts[0], w.hosts))
+	first := w.hosts
+	if !homes {
+		first = nil
+	}
+	w.appends = append(w.appends, w.nextGrant(w.hosts[0], first))
 	w.land()
 	for _, each := range w.hosts {
 		each.position = 1
@@ -130,7 +136,7 @@
 		w.call, w.retry, w.renew, w.deliver, w.handOver, w.finish, w.mint,
 		w.propose, w.land, w.learn, w.resume, w.deliver, w.handOver,
 		w.deliver, w.handOver, w.propose, w.land, w.learn, w.resume,
-		w.abandon, w.pause, w.stepClock, w.drop,
+		w.abandon, w.pause, w.stepClock, w.drop, w.fill, w.fill,
 	}
 	steps[rapid.IntRange(0, len(steps)-1).Draw(w.t, "step")]()
 }
@@ -277,17 +283,34 @@
 	if h == nil {
 		return
 	}
-	seen := []*host{h}
-	for _, other := range w.hosts {
-		if other != h && rapid.Bool().Draw(w.t, "seen") {
-			seen = append(seen, other)
-		}
+	if grant := w.nextGrant(h, w.seen()); grant != nil {
+		w.appends = append(w.appends, grant)
+	}
+}
+
+// fill appends homes for the service where the chain has none, by what one
+// daemon knows; the append takes effect later or never.
+func (w *world) fill() {
+	h := w.awake()
+	if h == nil {
+		return
 	}
-	if grant := w.nextGrant(h, seen); grant != nil {
+	if grant := once.NextAddition(w.chain(h), viewOf(w.seen()), w.clock(h)); grant != nil {
 		w.appends = append(w.appends, grant)
 	}
 }
 
+// seen draws the hosts whose targets a daemon knows, maybe none.
+func (w *world) seen() []*host {
+	var seen []*host
+	for _, each := range w.hosts {
+		if rapid.Bool().Draw(w.t, "seen") {
+			seen = append(seen, each)
+		}
+	}
+	return seen
+}
+
 // renew extends the chain as it should be, and all who are awake learn it.
 func (w *world) renew() {
 	proposer := w.awake()
@@ -306,12 +329,17 @@
 }
 
 func (w *world) nextGrant(h *host, seen []*host) *once.Grant {
+	return once.NextGrant(w.chain(h), viewOf(seen), w.clock(h), once.DefaultReach)
+}
+
+// viewOf is the view of a daemon that knows the targets of some hosts.
+func viewOf(seen []*host) *membership.View {
 	view := &membership.View{ByService: map[string][]membership.Member{}}
 	for _, each := range seen {
 		member := membership.Member{Host: each.name, State: membership.Alive, TargetState: membership.Ready}
 		view.ByService[service] = append(view.ByService[service], member)
 	}
-	return once.NextGrant(w.chain(h), view, w.clock(h), once.DefaultReach)
+	return view
 }
 
 // land lets an append take effect, once or, when its answer was lost and it
