Bound what templates may cost every daemon

Cause: one accepted record could keep every daemon busy (a loop over 10^12) or use up its memory (a text that doubles in a loop), and printf could print what differs between daemons. Now: loops and uses of templates are counted by a step that is put into the parsed templates, texts made by functions are charged, and both limits give the same verdict everywhere. Digests leave out the texts of problems, which come from libraries. Ruled out: a time limit, for verdicts would depend on the daemon's speed.

--- a/internal/publish/configuration.go
+++ b/internal/publish/configuration.go
@@ -12,6 +12,8 @@
 )
 
 // Schema is the newest schema number of an Entry that this binary can fold.
+// Any change that may change a verdict takes a new number, one in a library
+// that renders or decodes included.
 const Schema = 1
 
 // Version is the offset of the record that a configuration stands for.
--- a/internal/publish/digest.go
+++ b/internal/publish/digest.go
@@ -46,7 +46,10 @@
 	return digestMessage(sourceToWire(source, version, author))
 }
 
+// digestVerdict leaves out the problems: their texts come from libraries and
+// may differ between binaries that agree on the outcome.
 func digestVerdict(verdict Verdict) itemDigest {
+	verdict.Problems = nil
 	return digestMessage(verdictToWire(verdict))
 }
 
--- a/internal/publish/functions.go
+++ b/internal/publish/functions.go
@@ -5,32 +5,61 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"strings"
 	"text/template"
 )
 
-// addressVerb matches the formatting verb that prints memory addresses.
-var addressVerb = regexp.MustCompile(`%[^a-zA-Z%]*p`)
+var (
+	// addressVerb matches the formatting verb that prints memory addresses.
+	addressVerb = regexp.MustCompile(`%[^a-zA-Z%]*p`)
+	// wideVerb matches verbs whose width or precision is large or an argument.
+	wideVerb = regexp.MustCompile(`%[^a-zA-Z%]*([0-9]{4}|\*)`)
+)
 
 // functions are those of templates besides the standard ones. Every function
-// must give the same result on every daemon.
-func functions() template.FuncMap {
+// gives the same result on every daemon and charges what it makes.
+func (b *budget) functions() template.FuncMap {
 	return template.FuncMap{
-		"json":   toJSON,
-		"printf": printf,
+		stepFunction: b.step,
+		"json":       b.json,
+		"printf":     b.printf,
+		"print":      b.bounded(fmt.Sprint),
+		"println":    b.bounded(fmt.Sprintln),
+		"html":       b.bounded(template.HTMLEscaper),
+		"js":         b.bounded(template.JSEscaper),
+		"urlquery":   b.bounded(template.URLQueryEscaper),
 	}
 }
 
-// toJSON writes a value as JSON, quoted and escaped.
-func toJSON(value any) (string, error) {
+// json writes a value as JSON, quoted and escaped.
+func (b *budget) json(value any) (string, error) {
 	text, err := json.Marshal(value)
-	return string(text), err
+	if err != nil {
+		return "", err
+	}
+	return b.charge(string(text))
 }
 
 // printf is the standard function without memory addresses, which differ
-// between daemons.
-func printf(format string, values ...any) (string, error) {
-	if addressVerb.MatchString(format) {
+// between daemons, and without wide fields.
+func (b *budget) printf(format string, values ...any) (string, error) {
+	switch {
+	case addressVerb.MatchString(format):
 		return "", errors.New("printf: the verb p is not allowed")
+	case wideVerb.MatchString(format):
+		return "", errors.New("printf: widths of more than 999 are not allowed")
+	case strings.Count(format, "%") > maxArguments:
+		return "", fmt.Errorf("printf: more than %d verbs are not allowed", maxArguments)
+	}
+	return b.charge(fmt.Sprintf(format, values...))
+}
+
+// bounded limits the arguments of a function and charges its result.
+func (b *budget) bounded(make func(...any) string) func(...any) (string, error) {
+	return func(values ...any) (string, error) {
+		if len(values) > maxArguments {
+			return "", fmt.Errorf("more than %d arguments are not allowed", maxArguments)
+		}
+		return b.charge(make(values...))
 	}
-	return fmt.Sprintf(format, values...), nil
 }
--- a/internal/publish/render.go
+++ b/internal/publish/render.go
@@ -102,12 +102,16 @@
 // renderTemplates executes every template and decodes what it renders to.
 func renderTemplates(templates map[string]string, values map[string]any) ([]document, []Problem) {
 	names := slices.Sorted(maps.Keys(templates))
-	set := template.New("").Option("missingkey=error").Funcs(functions())
+	cost := &budget{}
+	set := template.New("").Option("missingkey=error").Funcs(cost.functions())
 	for _, name := range names {
 		if _, err := set.New(name).Parse(templates[name]); err != nil {
 			return nil, []Problem{problemOf("template "+name, err)}
 		}
 	}
+	if err := cost.countSteps(set); err != nil {
+		return nil, []Problem{problemOf("templates", err)}
+	}
 	output := &limitedBuffer{left: MaxRenderedBytes}
 	var documents []document
 	var problems []Problem
