Prove that folds of one log agree, and bound how deep documents nest

Cause: verdicts have to be equal on every daemon however records arrive. And one record could stop every daemon: a document of half a million brackets overflowed the stack of its parser (seen under the race detector; without it the parser took about half a gigabyte).

Ruled out: a depth limit, which would need a scanner of our own.

--- a/internal/publish/budget.go
+++ b/internal/publish/budget.go
@@ -1,6 +1,7 @@
 package publish
 
 import (
+	"bytes"
 	"fmt"
 	"text/template"
 	"text/template/parse"
@@ -15,6 +16,11 @@
 	maxMadeBytes = 8 << 20
 	// maxArguments bounds the arguments and verbs of one function.
 	maxArguments = 32
+	// maxActions bounds the actions of one template, and so how deep they nest.
+	maxActions = 10_000
+	// maxBrackets bounds the objects and arrays of one document, and so how
+	// deep they nest. The parser of JSON with comments has no limit of its own.
+	maxBrackets = 20_000
 	// stepFunction is the function that counts a step.
 	stepFunction = "countStep"
 )
@@ -25,6 +31,15 @@
 	bytes int
 }
 
+// checkNesting refuses a document that may nest too deep for its parser.
+func checkNesting(text []byte) error {
+	brackets := bytes.Count(text, []byte("[")) + bytes.Count(text, []byte("{"))
+	if brackets > maxBrackets {
+		return fmt.Errorf("has %d objects and arrays, at most %d are allowed", brackets, maxBrackets)
+	}
+	return nil
+}
+
 // step counts one pass of a loop or one use of a template. It renders to
 // nothing.
 func (b *budget) step() (string, error) {
--- a/internal/publish/directory.go
+++ b/internal/publish/directory.go
@@ -81,6 +81,9 @@
 
 // decodeDocument decodes JSON with comments and refuses unknown fields.
 func decodeDocument(text []byte, into any) error {
+	if err := checkNesting(text); err != nil {
+		return err
+	}
 	// The library wants a line break after each line comment.
 	standard, err := hujson.Standardize(append(bytes.Clone(text), '\n'))
 	if err != nil {
--- a/internal/publish/fold_test.go
+++ b/internal/publish/fold_test.go
@@ -189,3 +189,28 @@
 		assert.Equal(t, other.Offset(), uint64(0))
 	}
 }
+
+func TestIDsAreRememberedWithTheLastVerdicts(t *testing.T) {
+	fold := publish.NewFold()
+	first := publication("a", "heaters", 0, "0")
+	assert.Equal(t, apply(t, fold, first).Outcome, publish.Refused)
+	for range publish.KeptVerdicts - 1 {
+		applyPayload(t, fold, []byte("not an entry"))
+	}
+	for range 3 {
+		assert.Equal(t, apply(t, fold, first).Outcome, publish.Duplicate)
+	}
+	assert.Equal(t, len(fold.Verdicts()), publish.KeptVerdicts)
+	applyPayload(t, fold, []byte("not an entry"))
+	assert.Equal(t, len(fold.Verdicts()), publish.KeptVerdicts)
+	assert.Equal(t, apply(t, fold, first).Outcome, publish.Refused)
+}
+
+func TestDigestCoversSources(t *testing.T) {
+	one, other := publish.NewFold(), publish.NewFold()
+	assert.DeepEqual(t, one.Digest(), other.Digest())
+	apply(t, one, publication("a", "heaters", 0, "20"))
+	apply(t, other, publication("a", "heaters", 0, "21"))
+	assert.DeepEqual(t, one.Verdicts(), other.Verdicts())
+	assert.Assert(t, string(one.Digest()) != string(other.Digest()))
+}
--- /dev/null
+++ b/internal/publish/history_test.go
@@ -0,0 +1,198 @@
+package publish_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mulberrybank/mulberrybank/internal/enforce"
+	"github.com/mulberrybank/mulberrybank/internal/once"
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+)
+
+var workspaces = []string{"huts", "heaters", "plazas"}
+
+// documents are what a template may hold: some are valid by themselves, some
+// only while another workspace has its service, some never.
+var documents = []string{
+	`{"services": [{"name": "status", "slots": {{.slots}}}]}`,
+	`{"services": [{"name": "status", "slots": {{.slots}}}], "routes": [{"name": "read", "service": "status"}]}`,
+	`{"routes": [{"name": "far", "service": "huts/status"}]}`,
+	`{"routes": [{"name": "far", "service": "heaters/status"}]}`,
+	`{}`,
+	`{"routes": [{"name": "none", "service": "none"}]}`,
+	`{{.missing}}`,
+	`not JSON`,
+}
+
+// drawPublication draws an operator's publication. Its base is often the
+// current version of some fold, else one that has passed or never was.
+func drawPublication(t *rapid.T, fold *publish.Fold) *publish.Publication {
+	workspace := rapid.SampledFrom(workspaces).Draw(t, "workspace")
+	_, base, _ := fold.Source(workspace)
+	if rapid.IntRange(0, 4).Draw(t, "stale") == 4 {
+		base = publish.Version(rapid.IntRange(0, 30).Draw(t, "base"))
+	}
+	publication := &publish.Publication{
+		Id:            fmt.Sprintf("id-%d", rapid.IntRange(0, 60).Draw(t, "id")),
+		Workspace:     workspace,
+		Base:          uint64(base),
+		Author:        rapid.SampledFrom([]string{"a", "b"}).Draw(t, "author"),
+		SetTemplates:  map[string]string{},
+		SetParameters: map[string]string{"slots": fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "slots"))},
+	}
+	name := rapid.SampledFrom([]string{"one.tmpl", "two.tmpl"}).Draw(t, "template")
+	if rapid.Bool().Draw(t, "remove") {
+		publication.RemoveTemplates = []string{name}
+	} else {
+		publication.SetTemplates[name] = rapid.SampledFrom(documents).Draw(t, "document")
+	}
+	return publication
+}
+
+func drawPayload(t *rapid.T, fold *publish.Fold) []byte {
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 8:
+		return rapid.SliceOfN(rapid.Byte(), 0, 20).Filter(known).Draw(t, "bytes")
+	case 9:
+		grants := fold.Configuration().Grants
+		from := max(1, grants.End()+int64(rapid.IntRange(-5, 5).Draw(t, "from")))
+		payload, err := publish.EncodeGrant(&once.Grant{FromMs: from, UntilMs: from + 10, Changes: from == grants.End()})
+		assert.NilError(t, err)
+		return payload
+	}
+	payload, err := publish.EncodePublication(drawPublication(t, fold))
+	assert.NilError(t, err)
+	return payload
+}
+
+// known reports whether a payload does not bear a newer schema number.
+func known(payload []byte) bool {
+	_, err := publish.NewFold().Apply(platform.Record{Offset: 1, Payload: payload})
+	return err == nil
+}
+
+// drawHistory draws the records of a log and the fold of them all. It checks
+// that versions only grow and that no configuration has a dangling route.
+func drawHistory(t *rapid.T) ([]platform.Record, *publish.Fold) {
+	fold := publish.NewFold()
+	var records []platform.Record
+	for range rapid.IntRange(1, 40).Draw(t, "records") {
+		before := fold.Configuration()
+		record := platform.Record{
+			Offset:   fold.Offset() + 1,
+			Appended: time.UnixMilli(int64(fold.Offset()) * 10),
+			Payload:  drawPayload(t, fold),
+		}
+		records = append(records, record)
+		verdict, err := fold.Apply(record)
+		assert.NilError(t, err)
+		checkStep(t, before, fold, verdict)
+	}
+	return records, fold
+}
+
+func checkStep(t *rapid.T, before *publish.Configuration, fold *publish.Fold, verdict *publish.Verdict) {
+	after := fold.Configuration()
+	accepted := verdict != nil && verdict.Outcome == publish.Accepted
+	if accepted {
+		assert.Equal(t, after.Version, publish.Version(fold.Offset()))
+		assert.Equal(t, verdict.Version, after.Version)
+		assert.Equal(t, after.Workspaces[verdict.Workspace].Version, after.Version)
+	} else {
+		assert.Equal(t, after.Version, before.Version)
+	}
+	for name, route := range after.Routes {
+		assert.Assert(t, after.Services[route.Service] != nil, "route %s points at %s", name, route.Service)
+	}
+}
+
+// TestFoldsOfOneLogAgree feeds one log to daemons in batches that overlap,
+// repeat and leave gaps, over restarts at snapshots.
+func TestFoldsOfOneLogAgree(t *testing.T) {
+	outcomes := map[publish.Outcome]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		records, want := drawHistory(t)
+		for _, verdict := range want.Verdicts() {
+			outcomes[verdict.Outcome]++
+		}
+		got := publish.NewFold()
+		enforcer := enforce.New(got, timeline.Discard{})
+		for step := 0; got.Offset() < want.Offset(); step++ {
+			if step > 200 {
+				assert.NilError(t, enforcer.Apply(records))
+				break
+			}
+			before := got.Offset()
+			from := rapid.IntRange(0, len(records)-1).Draw(t, "from")
+			to := rapid.IntRange(from, len(records)).Draw(t, "to")
+			_ = enforcer.Apply(records[from:to])
+			assert.Assert(t, got.Offset() >= before)
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 9 {
+				got = restoreFrom(t, got)
+				enforcer = enforce.New(got, timeline.Discard{})
+			}
+		}
+		assert.DeepEqual(t, got.Digest(), want.Digest())
+		assert.DeepEqual(t, got.Verdicts(), want.Verdicts())
+		assert.DeepEqual(t, snapshotOf(t, got), snapshotOf(t, want))
+	})
+	t.Log(outcomes)
+	for _, outcome := range []publish.Outcome{publish.Accepted, publish.Conflict, publish.Refused} {
+		assert.Assert(t, outcomes[outcome] > 0, "no publication was %v", outcome)
+	}
+}
+
+// TestDigestsTellHistoriesApart replaces one record by a grant that changes
+// nothing and has no verdict.
+func TestDigestsTellHistoriesApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records, whole := drawHistory(t)
+		dropped := rapid.IntRange(0, len(records)-1).Draw(t, "dropped")
+		nothing, err := publish.EncodeGrant(&once.Grant{})
+		assert.NilError(t, err)
+		other := publish.NewFold()
+		for i, record := range records {
+			if i == dropped {
+				record.Payload = nothing
+			}
+			_, err := other.Apply(record)
+			assert.NilError(t, err)
+		}
+		same := proto.Equal(bareSnapshot(t, other), bareSnapshot(t, whole))
+		assert.Equal(t, string(other.Digest()) == string(whole.Digest()), same)
+	})
+}
+
+// bareSnapshot is a snapshot without the digest and without the texts of
+// problems, which digests leave out.
+func bareSnapshot(t *rapid.T, fold *publish.Fold) *publish.Snapshot {
+	snapshot := &publish.Snapshot{}
+	assert.NilError(t, proto.Unmarshal(snapshotOf(t, fold), snapshot))
+	snapshot.Digest = nil
+	for _, verdict := range snapshot.GetVerdicts() {
+		verdict.Problems = nil
+	}
+	return snapshot
+}
+
+func snapshotOf(t *rapid.T, fold *publish.Fold) []byte {
+	snapshot, err := fold.Snapshot()
+	assert.NilError(t, err)
+	return snapshot
+}
+
+func restoreFrom(t *rapid.T, fold *publish.Fold) *publish.Fold {
+	restored := publish.NewFold()
+	assert.NilError(t, restored.Restore(snapshotOf(t, fold)))
+	assert.DeepEqual(t, restored.Digest(), fold.Digest())
+	assert.DeepEqual(t, restored.Configuration().Services, fold.Configuration().Services)
+	assert.DeepEqual(t, restored.Configuration().Routes, fold.Configuration().Routes)
+	return restored
+}
--- a/internal/publish/render_test.go
+++ b/internal/publish/render_test.go
@@ -84,15 +84,20 @@
 	assert.Assert(t, is.Contains(fmt.Sprint(problems), "at most"))
 }
 
-// TestDeepNestingIsRefused gives parsers the deepest input that fits.
+// TestDeepNestingIsRefused gives parsers the deepest input that fits, and the
+// deepest that they still parse.
 func TestDeepNestingIsRefused(t *testing.T) {
-	for _, text := range []string{
-		strings.Repeat("[", publish.MaxSourceBytes/2),
-		`{"services": ` + strings.Repeat(`{"a":`, publish.MaxSourceBytes/16),
-		"{{" + strings.Repeat("(", publish.MaxSourceBytes/2),
-		strings.Repeat("{{if 1}}", publish.MaxSourceBytes/16),
+	const size = publish.MaxSourceBytes
+	for text, reason := range map[string]string{
+		strings.Repeat("[", size/2):                                                "objects and arrays",
+		strings.Repeat("[", 20_000):                                                "parsing value",
+		`{"services": ` + strings.Repeat(`{"]":`, size/16):                         "objects and arrays",
+		"{{" + strings.Repeat("(", size/2):                                         "depth",
+		strings.Repeat("{{if 1}}", size/16):                                        "at most 10000",
+		strings.Repeat("{{if 1}}", 9_999):                                          "unexpected EOF",
+		strings.Repeat("{{if 1}}", 5_000) + strings.Repeat("{{end}}", 5_000) + "x": "invalid literal",
 	} {
 		_, problems := publish.Render(sourceOf(text))
-		assert.Assert(t, len(problems) > 0)
+		assert.Assert(t, is.Contains(fmt.Sprint(problems), reason))
 	}
 }
--- a/internal/publish/validate.go
+++ b/internal/publish/validate.go
@@ -66,6 +66,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(source.Templates)) {
 		found.name("templates", name, filePattern)
+		found.count("actions of template "+name, strings.Count(source.Templates[name], "{{"), maxActions)
 	}
 	for _, name := range slices.Sorted(maps.Keys(source.Parameters)) {
 		found.name("parameters", name, fieldPattern)
--- a/internal/publish/verdicts.go
+++ b/internal/publish/verdicts.go
@@ -20,7 +20,7 @@
 		l.ids = map[string]Verdict{}
 	}
 	l.kept = append(l.kept, keptVerdict{verdict: verdict, digest: digestVerdict(verdict)})
-	if _, found := l.ids[verdict.ID]; !found && verdict.ID != "" {
+	if verdict.ID != "" {
 		l.ids[verdict.ID] = verdict
 	}
 	for len(l.kept) > KeptVerdicts {
@@ -31,9 +31,7 @@
 func (l *verdictList) dropOldest() {
 	oldest := l.kept[0].verdict
 	l.kept = l.kept[1:]
-	if l.ids[oldest.ID].Offset == oldest.Offset {
-		delete(l.ids, oldest.ID)
-	}
+	delete(l.ids, oldest.ID)
 }
 
 func (l *verdictList) byID(id string) (Verdict, bool) {
