Hedge idempotent calls where another target has slots to spare

Hedges now need a target below half of its slots, besides the route's retry budget, and are never made for calls that may not be repeated. The run that loses is cancelled.

The stand-in target reads short bodies before its work, as a server cannot see that a request was cancelled while its body is unread.

Seen failing on broken variants: losers that are not cancelled (the call never ends), hedges of keyed calls, spare targets taken when full.

--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -59,7 +59,7 @@
 		if failure != nil {
 			return nil, c.conclude(last, failure)
 		}
-		result, failure := s.attempt(ctx, c, attempt, member)
+		result, failure := s.attemptOrHedge(ctx, c, &attempt, &member)
 		if failure == nil && !c.shedByTarget(result) {
 			return result, nil
 		}
@@ -195,15 +195,22 @@
 
 // attempt makes one attempt on a host.
 func (s *Server) attempt(ctx context.Context, c *outbound, number int, member membership.Member) (*answer, *Error) {
+	return s.prepare(c, number, member)(ctx)
+}
+
+// prepare counts an attempt as sent and returns what makes it.
+func (s *Server) prepare(c *outbound, number int, member membership.Member) func(context.Context) (*answer, *Error) {
 	q := c.request
 	q.attempt = number
 	q.retries = route.Below(c.left)
 	c.trace.sent(number, member.Host)
 	s.router.Begin(member.Host)
-	if member.Host == s.self.Host {
-		return s.attemptHere(ctx, &q, member)
+	return func(ctx context.Context) (*answer, *Error) {
+		if member.Host == s.self.Host {
+			return s.attemptHere(ctx, &q, member)
+		}
+		return s.attemptThere(ctx, &q, member)
 	}
-	return s.attemptThere(ctx, &q, member)
 }
 
 func (s *Server) attemptHere(ctx context.Context, q *request, member membership.Member) (*answer, *Error) {
--- a/internal/call/measure_test.go
+++ b/internal/call/measure_test.go
@@ -144,7 +144,12 @@
 }
 
 func goodputCallers(b *testing.B, size serviceSize, first []target.Behaviour, deadline time.Duration) (mesh, naive load.Caller) {
-	sized := func(service *publish.Service, _ *publish.Route) {
+	return goodputCallersWith(b, size, first, deadline, func(*publish.Service, *publish.Route) {})
+}
+
+func goodputCallersWith(b *testing.B, size serviceSize, first []target.Behaviour, deadline time.Duration, change func(*publish.Service, *publish.Route)) (mesh, naive load.Caller) {
+	sized := func(service *publish.Service, route *publish.Route) {
+		change(service, route)
 		service.Slots, service.Queue = size.slots, size.slots
 		service.QueueTimeout = deadline / 2
 	}
@@ -173,3 +178,32 @@
 	}
 	return mesh, naive
 }
+
+// BenchmarkHedge compares look-ups with and without a hedge while one target
+// is slow, and while each target stalls now and then.
+func BenchmarkHedge(b *testing.B) {
+	const (
+		deadline = 2 * time.Second
+		length   = 5 * time.Second
+	)
+	size := serviceSize{slots: 6, work: 10 * time.Millisecond}
+	slow := target.Behaviour{Delay: settings.Duration(20 * size.work)}
+	stall := target.Behaviour{Delay: settings.Duration(size.work), Stall: settings.Duration(20 * size.work), StallEvery: 50}
+	for name, first := range map[string][]target.Behaviour{
+		"one slow":   {slow},
+		"all stalls": {stall, stall, stall, stall, stall, stall},
+	} {
+		var results []*load.Result
+		for _, times := range []float64{0.3, 0.6, 1.2} {
+			for _, hedge := range []time.Duration{0, 2 * size.work} {
+				mesh, _ := goodputCallersWith(b, size, first, deadline, func(_ *publish.Service, route *publish.Route) {
+					route.Hedge = hedge
+					route.RetryBudget = 0.1
+				})
+				label := fmt.Sprintf("%s, load %g, hedge %s", name, times, hedge)
+				results = append(results, measure(b, label, mesh, times*size.capacity(upstreams), length))
+			}
+		}
+		assert.NilError(b, load.WriteTable(os.Stdout, results...))
+	}
+}
--- a/internal/call/metrics.go
+++ b/internal/call/metrics.go
@@ -10,6 +10,7 @@
 	cut       *metrics.Counter
 	retries   *metrics.Counter
 	noBudget  *metrics.Counter
+	hedges    *metrics.Counter
 	admitted  *metrics.Counter
 	refused   *metrics.Counter
 	withKey   *metrics.Counter
@@ -24,6 +25,7 @@
 		unknown:   set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="unknown"}`),
 		cut:       set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="cut"}`),
 		retries:   set.GetOrCreateCounter(`mulberrybank_call_retries_total`),
+		hedges:    set.GetOrCreateCounter(`mulberrybank_call_hedges_total`),
 		noBudget:  set.GetOrCreateCounter(`mulberrybank_call_retries_over_budget_total`),
 		admitted:  set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="admitted"}`),
 		refused:   set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="refused"}`),
--- a/internal/call/property_test.go
+++ b/internal/call/property_test.go
@@ -121,7 +121,10 @@
 // key runs at most once, and an answer is the whole answer to its own call.
 func TestOutcomesAreTrue(t *testing.T) {
 	network := &silence{}
-	generous := func(_ *publish.Service, route *publish.Route) { route.RetryBudget = 1 }
+	generous := func(_ *publish.Service, route *publish.Route) {
+		route.RetryBudget = 1
+		route.Hedge = 5 * time.Millisecond
+	}
 	m := newMesh(t, 3, config(generous), func(_ int, o *call.Options) { o.Dial = network.dial })
 	shared := m.nodes[0].keys
 	for _, n := range m.nodes {
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -13,6 +13,8 @@
 	spillScore = 0.8
 	// spillMargin is how much lower a remote score must be.
 	spillMargin = 0.2
+	// spareScore is the score below which a target has slots to spare.
+	spareScore = 0.5
 	// minStartShare is the share of a target that has just started.
 	minStartShare = 0.1
 	// coldSamples bounds the tries to find a choice other than a cold target.
@@ -21,24 +23,24 @@
 
 // choose takes the better of two random targets of the own zone, or of two of
 // other zones when the own zone is loaded and they are clearly less so.
-func (r *Router) choose(candidates []candidate) membership.Member {
+func (r *Router) choose(candidates []candidate) candidate {
 	local, remote := splitByZone(candidates, r.self.Zone)
 	if len(local) == 0 {
 		r.counters.remote.Inc()
-		return r.better(remote).member
+		return r.better(remote)
 	}
 	near := r.better(local)
 	if len(remote) == 0 || near.score < spillScore {
 		r.counters.local.Inc()
-		return near.member
+		return near
 	}
 	far := r.better(remote)
 	if far.score+spillMargin < near.score {
 		r.counters.spilled.Inc()
-		return far.member
+		return far
 	}
 	r.counters.local.Inc()
-	return near.member
+	return near
 }
 
 func splitByZone(candidates []candidate, zone string) (local, remote []candidate) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -78,6 +78,21 @@
 // Pick returns the target for the next attempt of a call, never one whose host
 // is excluded. The error is ErrNoTarget when there is none.
 func (r *Router) Pick(service *publish.Service, exclude map[string]bool) (membership.Member, error) {
+	picked, err := r.pick(service, exclude)
+	return picked.member, err
+}
+
+// PickSpare is Pick for work that may be left undone: the error is ErrNoTarget
+// too when the target picked has no slots to spare.
+func (r *Router) PickSpare(service *publish.Service, exclude map[string]bool) (membership.Member, error) {
+	picked, err := r.pick(service, exclude)
+	if err == nil && picked.score >= spareScore {
+		return membership.Member{}, ErrNoTarget
+	}
+	return picked.member, err
+}
+
+func (r *Router) pick(service *publish.Service, exclude map[string]bool) (candidate, error) {
 	members := r.directory.View().ByService[service.Name]
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -88,10 +103,9 @@
 	}
 	if len(healthy) == 0 {
 		r.counters.noTarget.Inc()
-		return membership.Member{}, ErrNoTarget
+		return candidate{}, ErrNoTarget
 	}
-	healthy = r.withoutEjected(healthy)
-	return r.choose(healthy), nil
+	return r.choose(r.withoutEjected(healthy)), nil
 }
 
 // candidate is a target that may take a call, with its weighed load.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -256,3 +256,18 @@
 	assert.NilError(t, err)
 	assert.Equal(t, picked.Host, near.Host)
 }
+
+// Spare work goes only to targets with slots to spare.
+func TestPickSpareNeedsSpareSlots(t *testing.T) {
+	d := &directory{members: []membership.Member{ready("a", "zone-0")}}
+	r, _ := newRouter(d, 1)
+	for range slots / 2 {
+		_, err := r.PickSpare(service, nil)
+		assert.NilError(t, err)
+		r.Begin("a")
+	}
+	_, err := r.PickSpare(service, nil)
+	assert.Assert(t, errors.Is(err, route.ErrNoTarget))
+	_, err = r.Pick(service, nil)
+	assert.NilError(t, err)
+}
--- a/internal/standin/target/behaviour.go
+++ b/internal/standin/target/behaviour.go
@@ -22,6 +22,9 @@
 	Delay settings.Duration `json:"delay"`
 	// ColdDelay is added to Delay while State is "cold".
 	ColdDelay settings.Duration `json:"cold_delay"`
+	// Stall is added to Delay for one request in StallEvery, 0 for none.
+	Stall      settings.Duration `json:"stall"`
+	StallEvery int               `json:"stall_every"`
 	// Hang keeps each request until it is cancelled.
 	Hang bool `json:"hang"`
 	// Shed answers 503 without running the request.
@@ -45,12 +48,16 @@
 	}
 }
 
-// serviceTime is how long one request takes.
-func (b Behaviour) serviceTime() time.Duration {
+// serviceTime is how long the request with a number takes.
+func (b Behaviour) serviceTime(number int) time.Duration {
+	total := b.Delay
 	if b.State == StateCold {
-		return time.Duration(b.Delay + b.ColdDelay)
+		total += b.ColdDelay
 	}
-	return time.Duration(b.Delay)
+	if b.StallEvery > 0 && number%b.StallEvery == 0 {
+		total += b.Stall
+	}
+	return time.Duration(total)
 }
 
 // healthy is what /health says.
--- a/internal/standin/target/http.go
+++ b/internal/standin/target/http.go
@@ -71,6 +71,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	body, err := readBody(r)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	if !t.takeWorker(r.Context()) {
 		return
 	}
@@ -85,7 +89,7 @@
 			run.Cancelled = r.Context().Err() != nil
 		})
 	}()
-	if !work(r.Context(), behaviour, run.Deadline) {
+	if !work(r.Context(), behaviour, index, run.Deadline) {
 		status = http.StatusGatewayTimeout
 		w.WriteHeader(status)
 		return
@@ -94,7 +98,7 @@
 	if behaviour.Fail {
 		status = http.StatusInternalServerError
 	}
-	answer(w, r, status, behaviour.CutBody)
+	answer(w, r, body, status, behaviour.CutBody)
 }
 
 // takeWorker waits until the request may run. It reports whether it may.
@@ -116,6 +120,16 @@
 	}
 }
 
+// readBody reads a short body whole: a server notices that a request was
+// cancelled only once its body has been read. Others are read as they come.
+func readBody(r *http.Request) (io.Reader, error) {
+	if r.ContentLength < 0 || r.ContentLength > blockSize {
+		return r.Body, nil
+	}
+	whole, err := io.ReadAll(r.Body)
+	return bytes.NewReader(whole), err
+}
+
 func newRun(r *http.Request) Run {
 	attempt, _ := strconv.Atoi(r.Header.Get(call.HeaderAttempt))
 	deadline, _ := time.ParseDuration(r.Header.Get(call.HeaderDeadline))
@@ -132,7 +146,7 @@
 
 // work spends the service time. It reports whether the request may be
 // answered: it was not cancelled and its deadline has not passed.
-func work(ctx context.Context, behaviour Behaviour, deadline time.Duration) bool {
+func work(ctx context.Context, behaviour Behaviour, number int, deadline time.Duration) bool {
 	if behaviour.Hang {
 		<-ctx.Done()
 		return false
@@ -142,7 +156,7 @@
 		ctx, cancel = context.WithTimeout(ctx, deadline)
 		defer cancel()
 	}
-	duration := behaviour.serviceTime()
+	duration := behaviour.serviceTime(number)
 	if duration <= 0 {
 		return ctx.Err() == nil
 	}
@@ -156,16 +170,9 @@
 	}
 }
 
-func answer(w http.ResponseWriter, r *http.Request, status int, cut bool) {
+func answer(w http.ResponseWriter, r *http.Request, body io.Reader, status int, cut bool) {
 	id := r.Header.Get(call.HeaderCall)
-	var body io.Reader = r.Body
-	if r.ContentLength >= 0 && r.ContentLength <= blockSize {
-		whole, err := io.ReadAll(r.Body)
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		body = bytes.NewReader(whole)
-	} else {
+	if body == r.Body {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 		w.Header().Set("Connection", "close")
 	}
