--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -43,18 +43,24 @@
 	table      *table
 	lease      lease
 	contacts   map[string]*contact
+	accepted   map[*accepted]bool
 	floors     map[string]uint64
 	lost       map[string]lostPeer
 	watches    map[string]*zoneWatch
 	neighbours map[string]*neighbour
-	// listed is the reach of hosts by the word of their zones.
-	listed map[string]Reach
+	// listed holds the hosts that are unreachable by the word of their zones.
+	listed map[string]bool
 	// silent holds the zones of which nothing is heard from here.
 	silent map[string]bool
 	// overridden is set while direct contact overrides the word of others.
 	overridden bool
-	// compared is set once the table was compared with that of a peer.
-	compared bool
+	// compared is set once the table was compared with that of a peer,
+	// comparing while a first comparison is in progress.
+	compared  bool
+	comparing bool
+	// disputed is set while others list this daemon as unreachable.
+	disputed bool
+	renewed  time.Time
 	started  time.Time
 }
 
@@ -70,6 +76,7 @@
 		reconsider:  make(chan struct{}, 1),
 		table:       newTable(),
 		contacts:    make(map[string]*contact),
+		accepted:    make(map[*accepted]bool),
 		floors:      make(map[string]uint64),
 		lost:        make(map[string]lostPeer),
 		watches:     make(map[string]*zoneWatch),
@@ -193,6 +200,7 @@
 	offset, _ := m.options.Position()
 	now := time.Now()
 	m.mu.Lock()
+	m.raiseFloor(m.options.Self.Host, offset)
 	before := m.self().entry
 	after := before
 	if edit != nil {
@@ -232,9 +240,7 @@
 	switch after.targetState {
 	case Draining:
 		m.options.Events.Record(timeline.Event{Kind: timeline.Draining, Service: after.service})
-	case NoTarget:
-		m.options.Events.Record(timeline.Event{Kind: timeline.Withdrawn, Service: before.service, Detail: "removed"})
-	default:
+	case Cold, Ready:
 		m.options.Events.Record(timeline.Event{Kind: timeline.Announced, Service: after.service})
 	}
 }
@@ -262,11 +268,16 @@
 	m.mu.Unlock()
 	if lapsed {
 		m.log.Warnf("announcement of %s lapsed", service)
-		m.options.Events.Record(timeline.Event{Kind: timeline.Withdrawn, Service: service, Detail: "announcement lapsed"})
+		m.recordWithdrawn(service, "announcement lapsed")
 	}
 	m.rewrite(nil)
 }
 
+// recordWithdrawn writes an event when a target is gone.
+func (m *Membership) recordWithdrawn(service, reason string) {
+	m.options.Events.Record(timeline.Event{Kind: timeline.Withdrawn, Service: service, Detail: reason})
+}
+
 // keepView is the task that builds views on word of other daemons.
 func (m *Membership) keepView(ctx context.Context) {
 	for {
--- a/internal/membership/server.go
+++ b/internal/membership/server.go
@@ -24,36 +24,37 @@
 	}
 	m := s.membership
 	m.take(request.GetEntries(), remote.Host)
-	answer := m.answer(remote, request)
+	answer := m.answer(remote, m.accept(ctx), request)
 	m.reportPosition(remote.Host)
 	return answer, nil
 }
 
 // answer returns the answer to a heartbeat whose entries have been taken.
-func (m *Membership) answer(remote peer.Identity, request *HeartbeatRequest) *HeartbeatAnswer {
+func (m *Membership) answer(remote peer.Identity, conn *accepted, request *HeartbeatRequest) *HeartbeatAnswer {
 	offset, digest := m.options.Position()
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := m.hear(remote, request.GetOffset(), request.GetDigest(), now)
+	m.hear(remote, request.GetOffset(), request.GetDigest(), now)
+	conn.heard = now
 	answer := &HeartbeatAnswer{}
 	if request.GetFirst() {
-		c.told = toldState{sent: m.table.sequence}
+		conn.told = toldState{sent: m.table.sequence}
 		answer.Floor = m.floors[remote.Host]
 	}
-	rows, sent := m.table.changedAfter(c.told.sent, remote.Host, maxEntries)
+	conn.told.learn(request.GetEntries())
+	rows := conn.told.pending(m.table, m.table.settled(now.Add(-echoDelay)), remote.Host)
 	if request.GetFirst() {
 		rows = append(rows, m.self())
 	}
 	if r, ok := m.table.rows[remote.Host]; ok && isOutdated(request.GetEntries(), r) {
 		rows = append(rows, r)
 	}
-	c.told.sent = sent
 	if len(request.GetBuckets()) > 0 {
-		rows = append(rows, m.compare(request.GetBuckets(), answer)...)
+		rows = append(rows, m.compare(remote.Zone, request.GetBuckets(), answer)...)
 	}
 	answer.Entries = encodeEntries(rows, now)
-	answer.Offset, answer.Digest = c.told.position(offset, digest)
+	answer.Offset, answer.Digest = conn.told.position(offset, digest)
 	answer.Summary = m.table.summary()
 	m.counts.entriesSent.Add(len(rows))
 	return answer
@@ -71,20 +72,35 @@
 }
 
 // compare returns the rows of buckets that differ, and names the buckets in
-// the answer. It refuses when too many peers compare at once.
-func (m *Membership) compare(buckets []uint64, answer *HeartbeatAnswer) []*row {
+// the answer. When too many peers compare at once it refuses and refers the
+// peer to others of its zone.
+func (m *Membership) compare(zone string, buckets []uint64, answer *HeartbeatAnswer) []*row {
 	if !m.comparisons.Allow() {
 		m.counts.comparisonsRefused.Inc()
 		answer.RetryMs = uint32(comparisonRetry / time.Millisecond)
-		return nil
+		return m.referral(zone)
 	}
 	m.counts.comparisons.Inc()
-	rows, covered, more := m.table.inDifferingBuckets(buckets, maxEntries)
+	rows, covered, more := m.table.inDifferingBuckets(buckets, maxComparedEntries)
 	answer.Wanted = covered
 	answer.More = more
 	return rows
 }
 
+// referral returns a few members of a zone for a peer to ask instead.
+func (m *Membership) referral(zone string) []*row {
+	var rows []*row
+	for host, r := range m.table.rows {
+		if len(rows) == referralCount {
+			break
+		}
+		if r.zone == zone && r.state == Alive && !m.listed[host] {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
 // Probe dials another daemon for a peer that does not reach it.
 func (s *server) Probe(ctx context.Context, request *ProbeRequest) (*ProbeAnswer, error) {
 	m := s.membership
