--- a/internal/call/fault_test.go
+++ b/internal/call/fault_test.go
@@ -1,10 +1,12 @@
 package call_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/rand"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -356,3 +358,34 @@
 	assert.Equal(t, len(m.nodes[0].events.of(timeline.Sent, got.id())), 1)
 	assert.Equal(t, len(m.runsOfKey(key)), 1)
 }
+
+// After an answer that began before its request ended, what is left of the
+// request is never taken for the next one.
+func TestRestOfARequestIsNotTheNext(t *testing.T) {
+	early := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		control := http.NewResponseController(w)
+		_ = control.EnableFullDuplex()
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, "early")
+		_ = control.Flush()
+	}))
+	defer early.Close()
+	m, from, to := twoHops(t, config(single), nil)
+	address := strings.TrimPrefix(early.URL, "http://")
+	to.address.Store(&address)
+	conn, err := net.Dial("tcp", from.callers.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /"+lookups+" HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+	assert.NilError(t, err)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "early")
+	_, _ = io.WriteString(conn, "GET /"+lookups+" HTTP/1.1\r\nHost: x\r\n\r\n")
+	_, err = http.ReadResponse(reader, nil)
+	assert.Assert(t, err != nil, "the connection must be closed")
+	assert.Equal(t, len(m.runs(func(target.Run) bool { return true })), 0)
+}
