--- /dev/null
+++ b/internal/peer/metrics.go
@@ -0,0 +1,51 @@
+package peer
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Names of the metrics.
+const (
+	bytesMetric   = "mulberrybank_control_bytes_total"
+	refusedMetric = "mulberrybank_connections_refused_total"
+)
+
+// Register adds the control bytes by kind, scope and direction to a set of
+// metrics.
+func (t *Traffic) Register(set *metrics.Set) {
+	set.RegisterMetricsWriter(func(w io.Writer) {
+		traffic := t.Snapshot()
+		for _, class := range sortedClasses(traffic) {
+			writeBytes(w, class, "sent", traffic[class].Sent)
+			writeBytes(w, class, "received", traffic[class].Received)
+		}
+	})
+}
+
+func sortedClasses(traffic map[Class]Bytes) []Class {
+	var classes []Class
+	for class := range traffic {
+		classes = append(classes, class)
+	}
+	slices.SortFunc(classes, func(a, b Class) int {
+		return strings.Compare(a.Kind+a.Scope.String(), b.Kind+b.Scope.String())
+	})
+	return classes
+}
+
+func writeBytes(w io.Writer, class Class, direction string, bytes uint64) {
+	name := fmt.Sprintf("%s{kind=%q,scope=%q,direction=%q}", bytesMetric, class.Kind, class.Scope, direction)
+	metrics.WriteCounterUint64(w, name, bytes)
+}
+
+// RegisterMetrics adds the count of refused connections to a set of metrics.
+func (s *Server) RegisterMetrics(set *metrics.Set) {
+	set.RegisterMetricsWriter(func(w io.Writer) {
+		metrics.WriteCounterUint64(w, refusedMetric, s.gate.refused.Load())
+	})
+}
