--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -190,3 +190,14 @@
 	status, _, _ = invoke(t, "token", "ci", "--role=publisher", "--file="+ci)
 	assert.Equal(t, status, exitFailed)
 }
+
+func TestTimelineGoesOnWithoutADaemonOnlyWhenAsked(t *testing.T) {
+	_, at := startMesh(t)
+	status, stdout, stderr := invoke(t, "timeline", at, "--admin=127.0.0.1:1")
+	assert.Equal(t, status, exitFailed)
+	assert.Assert(t, strings.Contains(stderr, "127.0.0.1:1") && stdout == "", stderr)
+	status, stdout, stderr = invoke(t, "timeline", at, "--admin=127.0.0.1:1", "--partial")
+	assert.Equal(t, status, exitOK)
+	assert.Assert(t, strings.Contains(stderr, "going on without some daemons"), stderr)
+	assert.Assert(t, strings.Contains(stdout, "host-1 started"), stdout)
+}
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
 
@@ -17,6 +20,7 @@
 	Files []string `arg:"--file,separate" help:"file of events as JSON lines, may be repeated"`
 	Admin []string `arg:"--admin,separate" placeholder:"ADDRESS" help:"administration address of a daemon, may be repeated"`
 	access
+	Partial bool `arg:"--partial" help:"go on without the daemons that cannot be asked"`
 
 	Call    string `arg:"--call" help:"show one call"`
 	Version uint64 `arg:"--version" help:"show one version or offset"`
@@ -100,14 +104,32 @@
 		}
 		lists = append(lists, events)
 	}
-	for _, address := range c.Admin {
-		events, err := c.fetch(ctx, env, address)
-		if err != nil {
-			return nil, err
-		}
-		lists = append(lists, events)
+	pulled, err := c.fetchAll(ctx, env)
+	if err != nil {
+		return nil, err
 	}
-	return timeline.Merge(lists), nil
+	return timeline.Merge(append(lists, pulled...)), nil
+}
+
+// maxFetches is how many daemons are asked at once.
+const maxFetches = 32
+
+// fetchAll asks all daemons for their events, nearly at one time so that the
+// lists end together.
+func (c *timelineCommand) fetchAll(ctx context.Context, env *env) ([][]timeline.Event, error) {
+	lists := make([][]timeline.Event, len(c.Admin))
+	failures := make([]error, len(c.Admin))
+	fetches := pool.New().WithMaxGoroutines(maxFetches)
+	for i, address := range c.Admin {
+		fetches.Go(func() { lists[i], failures[i] = c.fetch(ctx, env, address) })
+	}
+	fetches.Wait()
+	err := errors.Join(failures...)
+	if err == nil || !c.Partial {
+		return lists, err
+	}
+	fmt.Fprintf(env.stderr, "%s: going on without some daemons: %v\n", program, err)
+	return lists, nil
 }
 
 func (c *timelineCommand) fetch(ctx context.Context, env *env, address string) ([]timeline.Event, error) {
--- /dev/null
+++ b/internal/timeline/bench_test.go
@@ -0,0 +1,50 @@
+package timeline
+
+import (
+	"fmt"
+	"testing"
+)
+
+// largeTrace has hosts that fold versions and carry calls.
+func largeTrace(hosts, versions, calls int) []Event {
+	s := &script{}
+	name := func(i int) string { return fmt.Sprintf("host-%d", i) }
+	for i := range hosts {
+		s.at(0, name(i), Event{Kind: Started})
+	}
+	for v := 1; v <= versions; v++ {
+		for i := range hosts {
+			at := int64(v) * 1000
+			s.at(at, name(i), Event{Kind: VerdictReached, Offset: uint64(v), Version: uint64(v), Outcome: "accepted"})
+			s.at(at, name(i), Event{Kind: InForce, Offset: uint64(v), Version: uint64(v), Digest: fmt.Sprint(v)})
+		}
+	}
+	for c := range calls {
+		at, from, to := int64(c), name(c%hosts), name((c+1)%hosts)
+		call := fmt.Sprint("call-", c)
+		s.at(at, from, Event{Kind: CallBegan, Call: call, Key: call})
+		s.at(at, from, Event{Kind: Sent, Call: call, Attempt: 1, Peer: to, Key: call})
+		s.at(at, to, Event{Kind: Ran, Call: call, Attempt: 1, Key: call})
+		s.at(at, from, Event{Kind: Answered, Call: call, Key: call})
+	}
+	return Merge([][]Event{s.events})
+}
+
+// BenchmarkCheck checks a trace of 1,900 hosts.
+func BenchmarkCheck(b *testing.B) {
+	events := largeTrace(1900, 50, 100_000)
+	b.ReportMetric(float64(len(events)), "events")
+	for b.Loop() {
+		if found := Check(events); len(found) > 0 {
+			b.Fatal(found[0])
+		}
+	}
+}
+
+// BenchmarkRecord records events into a full buffer.
+func BenchmarkRecord(b *testing.B) {
+	buffer := NewBuffer(NewClock(fixed), "host", "zone", 1, 65536)
+	for b.Loop() {
+		buffer.Record(Event{Kind: Sent, Call: "call", Peer: "host-2"})
+	}
+}
--- a/internal/timeline/check_test.go
+++ b/internal/timeline/check_test.go
@@ -197,3 +197,17 @@
 	s.at(29999, "b", Event{Kind: CallBegan, Call: "c9"})
 	assert.DeepEqual(t, Check(Merge([][]Event{s.events})), []Violation(nil))
 }
+
+func TestSpreadIsNotJudgedBeforeItsBound(t *testing.T) {
+	s := &script{}
+	for _, host := range []string{"a", "b"} {
+		s.at(0, host, Event{Kind: Started})
+		s.at(1, host, Event{Kind: InForce, Digest: "d0"})
+	}
+	s.at(10, "a", Event{Kind: VerdictReached, Offset: 1, Version: 1, Outcome: "accepted"})
+	s.at(11, "a", Event{Kind: InForce, Offset: 1, Version: 1, Digest: "d1"})
+	s.at(10_009, "b", Event{Kind: UpstreamChosen})
+	assert.DeepEqual(t, Check(s.events), []Violation(nil))
+	s.at(10_010, "b", Event{Kind: UpstreamChosen})
+	assert.Equal(t, len(Check(s.events)), 1)
+}
