Show changed tokens in the difference of two versions

A trial with a daemon, a root token and a publisher's token showed that a version which only added a token had no differences. Tokens are compared by role and the first digits of their hash.

Seen failing: the comparison without tokens.

--- a/internal/admin/compare.go
+++ b/internal/admin/compare.go
@@ -9,12 +9,13 @@
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
 
-// Compare lists the services and routes that differ between two renderings of
+// Compare lists the services, routes and tokens that differ between two renderings of
 // a workspace, by kind and name.
 func Compare(before, after *publish.Workspace) []Change {
 	changes := []Change{}
 	changes = append(changes, compareItems("service", services(before), services(after))...)
 	changes = append(changes, compareItems("route", routes(before), routes(after))...)
+	changes = append(changes, compareItems("token", tokens(before), tokens(after))...)
 	return changes
 }
 
@@ -42,6 +43,20 @@
 	return items
 }
 
+// shownDigits is how many digits of a token's hash a comparison shows.
+const shownDigits = 8
+
+func tokens(workspace *publish.Workspace) map[string]string {
+	items := map[string]string{}
+	if workspace == nil {
+		return items
+	}
+	for _, t := range workspace.Tokens {
+		items[t.Name] = fmt.Sprintf("role %s, sha256 %s...", t.Role, t.SHA256[:shownDigits])
+	}
+	return items
+}
+
 func compareItems(kind string, before, after map[string]string) []Change {
 	names := slices.Sorted(maps.Keys(before))
 	for name := range after {
--- a/internal/admin/tokens_test.go
+++ b/internal/admin/tokens_test.go
@@ -142,6 +142,23 @@
 	assert.Equal(t, verdict.Outcome, "accepted")
 }
 
+func TestDiffShowsTokens(t *testing.T) {
+	s := secure(t)
+	owner := s.with(ownerToken)
+	verdict, err := owner.Publish(t.Context(), withAccess(change("heaters", 1, "20"), map[string]publish.Role{
+		readerToken: publish.Reader, publisherToken: publish.Administrator, ownerToken: publish.Administrator,
+	}))
+	assert.NilError(t, err)
+	diff, err := s.with(rootToken).Diff(t.Context(), "heaters", 1, verdict.Version)
+	assert.NilError(t, err)
+	hash := publish.HashToken(publisherToken)[:8]
+	assert.DeepEqual(t, diff.Changes, []admin.Change{{
+		Kind: "token", Name: "publisher",
+		Before: "role publisher, sha256 " + hash + "...",
+		After:  "role administrator, sha256 " + hash + "...",
+	}})
+}
+
 // TestPublishersCannotHideTokensBehindARefusal publishes a change of tokens
 // that is refused here for another reason, which the log might not share.
 func TestPublishersCannotHideTokensBehindARefusal(t *testing.T) {
--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -81,9 +81,9 @@
 	Changes   []Change `json:"changes"`
 }
 
-// Change is one service or route that differs between two versions.
+// Change is one service, route or token that differs between two versions.
 type Change struct {
-	// Kind is "service" or "route".
+	// Kind is "service", "route" or "token".
 	Kind string `json:"kind"`
 	Name string `json:"name"`
 	// Before is empty for what was added, After for what was removed.
