Say in readyz that a daemon is stopping

A daemon that leaves still answered that it was ready, so that load in front of its callers' port went on to it.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -191,17 +191,32 @@
 	assert.Assert(t, len(events) > 1)
 }
 
-func TestReadyzSaysWhyNot(t *testing.T) {
-	a := serve(t, nil)
-	a.mesh.Stop(errors.New("schema 2 is not known"))
+// readyz returns the status and the text of /readyz.
+func (a *api) readyz(t *testing.T) (int, string) {
+	t.Helper()
 	answer, err := a.server.Client().Get(a.server.URL + "/readyz")
 	assert.NilError(t, err)
 	defer answer.Body.Close()
 	text, err := io.ReadAll(answer.Body)
 	assert.NilError(t, err)
-	assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
-	assert.Assert(t, strings.Contains(string(text), "no configuration is in force yet"))
-	assert.Assert(t, strings.Contains(string(text), "schema 2 is not known"))
+	return answer.StatusCode, string(text)
+}
+
+func TestReadyzSaysWhyNot(t *testing.T) {
+	a := serve(t, nil)
+	status, text := a.readyz(t)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(text, "no configuration is in force yet"))
+	a.publishAccepted(t, change("heaters", 0, "20"))
+	status, text = a.readyz(t)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, text, "{\"ready\":true}\n")
+	a.mesh.Stop(errors.New("schema 2 is not known"))
+	a.mesh.Leave()
+	status, text = a.readyz(t)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(text, "schema 2 is not known"))
+	assert.Assert(t, strings.Contains(text, "the daemon is stopping"))
 }
 
 func TestEveryGuardedRouteAsksTheAuthorizer(t *testing.T) {
--- a/internal/admin/admintest/mesh.go
+++ b/internal/admin/admintest/mesh.go
@@ -28,6 +28,7 @@
 	stopped  error
 	failure  error
 	drained  bool
+	leaving  bool
 	lowest   func(offset uint64) uint64
 	enforcer *enforce.Enforcer
 }
@@ -85,6 +86,13 @@
 	return m.drained
 }
 
+// Leave makes the daemon leave the mesh.
+func (m *Mesh) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving = true
+}
+
 // Submit appends a publication, folds the log and returns the verdict.
 func (m *Mesh) Submit(ctx context.Context, publication *publish.Publication) (publish.Verdict, error) {
 	m.mu.Lock()
@@ -159,10 +167,16 @@
 
 // View returns two hosts.
 func (m *Mesh) View() *membership.View {
-	return &membership.View{Members: map[string]membership.Member{
-		"host-2": {Host: "host-2", State: membership.Leaving, TargetState: membership.Draining, Reach: membership.Suspect},
-		"host-1": {Host: "host-1", State: membership.Alive, TargetState: membership.Ready},
-	}}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := membership.Member{Host: "host-1", State: membership.Alive, TargetState: membership.Ready}
+	if m.leaving {
+		self.State = membership.Leaving
+	}
+	other := membership.Member{
+		Host: "host-2", State: membership.Leaving, TargetState: membership.Draining, Reach: membership.Suspect,
+	}
+	return &membership.View{Self: self, Members: map[string]membership.Member{"host-1": self, "host-2": other}}
 }
 
 // Drain marks the target as drained.
--- a/internal/admin/state.go
+++ b/internal/admin/state.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"strings"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
 )
 
 // status answers with what this daemon knows of the configuration.
@@ -106,6 +108,9 @@
 	if err := s.Enforcer.Stopped(); err != nil {
 		reasons = append(reasons, "folding stopped: "+err.Error())
 	}
+	if state := s.Directory.View().Self.State; state == membership.Leaving || state == membership.Left {
+		reasons = append(reasons, "the daemon is stopping")
+	}
 	for _, check := range s.Ready {
 		if err := check(); err != nil {
 			reasons = append(reasons, err.Error())
