distribute: tell a settled change of the summaries in a few bytes

An exchange is now one stream between two regions that stays open; a summary waits until its daemons have settled at one offset, at most 3 s, and when nothing but the offset changed it is told as that offset. Acknowledgements up the tree do the same, digests on streams are 8 bytes. A daemon tells its subtree to a parent in its own region only, so that no daemon is counted twice when a region follows another one.

The fake network of the tests no longer blocks in a write: a paused host held a lock of the library while all else waited for that lock, so the bubble of synctest stood still (one run of TestAnyDisturbanceHeals, ten minutes). The digest of the fake fold differs in its first eight bytes now, since only these are sent.

--- a/internal/distribute/client.go
+++ b/internal/distribute/client.go
@@ -8,7 +8,7 @@
 )
 
 // openFollow dials a source and opens the stream.
-func (d *Distributor) openFollow(ctx context.Context, source Source) (upLink, error) {
+func (d *Distributor) openFollow(ctx context.Context, source Source) (*clientLink, error) {
 	conn, err := d.dialer.Dial(ctx, trafficKind, source.Address)
 	if err != nil {
 		return nil, fmt.Errorf("follow %s: %w", source, err)
@@ -42,6 +42,9 @@
 
 func (l *clientLink) Close() { _ = l.conn.Close() }
 
+// region is the region of the parent.
+func (l *clientLink) region() string { return l.conn.Peer.Region }
+
 // catchUp asks a peer once for what this daemon lacks.
 func (d *Distributor) catchUp(ctx context.Context, address string, offset uint64, digest []byte) (catchUpAnswer, error) {
 	conn, err := d.dialer.Dial(ctx, trafficKind, address)
@@ -57,19 +60,43 @@
 	return catchUpFromWire(answer, d.now()), nil
 }
 
-// exchange trades summaries with the reader of another region.
-func (d *Distributor) exchange(ctx context.Context, address string, own []RegionSummary) ([]RegionSummary, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
+// openExchange dials a daemon of another region to trade summaries.
+func (d *Distributor) openExchange(ctx context.Context, address string) (summaryLink, error) {
 	conn, err := d.dialer.Dial(ctx, trafficKind, address)
 	if err != nil {
 		return nil, fmt.Errorf("exchange summaries: %w", err)
 	}
-	defer conn.Close()
-	request := &ExchangeRequest{Regions: regionsToWire(own, d.now())}
-	answer, err := NewDRPCDistributeClient(conn).Exchange(ctx, request)
+	stream, err := NewDRPCDistributeClient(conn).Exchange(ctx)
 	if err != nil {
+		_ = conn.Close()
 		return nil, fmt.Errorf("exchange summaries with %s: %w", conn.Peer.Host, err)
 	}
-	return newDecoder(d.now).regions(answer.GetRegions()), nil
+	return &exchangeLink{stream: stream, decode: newDecoder(d.now), cut: func() { _ = conn.Close() }}, nil
+}
+
+// exchangeStream is either end of an exchange over drpc.
+type exchangeStream interface {
+	Send(*RegionSummaryMessage) error
+	Recv() (*RegionSummaryMessage, error)
+}
+
+// exchangeLink encodes the summaries of an exchange.
+type exchangeLink struct {
+	stream exchangeStream
+	decode *wireDecoder
+	cut    func()
+}
+
+func (l *exchangeLink) Send(summary RegionSummary) error {
+	return l.stream.Send(regionToWire(summary, l.decode.now()))
+}
+
+func (l *exchangeLink) Recv() (RegionSummary, error) {
+	message, err := l.stream.Recv()
+	if err != nil {
+		return RegionSummary{}, err
+	}
+	return l.decode.region(message), nil
 }
+
+func (l *exchangeLink) Close() { l.cut() }
--- a/internal/distribute/divergence.go
+++ b/internal/distribute/divergence.go
@@ -34,7 +34,7 @@
 
 func (d *Distributor) compare(name string, offset uint64, digest []byte) {
 	own, ownDigest := d.enforcer.Position()
-	if len(digest) == 0 || own != offset || bytes.Equal(digest, ownDigest) {
+	if len(digest) == 0 || own != offset || bytes.HasPrefix(ownDigest, digest) {
 		return
 	}
 	if !d.diverged.first(name) {
--- a/internal/distribute/encoding.go
+++ b/internal/distribute/encoding.go
@@ -24,11 +24,18 @@
 	return now.Add(-time.Duration(ms-1) * time.Millisecond)
 }
 
+// digestBytes is how much of a digest crosses the wire on streams; it is
+// compared to tell of a divergence and nothing else.
+const digestBytes = 8
+
+func shortDigest(digest []byte) []byte { return digest[:min(digestBytes, len(digest))] }
+
 func ackToWire(message ack, now time.Time) *FollowRequest {
 	return &FollowRequest{
-		Offset: message.Offset,
-		Digest: message.Digest,
-		Zones:  zonesToWire(message.Zones, now),
+		Offset:    message.Offset,
+		Digest:    shortDigest(message.Digest),
+		Zones:     zonesToWire(message.Zones, now),
+		SettledAt: message.SettledAt,
 	}
 }
 
@@ -37,7 +44,7 @@
 		Records:     platform.RecordsToWire(message.Records),
 		Snapshot:    snapshotToWire(message.Snapshot),
 		Offset:      message.Offset,
-		Digest:      message.Digest,
+		Digest:      shortDigest(message.Digest),
 		AgeMs:       ageToWire(message.Fresh, now),
 		Path:        message.Path,
 		PathChanged: message.Path != nil,
@@ -119,22 +126,32 @@
 func regionsToWire(regions []RegionSummary, now time.Time) []*RegionSummaryMessage {
 	wire := make([]*RegionSummaryMessage, 0, len(regions))
 	for _, region := range regions {
-		wire = append(wire, &RegionSummaryMessage{
-			Root:  region.Root,
-			AgeMs: ageToWire(region.Made, now),
-			Zones: zonesToWire(region.Zones, now),
-		})
+		wire = append(wire, regionToWire(region, now))
 	}
 	return wire
 }
 
+func regionToWire(region RegionSummary, now time.Time) *RegionSummaryMessage {
+	return &RegionSummaryMessage{
+		Root:      region.Root,
+		AgeMs:     ageToWire(region.Made, now),
+		Zones:     zonesToWire(region.Zones, now),
+		SettledAt: region.SettledAt,
+	}
+}
+
 // wireDecoder decodes messages by the receiver's clock.
 type wireDecoder struct{ now func() time.Time }
 
 func newDecoder(now func() time.Time) *wireDecoder { return &wireDecoder{now: now} }
 
 func (d *wireDecoder) ack(wire *FollowRequest) ack {
-	return ack{Offset: wire.GetOffset(), Digest: wire.GetDigest(), Zones: d.zones(wire.GetZones())}
+	return ack{
+		Offset:    wire.GetOffset(),
+		Digest:    wire.GetDigest(),
+		Zones:     d.zones(wire.GetZones()),
+		SettledAt: wire.GetSettledAt(),
+	}
 }
 
 func (d *wireDecoder) update(wire *FollowAnswer) update {
@@ -184,11 +201,16 @@
 func (d *wireDecoder) regions(wire []*RegionSummaryMessage) []RegionSummary {
 	regions := make([]RegionSummary, 0, len(wire))
 	for _, region := range wire {
-		regions = append(regions, RegionSummary{
-			Root:  region.GetRoot(),
-			Made:  ageFromWire(region.GetAgeMs(), d.now()),
-			Zones: d.zones(region.GetZones()),
-		})
+		regions = append(regions, d.region(region))
 	}
 	return regions
 }
+
+func (d *wireDecoder) region(wire *RegionSummaryMessage) RegionSummary {
+	return RegionSummary{
+		Root:      wire.GetRoot(),
+		Made:      ageFromWire(wire.GetAgeMs(), d.now()),
+		Zones:     d.zones(wire.GetZones()),
+		SettledAt: wire.GetSettledAt(),
+	}
+}
--- /dev/null
+++ b/internal/distribute/exchange.go
@@ -0,0 +1,123 @@
+package distribute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Times of exchanges.
+const (
+	// exchangeSilence is how long an exchange may carry nothing.
+	exchangeSilence = 2*summaryRefresh + 5*time.Second
+	// exchangeRetry is the middle of the times between two attempts.
+	exchangeRetry = 5 * time.Second
+)
+
+// errNotNeeded ends an exchange that this daemon no longer keeps up.
+var errNotNeeded = errors.New("the exchange is not needed")
+
+// exchanges are the exchanges that this daemon dials, one task for each.
+type exchanges struct {
+	ctx   context.Context
+	d     *Distributor
+	tasks conc.WaitGroup
+	mu    sync.Mutex
+	open  map[string]context.CancelCauseFunc
+}
+
+func newExchanges(ctx context.Context, d *Distributor) *exchanges {
+	return &exchanges{ctx: ctx, d: d, open: make(map[string]context.CancelCauseFunc)}
+}
+
+func (e *exchanges) wait() { e.tasks.Wait() }
+
+// keep starts the exchanges that are missing and ends the others.
+func (e *exchanges) keep(targets []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for address, cancel := range e.open {
+		if !slices.Contains(targets, address) {
+			cancel(errNotNeeded)
+		}
+	}
+	for _, address := range targets {
+		if e.open[address] == nil {
+			e.start(address)
+		}
+	}
+}
+
+func (e *exchanges) start(address string) {
+	ctx, cancel := context.WithCancelCause(e.ctx)
+	e.open[address] = cancel
+	e.tasks.Go(func() {
+		defer e.ended(address)
+		defer cancel(nil)
+		if err := e.d.tradeWith(ctx, address); err != nil && ctx.Err() == nil {
+			e.d.logger.WithError(err).Debug("Exchange of summaries ended.")
+		}
+		e.d.sleep(ctx, e.d.jitter.around(exchangeRetry))
+	})
+}
+
+func (e *exchanges) ended(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.open, address)
+}
+
+// tradeWith trades summaries with one daemon until ctx ends or it fails.
+func (d *Distributor) tradeWith(ctx context.Context, address string) error {
+	stream, err := d.openExchange(ctx, address)
+	if err != nil {
+		return err
+	}
+	return d.trade(ctx, stream)
+}
+
+// trade tells the summaries of this region in one task and takes those of
+// others in another. Both ends of an exchange do the same.
+func (d *Distributor) trade(parent context.Context, stream summaryLink) error {
+	ctx, cancel := context.WithCancelCause(parent)
+	stop := context.AfterFunc(ctx, stream.Close)
+	defer stop()
+	watch := time.AfterFunc(exchangeSilence, func() { cancel(errSilent) })
+	defer watch.Stop()
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { cancel(d.tellSummaries(ctx, stream)) })
+	for {
+		summary, err := stream.Recv()
+		if err != nil {
+			cancel(ended(err))
+			return context.Cause(ctx)
+		}
+		watch.Reset(exchangeSilence)
+		d.regions.merge([]RegionSummary{summary})
+	}
+}
+
+// tellSummaries sends the summaries of this region as they change.
+func (d *Distributor) tellSummaries(ctx context.Context, stream summaryLink) error {
+	ticker := time.NewTicker(summaryInterval)
+	defer ticker.Stop()
+	tell := newTeller(d.now)
+	for {
+		for _, summary := range tell.next(d.regions, d.self.Region) {
+			if err := stream.Send(summary); err != nil {
+				return fmt.Errorf("send summary: %w", err)
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
--- a/internal/distribute/failure_test.go
+++ b/internal/distribute/failure_test.go
@@ -14,8 +14,8 @@
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
 
-// settle is long enough for every daemon to be at its preferred source.
-const settle = time.Minute
+// calm is long enough for every daemon to be at its preferred source.
+const calm = time.Minute
 
 // hostsOf returns the hosts of zones.
 func (m *mesh) hostsOf(zones ...string) []string {
@@ -65,7 +65,7 @@
 				m.log.add("1")
 				m.startAll()
 				m.waitFor(1, 10*time.Second)
-				time.Sleep(settle)
+				time.Sleep(calm)
 				reader := m.readerOf("ashanti")
 				fail(m, reader)
 				last := m.log.add("2", "3")
@@ -109,7 +109,7 @@
 		m.log.add("1")
 		m.startAll()
 		m.waitFor(1, 10*time.Second)
-		time.Sleep(settle)
+		time.Sleep(calm)
 		reader := m.readerOf("northern")
 		for host := range m.nodes {
 			m.net.silence(reader, host)
@@ -137,7 +137,7 @@
 		m.log.add("1")
 		m.startAll()
 		m.waitFor(1, 10*time.Second)
-		time.Sleep(settle)
+		time.Sleep(calm)
 		// The zone reaches no log and, of the other zones, only one.
 		hosts := m.hostsOf("ashanti-a")
 		m.log.setOut(true, hosts...)
@@ -153,7 +153,7 @@
 		m.log.add("1")
 		m.startAll()
 		m.waitFor(1, 10*time.Second)
-		time.Sleep(settle)
+		time.Sleep(calm)
 		zones := []string{"northern-a", "northern-b"}
 		cut, others := m.hostsOf(zones...), m.except(zones...)
 		m.log.setOut(true, cut...)
@@ -172,7 +172,7 @@
 		m.log.setOut(false, cut...)
 		m.net.separate(false, cut, others)
 		m.waitFor(last, time.Minute)
-		time.Sleep(settle)
+		time.Sleep(calm)
 		assert.Equal(t, len(m.rooted()), 3)
 	})
 }
@@ -183,7 +183,7 @@
 		last := m.log.add("1", "2", "3")
 		m.startAll()
 		m.waitFor(last, 10*time.Second)
-		time.Sleep(settle)
+		time.Sleep(calm)
 		m.log.setOut(true)
 		zone := m.hostsOf("ashanti-b")
 		for _, host := range zone {
@@ -205,8 +205,8 @@
 		perSecond := float64(m.log.readCount()) / 30
 		assert.Assert(t, perSecond < 20, "%.1f reads a second", perSecond)
 		before := m.log.readCount()
-		time.Sleep(settle)
-		idle := float64(m.log.readCount()-before) / settle.Seconds()
+		time.Sleep(calm)
+		idle := float64(m.log.readCount()-before) / calm.Seconds()
 		assert.Assert(t, idle < 3, "%.1f reads a second when idle", idle)
 	})
 }
@@ -217,7 +217,7 @@
 		last := m.log.add("1")
 		m.startAll()
 		m.waitFor(last, 30*time.Second)
-		time.Sleep(settle)
+		time.Sleep(calm)
 		m.log.setOut(true)
 		before, chosen := m.log.readCount(), m.chosen()
 		time.Sleep(2 * time.Minute)
@@ -247,7 +247,7 @@
 		m.log.add("1", "2", "3", "4")
 		m.start("a-0")
 		m.waitFor(4, 10*time.Second)
-		time.Sleep(settle)
+		time.Sleep(calm)
 		assert.Equal(t, m.nodes["a-0"].events.count(timeline.SnapshotWritten), 1)
 		_, digest := m.nodes["a-0"].enforcer.Position()
 		m.kill("a-0")
@@ -314,9 +314,9 @@
 		m.startNode("a-0", &fakeFold{})
 		m.startNode("a-1", &fakeFold{skew: 1})
 		m.waitFor(1, 10*time.Second)
-		time.Sleep(settle)
+		time.Sleep(calm)
 		m.waitFor(m.log.add("2"), 10*time.Second)
-		time.Sleep(settle)
+		time.Sleep(calm)
 		for host, n := range m.nodes {
 			assert.Equal(t, n.events.count(timeline.Diverged), 1, host)
 		}
@@ -347,14 +347,14 @@
 		m.log.add("1")
 		m.startAll()
 		m.waitFor(1, 10*time.Second)
-		time.Sleep(settle)
+		time.Sleep(calm)
 		dead, stuck := "northern-b-4", "ashanti-a-5"
 		m.kill(dead)
 		m.lost(membership.Unreachable, dead)
 		m.nodes[stuck].fold.refuseOn("2")
 		last := m.log.add("2")
 		m.waitForOthers(stuck, last, 10*time.Second)
-		time.Sleep(settle)
+		time.Sleep(calm)
 		for host, n := range m.nodes {
 			status := n.dist.Convergence()
 			assert.Equal(t, status.Offset, last, host)
--- a/internal/distribute/fakes_test.go
+++ b/internal/distribute/fakes_test.go
@@ -5,7 +5,9 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -54,7 +56,7 @@
 
 func (f *fakeFold) Source(string) (*publish.Source, publish.Version, bool) { return nil, 0, false }
 func (f *fakeFold) Digest() []byte {
-	return append(binary.BigEndian.AppendUint64(nil, f.sum), f.skew)
+	return binary.BigEndian.AppendUint64(nil, f.sum^uint64(f.skew))
 }
 
 func (f *fakeFold) Snapshot() ([]byte, error) {
@@ -301,9 +303,7 @@
 		if listener == nil || n.cut[from+"|"+address] {
 			return nil, errors.New("unreachable")
 		}
-		a, b := net.Pipe()
-		near := &pipeConn{Conn: a, net: n, from: from, to: address, silent: make(chan struct{})}
-		far := &pipeConn{Conn: b, net: n, from: address, to: from, silent: make(chan struct{})}
+		near, far := newPipe(n, from, address)
 		n.conns[near] = struct{}{}
 		n.conns[far] = struct{}{}
 		select {
@@ -323,44 +323,124 @@
 	return listener
 }
 
+// pipeBuffer is one direction of a pipe. Writes never block, so that no lock
+// of a library is held while a test waits for time to pass.
+type pipeBuffer struct {
+	mu     sync.Mutex
+	data   []byte
+	closed bool
+	wake   chan struct{}
+}
+
+func newPipeBuffer() *pipeBuffer { return &pipeBuffer{wake: make(chan struct{})} }
+
+func (b *pipeBuffer) change(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f()
+	close(b.wake)
+	b.wake = make(chan struct{})
+}
+
+func (b *pipeBuffer) take(p []byte) (n int, closed bool, wake chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n = copy(p, b.data)
+	b.data = b.data[n:]
+	return n, b.closed, b.wake
+}
+
 // pipeConn is one end of a pipe. A silent end swallows what is written.
 type pipeConn struct {
-	net.Conn
 	net      *fakeNet
 	from, to string
+	in, out  *pipeBuffer
 	once     sync.Once
 	silent   chan struct{}
+	closed   chan struct{}
+	closing  sync.Once
+	deadline atomic.Pointer[time.Time]
+}
+
+// newPipe returns the two ends of a connection between hosts.
+func newPipe(n *fakeNet, from, to string) (near, far *pipeConn) {
+	there, back := newPipeBuffer(), newPipeBuffer()
+	near = &pipeConn{net: n, from: from, to: to, in: back, out: there, silent: make(chan struct{}), closed: make(chan struct{})}
+	far = &pipeConn{net: n, from: to, to: from, in: there, out: back, silent: make(chan struct{}), closed: make(chan struct{})}
+	return near, far
 }
 
 func (c *pipeConn) silence() { c.once.Do(func() { close(c.silent) }) }
 
 func (c *pipeConn) Read(p []byte) (int, error) {
-	count, err := c.Conn.Read(p)
-	c.net.gate(c.from)
-	return count, err
+	for {
+		c.net.gate(c.from)
+		c.net.gate(c.to)
+		n, ended, wake := c.in.take(p)
+		if n > 0 {
+			return n, nil
+		}
+		if ended {
+			return 0, io.EOF
+		}
+		if err := c.await(wake); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// await waits for bytes, the end of the connection or the deadline.
+func (c *pipeConn) await(wake chan struct{}) error {
+	var expired <-chan time.Time
+	if deadline := c.deadline.Load(); deadline != nil && !deadline.IsZero() {
+		timer := time.NewTimer(time.Until(*deadline))
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case <-wake:
+		return nil
+	case <-c.closed:
+		return net.ErrClosed
+	case <-expired:
+		return os.ErrDeadlineExceeded
+	}
 }
 
 func (c *pipeConn) Write(p []byte) (int, error) {
-	c.net.gate(c.from)
 	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
 	case <-c.silent:
 		return len(p), nil
 	default:
-		return c.Conn.Write(p)
 	}
+	c.out.change(func() { c.out.data = append(c.out.data, p...) })
+	return len(p), nil
+}
+
+func (c *pipeConn) SetDeadline(t time.Time) error {
+	c.deadline.Store(&t)
+	return nil
 }
 
+func (c *pipeConn) SetWriteDeadline(time.Time) error  { return nil }
+func (c *pipeConn) SetReadDeadline(t time.Time) error { return c.SetDeadline(t) }
+func (c *pipeConn) LocalAddr() net.Addr               { return &net.UnixAddr{Name: c.from} }
+func (c *pipeConn) RemoteAddr() net.Addr              { return &net.UnixAddr{Name: c.to} }
+
 func (c *pipeConn) Close() error {
 	c.net.mu.Lock()
 	delete(c.net.conns, c)
 	c.net.mu.Unlock()
+	c.closing.Do(func() { close(c.closed) })
 	select {
 	case <-c.silent:
 		// The other end does not learn of it.
-		return c.SetDeadline(time.Now())
 	default:
-		return c.Conn.Close()
+		c.out.change(func() { c.out.closed = true })
 	}
+	return nil
 }
 
 type pipeListener struct {
--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -52,14 +52,14 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	var last update
-	var seen uint64
+	tell := newTeller(d.now)
 	for {
 		changed := d.enforcer.Changed()
 		next, err := d.nextUpdate(sent)
 		if err != nil {
 			return err
 		}
-		next.Regions, seen = d.regions.since(seen)
+		next.Regions = tell.next(d.regions, allRegions)
 		if err := stream.Send(changedUpdate(next, last)); err != nil {
 			return fmt.Errorf("send update: %w", err)
 		}
--- a/internal/distribute/follow.go
+++ b/internal/distribute/follow.go
@@ -26,6 +26,8 @@
 	if err != nil {
 		return err
 	}
+	d.state.setParentRegion(stream.region())
+	defer d.state.setParentRegion("")
 	err = d.followStream(ctx, up, source, stream)
 	return fmt.Errorf("follow %s: %w", source, err)
 }
@@ -69,12 +71,11 @@
 	defer ticker.Stop()
 	var sent ack
 	for {
-		offset, digest := d.enforcer.Position()
-		zones := d.subtree()
-		if err := stream.Send(changedAck(ack{Offset: offset, Digest: digest, Zones: zones}, sent)); err != nil {
+		next := d.nextAck()
+		if err := stream.Send(changedAck(next, sent)); err != nil {
 			return fmt.Errorf("send acknowledgement: %w", err)
 		}
-		sent = ack{Offset: offset, Digest: digest, Zones: zones}
+		sent = next
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -83,12 +84,26 @@
 	}
 }
 
+// nextAck sums up this daemon and, for a parent in its region, its subtree.
+func (d *Distributor) nextAck() ack {
+	offset, digest := d.enforcer.Position()
+	next := ack{Offset: offset, Digest: digest}
+	if !d.isTop() {
+		next.Zones = d.subtree()
+	}
+	return next
+}
+
 // changedAck leaves out what the last message has said already.
 func changedAck(next, last ack) ack {
 	if next.Offset == last.Offset {
 		next.Digest = nil
 	}
-	if slices.EqualFunc(next.Zones, last.Zones, ZoneSummary.equal) {
+	switch {
+	case sameZones(next.Zones, last.Zones):
+		next.Zones = nil
+	case sameDaemons(next.Zones, last.Zones) && settledAt(next.Zones) > 0:
+		next.SettledAt = settledAt(next.Zones)
 		next.Zones = nil
 	}
 	return next
--- a/internal/distribute/followers.go
+++ b/internal/distribute/followers.go
@@ -49,8 +49,11 @@
 	defer f.mu.Unlock()
 	from.offset = message.Offset
 	from.heard = f.now()
-	if len(message.Zones) > 0 {
+	switch {
+	case len(message.Zones) > 0:
 		from.zones = message.Zones
+	case message.SettledAt > 0:
+		from.zones = settle(from.zones, message.SettledAt)
 	}
 }
 
@@ -73,14 +76,14 @@
 }
 
 // summaries returns what the followers said of their subtrees, and names
-// those below an offset.
-func (f *followers) summaries(offset uint64) []ZoneSummary {
+// those of a region that are below an offset.
+func (f *followers) summaries(region string, offset uint64) []ZoneSummary {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var all []ZoneSummary
 	for known := range f.list {
 		all = append(all, known.zones...)
-		if known.offset < offset {
+		if known.offset < offset && known.identity.Region == region {
 			all = append(all, known.lagging())
 		}
 	}
@@ -100,6 +103,6 @@
 // subtree sums up this daemon and all that get their records through it.
 func (d *Distributor) subtree() []ZoneSummary {
 	offset, _ := d.enforcer.Position()
-	all := d.followers.summaries(offset)
+	all := d.followers.summaries(d.self.Region, offset)
 	return mergeZones(append(all, single(d.self.Zone, d.self.Region, offset)))
 }
--- a/internal/distribute/messages.go
+++ b/internal/distribute/messages.go
@@ -13,6 +13,9 @@
 	Digest []byte
 	// Zones is empty when nothing changed in the follower's subtree.
 	Zones []ZoneSummary
+	// SettledAt stands in for Zones when the daemons are the same as before
+	// and all are at this offset.
+	SettledAt uint64
 }
 
 // update is what a parent tells a follower.
@@ -69,4 +72,6 @@
 type (
 	upLink   = link[ack, update]
 	downLink = link[update, ack]
+	// summaryLink is either end of an exchange of summaries.
+	summaryLink = link[RegionSummary, RegionSummary]
 )
--- a/internal/distribute/regions.go
+++ b/internal/distribute/regions.go
@@ -10,22 +10,40 @@
 const (
 	// summaryInterval is the least time between two summaries of one root.
 	summaryInterval = time.Second
-	// summaryRefresh is how often a summary without change is told again.
+	// settleTime is how long a root waits for its daemons to reach one offset
+	// before it tells that they differ.
+	settleTime = 3 * time.Second
+	// summaryRefresh is how often a summary without change is told again, and
+	// fullRefresh how often with its zones.
 	summaryRefresh = 10 * time.Second
+	fullRefresh    = 30 * time.Second
 	// summaryLimit is the age at which a summary is dropped.
-	summaryLimit = 3 * summaryRefresh
+	summaryLimit = 2 * fullRefresh
 )
 
-// RegionSummary is what one reader of the log knows of those that follow it.
+// RegionSummary is what one daemon without a parent in its region knows of
+// those that follow it.
 type RegionSummary struct {
-	// Root is the host of the reader.
+	// Root is the host of the daemon.
 	Root string
-	// Made is when the reader made the summary, by this daemon's clock.
+	// Made is when it made the summary, by this daemon's clock.
 	Made  time.Time
 	Zones []ZoneSummary
+	// SettledAt stands in for Zones in a message when the daemons are those
+	// of the last message and all are at this offset.
+	SettledAt uint64
 }
 
-// regions holds the newest summary of each reader of the log.
+// region returns the region of the root. A summary begins with the root's own
+// region, since a root sums up no other one.
+func (s RegionSummary) region() string {
+	if len(s.Zones) == 0 {
+		return ""
+	}
+	return s.Zones[0].Region
+}
+
+// regions holds the newest summary of each root.
 type regions struct {
 	now func() time.Time
 
@@ -53,6 +71,13 @@
 		if ok && summary.Made.Sub(known.summary.Made) < summaryInterval/2 {
 			continue
 		}
+		if summary.SettledAt > 0 {
+			if !ok {
+				continue
+			}
+			summary.Zones = settle(known.summary.Zones, summary.SettledAt)
+			summary.SettledAt = 0
+		}
 		r.counter++
 		r.entries[summary.Root] = regionEntry{summary: summary, changed: r.counter}
 	}
@@ -79,7 +104,7 @@
 	return summaries
 }
 
-// of returns the summary of one reader.
+// of returns the summary of one root.
 func (r *regions) of(root string) (RegionSummary, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/distribute/server.go
+++ b/internal/distribute/server.go
@@ -45,10 +45,10 @@
 	return catchUpToWire(answer, s.distributor.now()), nil
 }
 
-func (s *server) Exchange(_ context.Context, request *ExchangeRequest) (*ExchangeAnswer, error) {
-	decode := newDecoder(s.distributor.now)
-	answer := s.distributor.answerExchange(decode.regions(request.GetRegions()))
-	return &ExchangeAnswer{Regions: regionsToWire(answer, s.distributor.now())}, nil
+func (s *server) Exchange(stream DRPCDistribute_ExchangeStream) error {
+	ctx := stream.Context()
+	end := &exchangeLink{stream: stream, decode: newDecoder(s.distributor.now), cut: func() { peer.CloseConn(ctx) }}
+	return s.distributor.trade(ctx, end)
 }
 
 // serverLink is the parent's end of a stream over drpc.
--- a/internal/distribute/state.go
+++ b/internal/distribute/state.go
@@ -28,6 +28,8 @@
 	via []string
 	// rooted is set while this daemon reads the log itself.
 	rooted bool
+	// parentRegion is the region of this daemon's parent, empty without one.
+	parentRegion string
 }
 
 func newState(host string, enforcer *enforce.Enforcer, now func() time.Time) *state {
@@ -169,6 +171,20 @@
 	return s.rooted
 }
 
+// setParentRegion notes the region of this daemon's parent.
+func (s *state) setParentRegion(region string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parentRegion = region
+}
+
+// follows reports whether this daemon has a parent in a region.
+func (s *state) follows(region string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parentRegion == region
+}
+
 // path returns the hosts from this daemon to the reader of the log.
 func (s *state) path() []string {
 	s.mu.Lock()
--- a/internal/distribute/summaries.go
+++ b/internal/distribute/summaries.go
@@ -2,66 +2,68 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 )
 
-// runSummaries makes the summary of this daemon's followers while it reads
-// the log, and trades it with the readers of other regions.
+// isTop reports whether this daemon has no parent in its region. Such a
+// daemon sums up those that follow it.
+func (d *Distributor) isTop() bool { return !d.state.follows(d.self.Region) }
+
+// runSummaries makes the summary of this daemon's followers while it has no
+// parent in its region, and keeps up the exchanges with other regions.
 func (d *Distributor) runSummaries(ctx context.Context) {
 	ticker := time.NewTicker(summaryInterval)
 	defer ticker.Stop()
+	trades := newExchanges(ctx, d)
+	defer trades.wait()
+	var unsettled time.Time
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-		if !d.state.isRooted() {
+		if !d.isTop() {
+			trades.keep(nil)
 			continue
 		}
-		if d.summarize() {
-			d.exchangeAll(ctx)
-		}
+		unsettled = d.summarize(unsettled)
+		trades.keep(d.exchangeTargets())
 	}
 }
 
-// summarize renews this daemon's own summary and reports whether others are
-// to be told.
-func (d *Distributor) summarize() bool {
+// summarize renews this daemon's summary when it has changed and its daemons
+// have settled at one offset, or have had the time to. It returns since when
+// they have not settled.
+func (d *Distributor) summarize(unsettled time.Time) time.Time {
 	next := RegionSummary{Root: d.self.Host, Made: d.now(), Zones: d.subtree()}
 	last, ok := d.regions.of(d.self.Host)
-	same := ok && slices.EqualFunc(next.Zones, last.Zones, ZoneSummary.equal)
-	if same && next.Made.Sub(last.Made) < summaryRefresh {
-		return false
+	switch {
+	case !ok:
+	case sameZones(next.Zones, last.Zones):
+		if next.Made.Sub(last.Made) < summaryRefresh {
+			return time.Time{}
+		}
+	case settledAt(next.Zones) == 0 && unsettled.IsZero():
+		return next.Made
+	case settledAt(next.Zones) == 0 && next.Made.Sub(unsettled) < settleTime:
+		return unsettled
 	}
 	d.regions.merge([]RegionSummary{next})
-	return true
+	return time.Time{}
 }
 
-// exchangeAll trades summaries with the reader of each other region.
-func (d *Distributor) exchangeAll(ctx context.Context) {
-	view := d.directory.View()
-	zones := rankZones(view)
+// exchangeTargets returns the control addresses to trade summaries with. Of
+// two regions the reader of the one whose name sorts first dials.
+func (d *Distributor) exchangeTargets() []string {
+	zones := rankZones(d.directory.View())
+	own := regionReaders(zones, d.self.Region)
+	reader := len(own) > 0 && own[0].Host == d.self.Host
+	var targets []string
 	for _, region := range otherRegions(zones, d.self.Region) {
-		reader := regionReaders(zones, region)[0]
-		own, _ := d.regions.of(d.self.Host)
-		answer, err := d.exchange(ctx, reader.ControlAddress, []RegionSummary{own})
-		if err != nil {
-			d.logger.WithError(err).Debugf("No summary from region %s.", region)
-			continue
+		if !reader || d.self.Region < region {
+			targets = append(targets, regionReaders(zones, region)[0].ControlAddress)
 		}
-		d.regions.merge(answer)
-	}
-}
-
-// answerExchange takes the summaries of another region's reader and returns
-// this daemon's own.
-func (d *Distributor) answerExchange(summaries []RegionSummary) []RegionSummary {
-	d.regions.merge(summaries)
-	own, ok := d.regions.of(d.self.Host)
-	if !ok {
-		return nil
 	}
-	return []RegionSummary{own}
+	return targets
 }
--- a/internal/distribute/summary.go
+++ b/internal/distribute/summary.go
@@ -89,3 +89,39 @@
 	slices.SortFunc(merged, func(a, b ZoneSummary) int { return cmp.Compare(a.Zone, b.Zone) })
 	return merged
 }
+
+// settledAt returns the offset that all daemons are at, 0 when they differ.
+func settledAt(zones []ZoneSummary) uint64 {
+	if len(zones) == 0 {
+		return 0
+	}
+	offset := zones[0].Highest
+	for _, zone := range zones {
+		if zone.Lowest != offset || zone.Highest != offset || len(zone.Behind) > 0 {
+			return 0
+		}
+	}
+	return offset
+}
+
+// settle returns the same daemons, all of them at an offset.
+func settle(zones []ZoneSummary, offset uint64) []ZoneSummary {
+	settled := slices.Clone(zones)
+	for i := range settled {
+		settled[i].Lowest = offset
+		settled[i].Highest = offset
+		settled[i].AtHighest = settled[i].Daemons
+		settled[i].Behind = nil
+	}
+	return settled
+}
+
+// sameDaemons reports whether two summaries count the same daemons.
+func sameDaemons(a, b []ZoneSummary) bool {
+	return slices.EqualFunc(a, b, func(a, b ZoneSummary) bool {
+		return a.Zone == b.Zone && a.Daemons == b.Daemons
+	})
+}
+
+// sameZones reports whether two summaries say the same.
+func sameZones(a, b []ZoneSummary) bool { return slices.EqualFunc(a, b, ZoneSummary.equal) }
