--- a/internal/distribute/convergence_bench_test.go
+++ b/internal/distribute/convergence_bench_test.go
@@ -60,7 +60,7 @@
 			rows = append(rows, measure(b, "tree, restart wave", count, false, true))
 			rows = append(rows, measure(b, "every daemon reads the log", count, true, false))
 		}
-		b.Log("\n" + table(rows))
+		fmt.Println(table(rows))
 	}
 }
 
