--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/mulberrybank/mulberrybank/internal/admin"
 	"github.com/mulberrybank/mulberrybank/internal/call"
 	"github.com/mulberrybank/mulberrybank/internal/distribute"
@@ -11,7 +13,6 @@
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/once"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
-	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
@@ -22,12 +23,15 @@
 	clock := timeline.NewClock(time.Now)
 	d.events = timeline.NewBuffer(clock, d.identity.Host, d.identity.Zone, d.identity.Incarnation, d.settings.Timeline.Events)
 	if d.platform == nil {
-		d.platform = platform.NewClient(d.settings.Platform.Address, time.Duration(d.settings.Platform.Timeout), nil)
+		d.platform = d.platformClient()
 	}
 	d.enforcer = enforce.New(publish.NewFold(), d.events)
 	d.server = peer.NewServer(d.identity, d.traffic, logging.Part(d.logger, "peer"))
 	d.server.RegisterMetrics(d.metrics)
 	d.traffic.Register(d.metrics)
+	if options.Dial == nil && d.secure != nil {
+		options.Dial = d.secure.DialPeer()
+	}
 	dialer := peer.NewDialer(d.identity, d.traffic, options.Dial)
 	if err := d.buildMembership(dialer); err != nil {
 		return err
@@ -35,8 +39,10 @@
 	if err := d.buildDistribution(dialer); err != nil {
 		return err
 	}
-	d.buildCalls(clock)
+	d.buildCalls(clock, call.DialFunc(options.Dial))
 	d.buildAdmin()
+	d.events.RegisterMetrics(d.metrics)
+	d.metrics.RegisterMetricsWriter(metrics.WriteProcessMetrics)
 	return nil
 }
 
@@ -82,7 +88,7 @@
 	return d.distributor.Register(d.server.Mux())
 }
 
-func (d *Daemon) buildCalls(clock *timeline.Clock) {
+func (d *Daemon) buildCalls(clock *timeline.Clock, dialPeers call.DialFunc) {
 	d.router = route.New(route.Options{
 		Directory: d.members,
 		Self:      d.identity,
@@ -115,6 +121,7 @@
 		Clock:       clock,
 		Logger:      d.logger,
 		Metrics:     d.metrics,
+		DialPeers:   dialPeers,
 		SampleShare: eventSampleShare,
 	})
 }
@@ -125,12 +132,14 @@
 		Zone:        d.identity.Zone,
 		Submitter:   publish.NewSubmitter(d.platform, d.enforcer),
 		Enforcer:    d.enforcer,
-		Archive:     &admin.LogArchive{Log: d.platform},
+		Archive:     &admin.LogArchive{Log: d.platform, State: distribute.SnapshotState},
 		Directory:   d.members,
 		Convergence: d.convergence,
 		Staleness:   d.staleness,
 		Drainer:     d.members,
 		Timeline:    d.events.Handler(),
+		Authorizer:  d.authorizer(),
+		Quota:       d.quota(),
 		MaxBody:     int64(d.settings.Admin.MaxBody),
 		Logger:      d.logger,
 		Metrics:     d.metrics,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,9 @@
 	"github.com/mulberrybank/mulberrybank/internal/once"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/route"
+	"github.com/mulberrybank/mulberrybank/internal/secure"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
@@ -53,7 +55,9 @@
 	keeper      *once.Keeper
 	proposer    *once.Proposer
 	admin       *admin.Server
-	platform    platform.Log
+	// identity for TLS, nil in plain text.
+	secure   *secure.Identity
+	platform platform.Log
 }
 
 // New checks the settings, opens every listener and builds the slices.
@@ -76,9 +80,13 @@
 		Region:      options.Settings.Region,
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
+	if err := d.loadIdentity(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", d.identity.Host, err)
+	}
 	if err := d.listen.open(&d.settings.Listen); err != nil {
 		return nil, fmt.Errorf("start %s: %w", d.identity.Host, err)
 	}
+	d.secureListeners()
 	if err := d.build(options); err != nil {
 		d.listen.close()
 		return nil, fmt.Errorf("start %s: %w", d.identity.Host, err)
@@ -95,5 +103,14 @@
 // Events returns the events still kept by this process.
 func (d *Daemon) Events() []timeline.Event { return d.events.Events() }
 
+// Version returns the version in force, 0 for none.
+func (d *Daemon) Version() publish.Version {
+	table := d.enforcer.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Config.Version
+}
+
 // Traffic returns the control bytes by kind and scope.
 func (d *Daemon) Traffic() map[peer.Class]peer.Bytes { return d.traffic.Snapshot() }
--- a/internal/membership/age.go
+++ b/internal/membership/age.go
@@ -12,7 +12,7 @@
 	unreachableRetention = 24 * time.Hour
 	// leftRetention is how long hosts that left in order are kept.
 	leftRetention = time.Hour
-	// tombstoneRetention is how long positions of dropped entries are kept.
+	// tombstoneRetention is how long positions and floors of dropped hosts are kept.
 	tombstoneRetention = 48 * time.Hour
 	// contactRetention is how long the state of a contact is kept.
 	contactRetention = 10 * time.Minute
@@ -22,6 +22,7 @@
 func (m *Membership) age(now time.Time) {
 	m.mu.Lock()
 	m.checkSilence(now)
+	m.closeSilent(now)
 	m.forget(now)
 	stale := m.isStale(m.view.current.Load().Members, now)
 	refresh := m.overridden || stale != m.view.current.Load().Stale
@@ -30,6 +31,7 @@
 		m.askRebuild()
 	}
 	m.rewrite(nil)
+	m.dispute(now)
 }
 
 // checkSilence updates the watches of a bridge over other zones.
@@ -88,13 +90,13 @@
 		if !r.gone.IsZero() && now.Sub(r.gone) >= retention {
 			m.table.drop(host, now)
 			delete(m.lost, host)
-			delete(m.floors, host)
 			m.askRebuild()
 		}
 	}
 	for host, stone := range m.table.forgotten {
 		if now.Sub(stone.dropped) >= tombstoneRetention {
 			delete(m.table.forgotten, host)
+			delete(m.floors, host)
 		}
 	}
 	for host, c := range m.contacts {
@@ -107,13 +109,14 @@
 // publishLocked builds the view anew. The caller holds the mutex.
 func (m *Membership) publishLocked(now time.Time) {
 	own := m.options.Self
-	m.listed = listedReach(m.table.rows)
+	m.listed = listedUnreachable(m.table.rows)
 	zones := livingZones(m.table.rows, m.listed)
 	m.silent = silentZones(own.Zone, own.Region, zones, m.table.rows)
 	m.overridden = false
 	members := make(map[string]Member, len(m.table.rows))
 	for host, r := range m.table.rows {
 		member := r.member()
+		member.InForce = m.floors[host]
 		if host != own.Host {
 			m.describeContact(&member, now)
 		}
@@ -127,17 +130,19 @@
 
 // describeContact sets what this daemon knows of its contact with a member.
 func (m *Membership) describeContact(member *Member, now time.Time) {
-	member.Reach = m.listed[member.Host]
-	if m.silent[member.Zone] || m.silent[regionMark(member.Region)] {
+	lost, isLost := m.lost[member.Host]
+	if isLost {
+		member.Reach = lost.reach
+	}
+	if m.listed[member.Host] || m.silent[member.Zone] || m.silent[regionMark(member.Region)] {
 		member.Reach = Unreachable
 	}
 	if c, ok := m.contacts[member.Host]; ok {
 		if c.heard.After(member.Heard) {
 			member.Heard = c.heard
 		}
-		member.InForce = max(member.InForce, c.offset)
 	}
-	if member.Reach != Reachable && m.heardWithin(member.Host, directTime, now) {
+	if member.Reach != Reachable && !isLost && m.heardWithin(member.Host, directTime, now) {
 		member.Reach = Reachable
 		m.overridden = true
 	}
--- a/internal/membership/choice.go
+++ b/internal/membership/choice.go
@@ -7,6 +7,13 @@
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 )
 
+const (
+	// extraPerSuspect is the number of further members observed for each suspect.
+	extraPerSuspect = 2
+	// maxExtraNeighbours bounds the further members observed.
+	maxExtraNeighbours = 32
+)
+
 // zoneWatch is what a bridge knows of its contact with another zone, or with
 // another region as a whole.
 type zoneWatch struct {
@@ -20,21 +27,41 @@
 func (m *Membership) wantedPeers() map[string]wantedPeer {
 	wanted := make(map[string]wantedPeer)
 	zones := livingZones(m.table.rows, m.listed)
-	own := zones[m.options.Self.Zone]
+	own := zones.of(m.options.Self)
 	for _, member := range ringNeighbours(m.options.Self.Host, own.members) {
 		m.want(wanted, member, zoneRole)
 	}
+	for _, member := range ringSuccessors(m.options.Self.Host, own.members, m.extraNeighbours()) {
+		m.want(wanted, member, zoneRole)
+	}
 	for host := range m.lost {
 		if r, ok := m.table.rows[host]; ok && r.state != Left {
 			m.want(wanted, r.member(), zoneRole)
 		}
 	}
-	m.wantBridgePeers(wanted, own, zones)
-	m.wantSeeds(wanted)
+	rank, isBridge := bridgeRank(m.options.Self.Host, own.members)
+	if isBridge {
+		m.wantBridgePeers(wanted, rank, own, zones)
+	} else {
+		clear(m.watches)
+	}
+	m.wantSeeds(wanted, isBridge)
 	delete(wanted, m.options.Self.ControlAddress)
 	return wanted
 }
 
+// extraNeighbours is the number of further members to observe. It grows with
+// the suspects, so that the death of many is found in few rounds.
+func (m *Membership) extraNeighbours() int {
+	suspects := 0
+	for _, lost := range m.lost {
+		if lost.reach == Suspect {
+			suspects++
+		}
+	}
+	return min(extraPerSuspect*suspects, maxExtraNeighbours)
+}
+
 // want adds a member.
 func (m *Membership) want(wanted map[string]wantedPeer, member Member, why role) {
 	if member.Host == m.options.Self.Host || member.ControlAddress == "" {
@@ -56,17 +83,9 @@
 	return peer.ScopeOf(m.options.Identity, remote)
 }
 
-// wantBridgePeers adds the peers in other zones when this daemon is a bridge,
-// and keeps the watches over those zones.
-func (m *Membership) wantBridgePeers(wanted map[string]wantedPeer, own *zoneMembers, zones zoneMap) {
-	rank, ok := bridgeRank(m.options.Self.Host, own.members)
-	if !ok && m.aloneInZone(own) {
-		rank, ok = 0, true
-	}
-	if !ok {
-		clear(m.watches)
-		return
-	}
+// wantBridgePeers adds the peers in other zones that a bridge of some rank
+// dials, and keeps the watches over those zones.
+func (m *Membership) wantBridgePeers(wanted map[string]wantedPeer, rank int, own *zoneMembers, zones zoneMap) {
 	watched := make(map[string]bool)
 	for name, zone := range zones {
 		if zone.region == own.region && name != own.zone {
@@ -103,33 +122,25 @@
 	return w
 }
 
-// aloneInZone reports whether this daemon knows others in its zone but talks
-// with none of them, as when it returns first.
-func (m *Membership) aloneInZone(own *zoneMembers) bool {
-	now := time.Now()
-	if now.Sub(m.started) < contactTime {
-		return false
-	}
-	for _, member := range own.members {
-		if m.inContact(member.Host, now) {
-			return false
-		}
-	}
-	return true
-}
-
-// wantSeeds adds the seeds while this daemon talks with nobody.
-func (m *Membership) wantSeeds(wanted map[string]wantedPeer) {
-	now := time.Now()
+// wantSeeds adds the seeds while no other peer answers. A bridge adds those
+// that no entry names at any time, so that parts of the mesh that never met or
+// forgot each other come together.
+func (m *Membership) wantSeeds(wanted map[string]wantedPeer, isBridge bool) {
 	connected := false
-	for host := range m.contacts {
-		connected = connected || m.inContact(host, now)
+	for _, n := range m.neighbours {
+		connected = connected || n.connected && n.role != seedRole
 	}
-	for _, address := range m.options.Seeds {
-		if _, ok := wanted[address]; ok {
-			continue
+	if connected && !isBridge {
+		return
+	}
+	known := make(map[string]bool)
+	if connected {
+		for _, r := range m.table.rows {
+			known[r.controlAddress] = true
 		}
-		if !connected {
+	}
+	for _, address := range m.options.Seeds {
+		if _, ok := wanted[address]; !ok && !known[address] {
 			wanted[address] = wantedPeer{address: address, role: seedRole}
 		}
 	}
--- a/internal/once/proposer.go
+++ b/internal/once/proposer.go
@@ -22,14 +22,19 @@
 	renewShare = 3
 	// rankDelay is how long each rank waits for the ranks before it.
 	rankDelay = 4 * time.Second
-	// maxRankDelay bounds the wait of the last ranks.
-	maxRankDelay = time.Minute
+	// maxRankDelay bounds the wait of the last ranks, and so how often all
+	// daemons together append during an outage.
+	maxRankDelay = 5 * time.Minute
 	// maxJitter is the random part of each wait.
-	maxJitter = time.Second
+	maxJitter = rankDelay / 2
 	// appendTimeout bounds one append.
 	appendTimeout = 5 * time.Second
-	// retryDelay is the wait after an append, for its record to be folded.
-	retryDelay = 10 * time.Second
+	// recheckDelay bounds a wait, for the ranks follow the living.
+	recheckDelay = 30 * time.Second
+	// retryDelay is the wait after an append, for its record to be folded. It
+	// doubles with each failed append up to maxRetryDelay.
+	retryDelay    = 10 * time.Second
+	maxRetryDelay = time.Minute
 )
 
 // Chain is the chain of grants in force on this daemon.
@@ -62,6 +67,13 @@
 type Proposer struct {
 	options ProposerOptions
 	log     *logrus.Entry
+	// notBefore is when the next append may be made.
+	notBefore time.Time
+	// retry is the wait after the next append.
+	retry time.Duration
+	// jitter is drawn once for each end of the chain.
+	jitter    time.Duration
+	jitterEnd int64
 }
 
 // NewProposer returns the proposer of one daemon.
@@ -81,7 +93,8 @@
 	if options.Logger == nil {
 		options.Logger = logging.Discard()
 	}
-	return &Proposer{options: options, log: logging.Part(options.Logger, "once")}
+	log := logging.Part(options.Logger, "once")
+	return &Proposer{options: options, log: log, retry: retryDelay, jitterEnd: -1}
 }
 
 // Run proposes grants until ctx ends.
@@ -92,62 +105,78 @@
 	return nil
 }
 
-// step waits for the next grant to be due and appends it, or returns early
-// when the configuration has changed.
+// step waits until this daemon should append the next grant and appends it,
+// or returns early when the configuration has changed.
 func (p *Proposer) step(ctx context.Context) {
 	changed := p.options.Chain.Changed()
 	grants, known := p.options.Chain.Grants()
 	if !known {
-		wait(ctx, changed, retryDelay)
+		wait(ctx, changed, recheckDelay)
 		return
 	}
-	view := p.options.Directory.View()
-	delay := p.untilDue(grants) + p.turn(grants, view)
-	if delay > 0 && !wait(ctx, changed, delay) {
+	delay := p.turn(grants).Sub(p.options.Now())
+	if delay > 0 && !wait(ctx, changed, min(delay, recheckDelay)) {
 		return
 	}
-	if ctx.Err() != nil {
+	if delay > recheckDelay || ctx.Err() != nil {
 		return
 	}
-	p.propose(ctx, grants)
-	wait(ctx, changed, retryDelay)
+	p.notBefore = p.options.Now().Add(p.retry + p.rankDelay(grants))
+	p.retry = min(2*p.retry, maxRetryDelay)
+	if p.propose(ctx, grants) {
+		p.retry = retryDelay
+	}
 }
 
-// untilDue is the time until the chain should be extended, at least 0.
-func (p *Proposer) untilDue(grants Grants) time.Duration {
-	left := time.UnixMilli(grants.End()).Sub(p.options.Now())
-	return max(0, left-(p.options.Reach-p.options.Reach/renewShare))
+// turn is when this daemon may append the grant that follows a chain.
+func (p *Proposer) turn(grants Grants) time.Time {
+	if p.notBefore.IsZero() {
+		p.notBefore = p.options.Now().Add(p.rankDelay(grants))
+	}
+	left := p.options.Reach - p.options.Reach/renewShare
+	due := time.UnixMilli(grants.End()).Add(-left)
+	turn := due.Add(p.rankDelay(grants))
+	if turn.Before(p.notBefore) {
+		return p.notBefore
+	}
+	return turn
 }
 
-// turn is how long this daemon leaves the next grant to those of better rank.
-func (p *Proposer) turn(grants Grants, view *membership.View) time.Duration {
-	rank := rankOf(p.options.Host, view, grants.End())
-	jitter := time.Duration(p.options.Rand.Int64N(int64(maxJitter)))
-	return min(time.Duration(rank)*rankDelay, maxRankDelay) + jitter
+// rankDelay is how long this daemon leaves the next grant to better ranks.
+func (p *Proposer) rankDelay(grants Grants) time.Duration {
+	end := grants.End()
+	if p.jitterEnd != end {
+		p.jitterEnd = end
+		p.jitter = time.Duration(p.options.Rand.Int64N(int64(maxJitter)))
+	}
+	rank := rankOf(p.options.Host, p.options.Directory.View(), end)
+	return min(time.Duration(rank)*rankDelay, maxRankDelay) + p.jitter
 }
 
-func (p *Proposer) propose(ctx context.Context, grants Grants) {
+// propose appends the next grant and reports whether the log took it.
+func (p *Proposer) propose(ctx context.Context, grants Grants) bool {
 	grant := NextGrant(grants, p.options.Directory.View(), p.options.Now(), p.options.Reach)
 	if grant == nil {
-		return
+		return true
 	}
 	payload, err := p.options.Encode(grant)
 	if err != nil {
 		p.log.WithError(err).Error("cannot encode a grant")
-		return
+		return false
 	}
 	appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	offset, err := p.options.Log.Append(appendCtx, platform.ConfigurationStream, payload)
 	if err != nil {
 		p.log.WithError(fmt.Errorf("append grant: %w", err)).Warn("grant not appended")
-		return
+		return false
 	}
 	p.options.Events.Record(timeline.Event{
 		Kind:   timeline.Granted,
 		Offset: offset,
 		Detail: fmt.Sprintf("%d to %d", grant.GetFromMs(), grant.GetUntilMs()),
 	})
+	return true
 }
 
 // wait returns true when the delay has passed, false when changed was closed
--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -25,6 +25,7 @@
 var (
 	durationType = reflect.TypeFor[Duration]()
 	sizeType     = reflect.TypeFor[Size]()
+	hashPattern  = regexp.MustCompile(`^[0-9a-f]{64}$`)
 	namePattern  = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
 )
 
@@ -63,8 +64,16 @@
 		return `an IP address with a port, such as "10.0.0.7:7400"`
 	case "url":
 		return `an http or https URL without user, query or fragment, such as "http://10.0.0.1:7000"`
+	case "switch":
+		return `"on" or "off"`
+	case "file":
+		return "the name of a file"
 	case "level":
 		return `"debug", "info", "warning" or "error"`
+	case "access":
+		return `"` + AccessOpen + `" or "` + AccessTokens + `"`
+	case "hash":
+		return "64 lower-case hexadecimal digits, or nothing"
 	default:
 		return "a text"
 	}
@@ -93,8 +102,14 @@
 		return err == nil
 	case "url":
 		return isBaseURL(text)
+	case "switch":
+		return text == SwitchOn || text == SwitchOff
 	case "level":
 		return text != "warn" && isLevel(text)
+	case "access":
+		return text == AccessOpen || text == AccessTokens
+	case "hash":
+		return text == "" || hashPattern.MatchString(text)
 	default:
 		return true
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,8 @@
 	Log      Log      `json:"log"`
 	Admin    Admin    `json:"admin"`
 	Timeline Timeline `json:"timeline"`
+	// TLS secures connections between daemons, to the platform and of operators.
+	TLS TLS `json:"tls"`
 	// StopTimeout bounds a graceful stop.
 	StopTimeout Duration `json:"stop_timeout" default:"10s" min:"100ms" max:"10m"`
 }
@@ -45,6 +47,10 @@
 type Platform struct {
 	// Address is the base URL of the log.
 	Address string `json:"address" required:"true" form:"url"`
+	// Zone and Region say where the log stands, for the byte counts. Traffic
+	// to a log of unknown region counts as crossing regions.
+	Zone   string `json:"zone" default:"unknown" form:"name"`
+	Region string `json:"region" default:"unknown" form:"name"`
 	// Timeout bounds one request besides its wait.
 	Timeout Duration `json:"timeout" default:"2s" min:"10ms" max:"1m"`
 }
@@ -55,10 +61,42 @@
 	Level string `json:"level" default:"info" form:"level"`
 }
 
+// TLS names the files of the daemon's TLS identity. They are read again when
+// they change.
+type TLS struct {
+	// Mode is "on", or "off" for plain text.
+	Mode string `json:"mode" required:"true" form:"switch"`
+	// Certificate is a PEM file. The certificate bears the DNS name "HOST.ZONE".
+	Certificate string `json:"certificate" form:"file"`
+	// Key is a PEM file with the private key of the certificate.
+	Key string `json:"key" form:"file"`
+	// Authority is a PEM file with the certificates that sign those of daemons.
+	Authority string `json:"authority" form:"file"`
+}
+
+// Enabled reports whether connections are secured.
+func (t TLS) Enabled() bool { return t.Mode == SwitchOn }
+
+// Values of settings that switch something on or off.
+const (
+	SwitchOn  = "on"
+	SwitchOff = "off"
+)
+
 // Admin limits the administration API.
 type Admin struct {
 	// MaxBody bounds the body of one request.
 	MaxBody Size `json:"max_body" default:"1MiB" min:"1KiB" max:"64MiB"`
+	// Access is "tokens" when requests need a token, or "open".
+	Access string `json:"access" default:"open" form:"access"`
+	// RootSHA256 is the hash of a token that may do everything, for the first
+	// publication of a workspace. Empty means that there is none.
+	RootSHA256 string `json:"root_sha256" form:"hash"`
+	// PublishInterval is the mean time between two publications of one
+	// workspace through this daemon, 0s for no limit.
+	PublishInterval Duration `json:"publish_interval" default:"1s" min:"0s" max:"1h"`
+	// PublishBurst is how many publications of one workspace may come at once.
+	PublishBurst int `json:"publish_burst" default:"20" min:"1" max:"10000"`
 }
 
 // Timeline limits the events kept in memory.
@@ -67,6 +105,12 @@
 	Events int `json:"events" default:"65536" min:"1" max:"4194304"`
 }
 
+// Values of Admin.Access.
+const (
+	AccessOpen   = "open"
+	AccessTokens = "tokens"
+)
+
 // Default values of settings that may be left out.
 const (
 	DefaultPlatformTimeout = 2 * time.Second
