--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -154,6 +154,8 @@
 
 	status, stdout, stderr = invoke(t, "timeline", "check", at)
 	assert.Equal(t, status, exitOK, stdout+stderr)
+	_, stdout, _ = invoke(t, "timeline", "check", at, "--json")
+	assert.Assert(t, strings.Contains(stdout, `"violations": []`), stdout)
 	status, stdout, _ = invoke(t, "timeline", "check", "--file", path)
 	assert.Equal(t, status, exitFailed)
 	assert.Assert(t, strings.Contains(stdout, "versions-grow: host host-9 went from offset 7"), stdout)
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -169,7 +169,7 @@
 		return err
 	}
 	violations := timeline.Check(events)
-	result := checkResult{Events: len(events), Violations: violations}
+	result := checkResult{Events: len(events), Violations: append([]timeline.Violation{}, violations...)}
 	out := output{JSON: parent.JSON || parent.Format == "json"}
 	if err := out.print(env.stdout, result, result.text); err != nil {
 		return err
