--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -470,3 +470,50 @@
 		m.settle(10*time.Second, "complete", knowsAll(8))
 	})
 }
+
+// TestDrainingDuringFaults drains a target while one zone has just been cut,
+// a process pauses and all open connections of another host go silent. All
+// that are not cut must know within two seconds.
+func TestDrainingDuringFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, count := startZones(t, 8)
+		defer m.killAll()
+		m.settle(15*time.Second, "complete", knowsAll(count))
+		host := hostName("south", 2, 3)
+		announce(t, m.daemons[host], "ready")
+		m.settle(2*time.Second, "ready", seesTarget(host, Ready))
+		paused := hostName("north", 0, 1)
+		silent := hostName("south", 2, 5)
+		m.net.setCut(between(inZone("north-1")))
+		m.net.pause(paused, 5*time.Second)
+		m.net.silence(func(from, _ peer.Identity) bool { return from.Host == silent })
+		m.daemons[host].Drain()
+		took := m.settle(2*time.Second, "draining", func(d *daemon) bool {
+			excused := d.identity.Zone == "north-1" || d.identity.Host == paused || d.identity.Host == silent
+			return excused || seesTarget(host, Draining)(d)
+		})
+		t.Logf("draining seen after %s", took)
+		m.settle(30*time.Second, "cut", seesCut(count, inZone("north-1")))
+		m.net.heal()
+		m.settle(30*time.Second, "complete", knowsAll(count))
+	})
+}
+
+// TestBothBridgesDie drains a target in the moment in which both bridges of
+// its zone die.
+func TestBothBridgesDie(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, count := startZones(t, 8)
+		defer m.killAll()
+		m.settle(15*time.Second, "complete", knowsAll(count))
+		order := bridgeOrder(m.daemons[hostName("south", 2, 0)].View().zone("south-2"))
+		host := order[5].Host
+		announce(t, m.daemons[host], "ready")
+		m.settle(2*time.Second, "ready", seesTarget(host, Ready))
+		m.kill(order[0].Host)
+		m.kill(order[1].Host)
+		m.daemons[host].Drain()
+		took := m.settle(3*time.Second, "draining", seesTarget(host, Draining))
+		t.Logf("draining seen after %s", took)
+	})
+}
