Let the stand-in target answer with a known length

Its trailer made every answer a streamed one, which costs two more writes on each hop; answers of a given size come with their length now, bodies that are sent back still come streamed and with the trailer.

--- a/internal/standin/target/http.go
+++ b/internal/standin/target/http.go
@@ -170,25 +170,27 @@
 	}
 }
 
+// answer writes an answer of known length where one is asked for, and else
+// streams the request's body back and ends with a trailer.
 func answer(w http.ResponseWriter, r *http.Request, body io.Reader, status int, cut bool) {
-	id := r.Header.Get(call.HeaderCall)
 	if body == r.Body {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 		w.Header().Set("Connection", "close")
 	}
-	w.Header().Set("Trailer", AnswerTrailer)
-	if sum := r.Header.Get("Content-Type"); sum != "" {
-		w.Header().Set("Content-Type", sum)
-	}
-	w.WriteHeader(status)
 	size, err := strconv.ParseInt(r.URL.Query().Get(SizeParameter), 10, 64)
-	switch {
-	case err == nil && size >= 0 && size <= maxSize:
+	if err == nil && size >= 0 && size <= maxSize {
+		w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+		w.WriteHeader(status)
 		writeBlocks(w, size, cut)
-	default:
-		echo(w, body, cut)
+		return
+	}
+	if kind := r.Header.Get("Content-Type"); kind != "" {
+		w.Header().Set("Content-Type", kind)
 	}
-	w.Header().Set(AnswerTrailer, id)
+	w.Header().Set("Trailer", AnswerTrailer)
+	w.WriteHeader(status)
+	echo(w, body, cut)
+	w.Header().Set(AnswerTrailer, r.Header.Get(call.HeaderCall))
 }
 
 // writeBlocks writes size bytes, or half of them and an abort.
