--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -31,3 +31,15 @@
 	load := g.gate.load()
 	return load.Busy, load.Queued
 }
+
+// Shares shows the bound on calls in progress to tests.
+type Shares struct{ shares *shares }
+
+// NewShares returns a bound of so many calls.
+func NewShares(limit int) *Shares { return &Shares{newShares(limit)} }
+
+// Take counts a call of a service if it may go on.
+func (s *Shares) Take(service string) bool { return s.shares.take(service) }
+
+// Give ends a call.
+func (s *Shares) Give(service string) { s.shares.give(service) }
