--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -154,6 +154,8 @@
 
 	status, stdout, stderr = invoke(t, "timeline", "check", at)
 	assert.Equal(t, status, exitOK, stdout+stderr)
+	_, stdout, _ = invoke(t, "timeline", "check", at, "--json")
+	assert.Assert(t, strings.Contains(stdout, `"violations": []`), stdout)
 	status, stdout, _ = invoke(t, "timeline", "check", "--file", path)
 	assert.Equal(t, status, exitFailed)
 	assert.Assert(t, strings.Contains(stdout, "versions-grow: host host-9 went from offset 7"), stdout)
@@ -190,3 +192,14 @@
 	status, _, _ = invoke(t, "token", "ci", "--role=publisher", "--file="+ci)
 	assert.Equal(t, status, exitFailed)
 }
+
+func TestTimelineGoesOnWithoutADaemonOnlyWhenAsked(t *testing.T) {
+	_, at := startMesh(t)
+	status, stdout, stderr := invoke(t, "timeline", at, "--admin=127.0.0.1:1")
+	assert.Equal(t, status, exitFailed)
+	assert.Assert(t, strings.Contains(stderr, "127.0.0.1:1") && stdout == "", stderr)
+	status, stdout, stderr = invoke(t, "timeline", at, "--admin=127.0.0.1:1", "--partial")
+	assert.Equal(t, status, exitOK)
+	assert.Assert(t, strings.Contains(stderr, "going on without some daemons"), stderr)
+	assert.Assert(t, strings.Contains(stdout, "host-1 started"), stdout)
+}
