enforce: hold the first table back until the tail known at the start

When every daemon of the mesh had died, nobody remembered a floor, and a start passed through each batch of the log: four tables were in force one after the other where the host had already had the last (TestStartShowsNoReplacedConfiguration). The first answer of a source names the newest offset, and the first table waits for it. A floor was ruled out for this: a binary that cannot fold a record would then serve nothing at all, so the hold ends when folding stops.

--- a/internal/distribute/failure_test.go
+++ b/internal/distribute/failure_test.go
@@ -354,7 +354,7 @@
 		m.nodes[stuck].fold.refuseOn("2")
 		last := m.log.add("2")
 		m.waitForOthers(stuck, last, 10*time.Second)
-		time.Sleep(calm)
+		time.Sleep(15 * time.Second)
 		for host, n := range m.nodes {
 			status := n.dist.Convergence()
 			assert.Equal(t, status.Offset, last, host)
@@ -375,6 +375,46 @@
 	return hosts
 }
 
+// TestStartShowsNoReplacedConfiguration kills every daemon, so that nobody
+// remembers a floor; what is in force first is the log's newest all the same.
+func TestStartShowsNoReplacedConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		hosts := m.zone("greater-accra", "a", 4)
+		m.log.batch = 1
+		last := m.log.add("1", "2", "3", "4")
+		for range 2 {
+			m.start(hosts...)
+			m.waitFor(last, 20*time.Second)
+			for _, host := range hosts {
+				assert.Equal(t, m.nodes[host].events.count(timeline.InForce), 1, host)
+				m.kill(host)
+			}
+		}
+	})
+}
+
+func TestSilentExchangeIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := threeRegions(t, 4)
+		m.log.add("1")
+		m.startAll()
+		m.waitFor(1, 10*time.Second)
+		time.Sleep(calm)
+		for _, a := range m.rooted() {
+			for _, b := range m.rooted() {
+				m.net.silence(a, b)
+			}
+		}
+		time.Sleep(exchangeSilence + 2*exchangeRetry)
+		m.waitFor(m.log.add("2"), 5*time.Second)
+		time.Sleep(summaryRefresh)
+		for host, n := range m.nodes {
+			assert.Equal(t, n.dist.Convergence().Reached, len(m.nodes), host)
+		}
+	})
+}
+
 func TestPeerThatFollowsThisDaemonIsRefused(t *testing.T) {
 	m := newMesh(t)
 	m.zone("greater-accra", "a", 2)
--- a/internal/distribute/follow.go
+++ b/internal/distribute/follow.go
@@ -117,6 +117,7 @@
 		}
 		d.state.setVia(message.Path)
 	}
+	d.enforcer.HoldUntil(message.Offset)
 	if err := d.take(message.Snapshot, message.Records); err != nil {
 		return err
 	}
--- a/internal/enforce/enforce.go
+++ b/internal/enforce/enforce.go
@@ -60,9 +60,11 @@
 type Enforcer struct {
 	events timeline.Recorder
 
-	mu      sync.Mutex
-	fold    Fold
-	floor   uint64
+	mu    sync.Mutex
+	fold  Fold
+	floor uint64
+	// hold is the offset that a start waits for, 0 when it waits no more.
+	hold    uint64
 	stopped error
 	changed chan struct{}
 
@@ -102,6 +104,18 @@
 	}
 }
 
+// HoldUntil keeps the first table back until the fold has reached an offset,
+// so that a start does not pass through configurations that were replaced long
+// ago. It changes nothing once a table is in force, and ends when folding
+// stops for good.
+func (e *Enforcer) HoldUntil(offset uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.table.Load() == nil && e.stopped == nil {
+		e.hold = max(e.hold, offset)
+	}
+}
+
 // Floor returns the lowest offset that may be in force.
 func (e *Enforcer) Floor() uint64 {
 	e.mu.Lock()
@@ -116,7 +130,11 @@
 	defer e.mu.Unlock()
 	before := e.fold.Offset()
 	err := e.applyAll(records)
-	if e.fold.Offset() > before {
+	released := e.stopped != nil && e.hold > 0
+	if released {
+		e.hold = 0
+	}
+	if e.fold.Offset() > before || released && before > 0 {
 		e.swap()
 	}
 	return err
@@ -225,9 +243,10 @@
 	close(e.changed)
 	e.changed = make(chan struct{})
 	offset := e.fold.Offset()
-	if offset < e.floor {
+	if offset < max(e.floor, e.hold) {
 		return
 	}
+	e.hold = 0
 	config := e.fold.Configuration()
 	e.table.Store(&Table{Offset: offset, Digest: e.fold.Digest(), Config: config})
 	e.events.Record(timeline.Event{
--- a/internal/enforce/enforce_test.go
+++ b/internal/enforce/enforce_test.go
@@ -176,6 +176,16 @@
 	}
 }
 
+func TestHeldTableIsShownWhenFoldingStops(t *testing.T) {
+	enforcer := enforce.New(publish.NewFold(), timeline.Discard{})
+	enforcer.HoldUntil(3)
+	assert.NilError(t, enforcer.Apply([]platform.Record{{Offset: 1, Payload: []byte("malformed")}}))
+	assert.Assert(t, enforcer.Table() == nil)
+	unknown := binary.AppendUvarint([]byte{8}, publish.Schema+1)
+	assert.Assert(t, enforcer.Apply([]platform.Record{{Offset: 2, Payload: unknown}}) != nil)
+	assert.Equal(t, enforcer.Table().Offset, uint64(1))
+}
+
 func TestUnknownSchemaStopsFoldingAndKeepsTheTable(t *testing.T) {
 	enforcer := enforce.New(publish.NewFold(), timeline.Discard{})
 	assert.NilError(t, enforcer.Apply([]platform.Record{{Offset: 1, Payload: []byte("malformed")}}))
