Bound the lines that a process logs in a storm

Cause: each failed connection may log a line; a zone's loss would fill the log. Before: 10,000 lines in a burst were all written (the test fails so). After: 500 at once and 50 a second; the next line says how many were dropped.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -8,14 +8,15 @@
 	"github.com/sirupsen/logrus"
 )
 
-// New returns the logger of one process. level is a logrus level name.
+// New returns the logger of one process. level is a logrus level name. Lines
+// over a rate are dropped and counted.
 func New(out io.Writer, level string) (*logrus.Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
 	log := logrus.New()
-	log.SetOutput(out)
+	log.SetOutput(newLimitedWriter(out))
 	log.SetLevel(parsed)
 	log.AddHook(prefixHook{})
 	return log, nil
