Check that answers between daemons belong to their request

An answer was taken on the word of its connection. It bears the call's id and the answering host now; one that does not fit ends as unknown, also if it says not-run. The events of answers name host and attempt, which the check of the time line compares.

--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -20,6 +20,9 @@
 // answer is a response on its way to the caller.
 type answer struct {
 	status int
+	// host answered the attempt with a number.
+	host    string
+	attempt int
 	// header holds what came from the target, without the mesh's headers.
 	header http.Header
 	// length is the body's length, -1 when it is not known.
--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -220,6 +220,7 @@
 		s.router.Done(s.self.Host, route.Result{Verdict: verdictOf(failure), Position: member.Position, Load: &load})
 		return nil, failure
 	}
+	result.host, result.attempt = s.self.Host, q.attempt
 	result.onRelease(func(whole bool) {
 		s.router.Done(s.self.Host, route.Result{Verdict: result.verdict(whole), Load: &load})
 	})
@@ -241,6 +242,10 @@
 		s.router.Done(member.Host, route.Result{Verdict: verdictOf(failure), Position: member.Position})
 		return nil, failure
 	}
+	if failure := crossed(q, member.Host, response); failure != nil {
+		s.router.Done(member.Host, route.Result{Verdict: route.Bad, Position: member.Position})
+		return nil, failure
+	}
 	s.observeClock(response.Header)
 	load := loadOf(response.Header)
 	if failure := readError(member.Host, response); failure != nil {
@@ -248,10 +253,10 @@
 		s.router.Done(member.Host, route.Result{Verdict: verdictOf(failure), Position: member.Position, Load: load})
 		return nil, failure
 	}
-	return s.takeAnswer(ctx, member.Host, response, load)
+	return s.takeAnswer(ctx, q, member.Host, response, load)
 }
 
-func (s *Server) takeAnswer(ctx context.Context, host string, response *http.Response, load *route.Load) (*answer, *Error) {
+func (s *Server) takeAnswer(ctx context.Context, q *request, host string, response *http.Response, load *route.Load) (*answer, *Error) {
 	status := response.StatusCode
 	result, err := newAnswer(response, func(whole bool) {
 		s.router.Done(host, route.Result{Verdict: answerVerdict(status, whole), Load: load})
@@ -259,9 +264,28 @@
 	if err != nil {
 		return nil, &Error{Outcome: Unknown, Step: StepAnswer, Peer: host, Status: statusOf(ctx, err), Err: err}
 	}
+	result.host, result.attempt = host, q.attempt
 	return result, nil
 }
 
+// crossed returns an error for an answer that is not one to the request, or
+// not of the host it was sent to. Such an answer, a refusal too, says nothing
+// of the request.
+func crossed(q *request, host string, response *http.Response) *Error {
+	id, peer := response.Header.Get(HeaderCall), response.Header.Get(HeaderPeer)
+	if id == q.id && peer == host {
+		return nil
+	}
+	_ = response.Body.Close()
+	return &Error{
+		Outcome: Unknown,
+		Step:    StepAnswer,
+		Peer:    host,
+		Status:  http.StatusBadGateway,
+		Err:     fmt.Errorf("%w: call %q at %q", errCrossed, id, peer),
+	}
+}
+
 // hopHeader returns the headers for the daemon of another host.
 func (s *Server) hopHeader(q *request) http.Header {
 	header := q.header.Clone()
--- a/internal/call/fault_test.go
+++ b/internal/call/fault_test.go
@@ -389,3 +389,33 @@
 	assert.Assert(t, err != nil, "the connection must be closed")
 	assert.Equal(t, len(m.runs(func(target.Run) bool { return true })), 0)
 }
+
+// An answer or a refusal that belongs to another request is not passed on.
+func TestCrossedAnswerIsNotPassedOn(t *testing.T) {
+	headers := map[string]string{}
+	crossing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(call.HeaderCall, r.Header.Get(call.HeaderCall))
+		w.Header().Set(call.HeaderPeer, "b")
+		for name, value := range headers {
+			w.Header().Set(name, value)
+		}
+		_, _ = io.WriteString(w, "another's")
+	}))
+	defer crossing.Close()
+	_, from, to := twoHops(t, config(single), nil)
+	to.member.CallsAddress = strings.TrimPrefix(crossing.URL, "http://")
+	from.only(to)
+	assert.Equal(t, string(from.get(t, lookups).body), "another's")
+	for _, one := range []map[string]string{
+		{call.HeaderCall: newKey(t)},
+		{call.HeaderCall: newKey(t), call.HeaderOutcome: string(call.NotRun)},
+		{call.HeaderPeer: "c"},
+		{call.HeaderPeer: "c", call.HeaderOutcome: string(call.NotRun)},
+	} {
+		headers = one
+		got := from.get(t, lookups)
+		assert.Equal(t, got.status, http.StatusBadGateway)
+		assert.Equal(t, got.outcome(), string(call.Unknown))
+		assert.Equal(t, got.step(), call.StepAnswer)
+	}
+}
--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -62,7 +62,7 @@
 		s.counters.cut.Inc()
 		panic(http.ErrAbortHandler)
 	}
-	c.trace.answered(result.status)
+	c.trace.answered(result)
 	s.counters.answered.Inc()
 }
 
@@ -204,7 +204,7 @@
 		s.answerPeer(w, q.id, failure)
 		return
 	}
-	s.setReports(w.Header())
+	s.setReports(w.Header(), q.id)
 	q.body.duplex(w)
 	if err := result.relay(w); err != nil {
 		s.counters.cut.Inc()
@@ -213,12 +213,14 @@
 }
 
 func (s *Server) answerPeer(w http.ResponseWriter, id string, failure *Error) {
-	s.setReports(w.Header())
+	s.setReports(w.Header(), id)
 	writeError(w, id, failure)
 }
 
 // setReports adds what each answer between daemons carries.
-func (s *Server) setReports(header http.Header) {
+func (s *Server) setReports(header http.Header, id string) {
+	header.Set(HeaderCall, id)
+	header.Set(HeaderPeer, s.self.Host)
 	header.Set(HeaderLoad, s.gate.load().String())
 	if s.clock != nil {
 		header.Set(HeaderClock, s.clock.Now().String())
--- a/internal/call/steps.go
+++ b/internal/call/steps.go
@@ -44,6 +44,7 @@
 	errNoHome          = errors.New("home is not known here")
 	errDraining        = errors.New("target takes no new calls")
 	errNoTargetHere    = errors.New("no such target on this host")
+	errCrossed         = errors.New("answer belongs to another request")
 	errTooManyCalls    = errors.New("too many calls in progress")
 )
 
--- a/internal/call/trace.go
+++ b/internal/call/trace.go
@@ -77,8 +77,14 @@
 	t.add(timeline.Event{Kind: timeline.Sent, Attempt: attempt, Peer: host})
 }
 
-func (t *trace) answered(status int) {
-	t.add(timeline.Event{Kind: timeline.Answered, Status: status, Outcome: "answered"})
+func (t *trace) answered(result *answer) {
+	t.add(timeline.Event{
+		Kind:    timeline.Answered,
+		Attempt: result.attempt,
+		Peer:    result.host,
+		Status:  result.status,
+		Outcome: "answered",
+	})
 }
 
 func (t *trace) failed(failure *Error) {
