--- a/internal/distribute/failure_test.go
+++ b/internal/distribute/failure_test.go
@@ -1,6 +1,7 @@
 package distribute
 
 import (
+	"errors"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
@@ -415,6 +417,45 @@
 	})
 }
 
+// TestShedPullGoesElsewhere drains the catch-ups of one peer; the pull is
+// answered by another one that the first names.
+func TestShedPullGoesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		m.zone("greater-accra", "a", 3)
+		last := m.log.add("1")
+		m.start("a-0", "a-1")
+		m.waitFor(last, 10*time.Second)
+		m.log.setOut(true)
+		busy := m.nodes["a-0"].dist
+		busy.catchUps.SetLimit(0)
+		busy.catchUps.SetBurst(0)
+		m.members = map[string]membership.Member{"a-2": m.members["a-2"]}
+		m.start("a-2")
+		m.nodes["a-2"].dist.Hint("a-0", "a-0", last)
+		m.waitFor(last, 5*time.Second)
+		assert.Assert(t, busy.counters.shed.Get() > 0)
+	})
+}
+
+// firstAck is a stream that says hello and then nothing.
+type firstAck struct{ downLink }
+
+func (firstAck) Recv() (ack, error) { return ack{Offset: 1}, nil }
+
+func TestTooManyFollowersAreShed(t *testing.T) {
+	m := newMesh(t)
+	m.zone("greater-accra", "a", 1)
+	d := m.startNode("a-0", &fakeFold{}).dist
+	for range maxFollowers {
+		_, ok := d.followers.add(peer.Identity{Host: "other"}, ack{})
+		assert.Assert(t, ok)
+	}
+	var shed *shedError
+	err := d.feed(t.Context(), peer.Identity{Host: "one more"}, firstAck{})
+	assert.Assert(t, errors.As(err, &shed), "%v", err)
+}
+
 func TestPeerThatFollowsThisDaemonIsRefused(t *testing.T) {
 	m := newMesh(t)
 	m.zone("greater-accra", "a", 2)
--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -18,7 +18,11 @@
 	if err != nil {
 		return fmt.Errorf("receive position of %s: %w", child.Host, ended(err))
 	}
-	follower := d.followers.add(child, first)
+	follower, ok := d.followers.add(child, first)
+	if !ok {
+		d.counters.shed.Inc()
+		return fmt.Errorf("feed %s: %w", child.Host, &shedError{retryAfter: shedRetryAfter})
+	}
 	defer d.followers.remove(follower)
 	ctx, cancel := context.WithCancelCause(parent)
 	stop := context.AfterFunc(ctx, stream.Close)
--- a/internal/distribute/followers.go
+++ b/internal/distribute/followers.go
@@ -26,14 +26,25 @@
 	return &followers{now: now, list: make(map[*follower]struct{})}
 }
 
-// add registers a follower by its first message.
-func (f *followers) add(identity peer.Identity, first ack) *follower {
+// maxFollowers is how many daemons may follow one daemon. It lies well above
+// the children of the tree, for those that lost their parents.
+const maxFollowers = 256
+
+// add registers a follower by its first message, false when there are too
+// many.
+func (f *followers) add(identity peer.Identity, first ack) (*follower, bool) {
 	added := &follower{identity: identity}
 	f.mu.Lock()
-	f.list[added] = struct{}{}
+	full := len(f.list) >= maxFollowers
+	if !full {
+		f.list[added] = struct{}{}
+	}
 	f.mu.Unlock()
+	if full {
+		return nil, false
+	}
 	f.acknowledge(added, first)
-	return added
+	return added, true
 }
 
 // remove forgets a follower.
--- a/internal/distribute/hints.go
+++ b/internal/distribute/hints.go
@@ -99,27 +99,39 @@
 	}
 }
 
-// pull asks one peer until this daemon is level with it.
+// pull asks a peer until this daemon is level with it. When the peer sheds
+// the request, the addresses that it names are asked in its place.
 func (d *Distributor) pull(ctx context.Context, ahead hint) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	d.counters.pulls.Inc()
+	elsewhere, err := d.pullFrom(ctx, ahead.address)
+	for _, address := range elsewhere {
+		if _, err = d.pullFrom(ctx, address); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// pullFrom asks one address. It returns other addresses when it is shed.
+func (d *Distributor) pullFrom(ctx context.Context, address string) (elsewhere []string, err error) {
 	for {
 		before, digest := d.enforcer.Position()
-		answer, err := d.catchUp(ctx, ahead.address, before, digest)
+		answer, err := d.catchUp(ctx, address, before, digest)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if answer.RetryAfter > 0 {
-			return &shedError{retryAfter: answer.RetryAfter}
+			return answer.Elsewhere, &shedError{retryAfter: answer.RetryAfter}
 		}
 		if err := d.take(answer.Snapshot, answer.Records); err != nil {
-			return err
+			return nil, err
 		}
-		d.compare(ahead.host, answer.Offset, answer.Digest)
+		d.compare(address, answer.Offset, answer.Digest)
 		offset, _ := d.enforcer.Position()
 		if offset >= answer.Offset || offset == before {
-			return nil
+			return nil, nil
 		}
 	}
 }
