--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrybank/mulberrybank/internal/peer"
@@ -95,6 +96,24 @@
 	})
 }
 
+// TestDepartTellsOtherRegions stops a daemon that is alone in its region while
+// a peer is slow to answer.
+func TestDepartTellsOtherRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		m.start("north", "north-0", "a", 1)
+		m.start("south", "south-0", "b", 1, "a")
+		m.start("west", "west-0", "c", 1, "a")
+		m.settle(10*time.Second, "complete", knowsAll(3))
+		time.Sleep(5 * time.Second)
+		m.net.pause("a", 300*time.Millisecond)
+		assert.NilError(t, m.daemons["b"].Depart(t.Context()))
+		assert.Equal(t, m.daemons["a"].stateOf("b"), Left)
+		assert.Equal(t, m.daemons["c"].stateOf("b"), Left)
+	})
+}
+
 // stateOf returns what a daemon has been told, ahead of its view.
 func (d *daemon) stateOf(host string) State {
 	d.mu.Lock()
@@ -143,8 +162,13 @@
 		returned := m.start("r", "z", "a", 2, "other")
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		time.AfterFunc(time.Second, func() { m.startWith(options) })
-		offset, answered := returned.Floor(ctx)
+		var offset uint64
+		var answered int
+		var asking conc.WaitGroup
+		asking.Go(func() { offset, answered = returned.Floor(ctx) })
+		time.Sleep(time.Second)
+		m.startWith(options)
+		asking.Wait()
 		assert.Equal(t, offset, uint64(41))
 		assert.Equal(t, answered, 1)
 	})
--- a/internal/standin/target/http.go
+++ b/internal/standin/target/http.go
@@ -71,6 +71,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	body, err := readBody(r)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	if !t.takeWorker(r.Context()) {
 		return
 	}
@@ -85,7 +89,7 @@
 			run.Cancelled = r.Context().Err() != nil
 		})
 	}()
-	if !work(r.Context(), behaviour, run.Deadline) {
+	if !work(r.Context(), behaviour, index, run.Deadline) {
 		status = http.StatusGatewayTimeout
 		w.WriteHeader(status)
 		return
@@ -94,7 +98,7 @@
 	if behaviour.Fail {
 		status = http.StatusInternalServerError
 	}
-	answer(w, r, status, behaviour.CutBody)
+	answer(w, r, body, status, behaviour.CutBody)
 }
 
 // takeWorker waits until the request may run. It reports whether it may.
@@ -116,6 +120,16 @@
 	}
 }
 
+// readBody reads a short body whole: a server notices that a request was
+// cancelled only once its body has been read. Others are read as they come.
+func readBody(r *http.Request) (io.Reader, error) {
+	if r.ContentLength < 0 || r.ContentLength > blockSize {
+		return r.Body, nil
+	}
+	whole, err := io.ReadAll(r.Body)
+	return bytes.NewReader(whole), err
+}
+
 func newRun(r *http.Request) Run {
 	attempt, _ := strconv.Atoi(r.Header.Get(call.HeaderAttempt))
 	deadline, _ := time.ParseDuration(r.Header.Get(call.HeaderDeadline))
@@ -132,7 +146,7 @@
 
 // work spends the service time. It reports whether the request may be
 // answered: it was not cancelled and its deadline has not passed.
-func work(ctx context.Context, behaviour Behaviour, deadline time.Duration) bool {
+func work(ctx context.Context, behaviour Behaviour, number int, deadline time.Duration) bool {
 	if behaviour.Hang {
 		<-ctx.Done()
 		return false
@@ -142,7 +156,7 @@
 		ctx, cancel = context.WithTimeout(ctx, deadline)
 		defer cancel()
 	}
-	duration := behaviour.serviceTime()
+	duration := behaviour.serviceTime(number)
 	if duration <= 0 {
 		return ctx.Err() == nil
 	}
@@ -156,32 +170,27 @@
 	}
 }
 
-func answer(w http.ResponseWriter, r *http.Request, status int, cut bool) {
-	id := r.Header.Get(call.HeaderCall)
-	var body io.Reader = r.Body
-	if r.ContentLength >= 0 && r.ContentLength <= blockSize {
-		whole, err := io.ReadAll(r.Body)
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		body = bytes.NewReader(whole)
-	} else {
+// answer writes an answer of known length where one is asked for, and else
+// streams the request's body back and ends with a trailer.
+func answer(w http.ResponseWriter, r *http.Request, body io.Reader, status int, cut bool) {
+	if body == r.Body {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 		w.Header().Set("Connection", "close")
 	}
-	w.Header().Set("Trailer", AnswerTrailer)
-	if sum := r.Header.Get("Content-Type"); sum != "" {
-		w.Header().Set("Content-Type", sum)
-	}
-	w.WriteHeader(status)
 	size, err := strconv.ParseInt(r.URL.Query().Get(SizeParameter), 10, 64)
-	switch {
-	case err == nil && size >= 0 && size <= maxSize:
+	if err == nil && size >= 0 && size <= maxSize {
+		w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+		w.WriteHeader(status)
 		writeBlocks(w, size, cut)
-	default:
-		echo(w, body, cut)
+		return
 	}
-	w.Header().Set(AnswerTrailer, id)
+	if kind := r.Header.Get("Content-Type"); kind != "" {
+		w.Header().Set("Content-Type", kind)
+	}
+	w.Header().Set("Trailer", AnswerTrailer)
+	w.WriteHeader(status)
+	echo(w, body, cut)
+	w.Header().Set(AnswerTrailer, r.Header.Get(call.HeaderCall))
 }
 
 // writeBlocks writes size bytes, or half of them and an abort.
