Wait in the demo until a restarted daemon knows the targets

Cause: right after its restart a daemon has the configuration but may not yet have heard of any target; a look-up is then refused, truly, at the step pick.

--- a/internal/demo/scenes.go
+++ b/internal/demo/scenes.go
@@ -212,6 +212,9 @@
 		return err
 	}
 	s.say("%s restarted and has version %d from its peers", s.mesh.Hosts[3].Place.Host, s.version)
+	if err := s.mesh.AwaitTargets(ctx); err != nil {
+		return err
+	}
 	answer, err := s.mesh.Call(ctx, 3, "/railway/status/heaters/17", "")
 	if err != nil {
 		return err
