Read a daemon's position without waiting for a fold

Cause: heartbeats read the position under the lock that a fold holds while it renders, so a long render could outlast a heartbeat's deadline of 1 s and make peers doubt the daemon. After: the position is a value of its own behind an atomic pointer, and those who wait for a change are woken after it and the table are in place.

--- a/internal/enforce/enforce.go
+++ b/internal/enforce/enforce.go
@@ -68,22 +68,31 @@
 	stopped error
 	changed chan struct{}
 
-	table atomic.Pointer[Table]
+	position atomic.Pointer[position]
+	table    atomic.Pointer[Table]
+}
+
+// position is the highest offset folded and the digest there.
+type position struct {
+	offset uint64
+	digest []byte
 }
 
 // New returns an enforcer without a table in force.
 func New(fold Fold, events timeline.Recorder) *Enforcer {
-	return &Enforcer{fold: fold, events: events, changed: make(chan struct{})}
+	e := &Enforcer{fold: fold, events: events, changed: make(chan struct{})}
+	e.position.Store(&position{offset: fold.Offset(), digest: fold.Digest()})
+	return e
 }
 
 // Table returns the table in force, nil when there is none yet.
 func (e *Enforcer) Table() *Table { return e.table.Load() }
 
-// Position returns the highest offset folded and the digest there.
+// Position returns the highest offset folded and the digest there. It never
+// waits for a fold in progress, so that heartbeats do not.
 func (e *Enforcer) Position() (uint64, []byte) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.fold.Offset(), e.fold.Digest()
+	at := e.position.Load()
+	return at.offset, at.digest
 }
 
 // Stopped returns why folding stopped for good, nil while it goes on.
@@ -240,9 +249,9 @@
 
 // swap puts the fold's state in force, unless it lies below the floor.
 func (e *Enforcer) swap() {
-	close(e.changed)
-	e.changed = make(chan struct{})
+	defer e.tell()
 	offset := e.fold.Offset()
+	e.position.Store(&position{offset: offset, digest: e.fold.Digest()})
 	if offset < max(e.floor, e.hold) {
 		return
 	}
@@ -259,6 +268,12 @@
 	})
 }
 
+// tell wakes all who wait for a change.
+func (e *Enforcer) tell() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
 // dangling counts the routes whose service the table lacks.
 func dangling(config *publish.Configuration) int {
 	count := 0
