Hold back what a cut link had read before its connection ends

Cause: the network of the tests returned the bytes it had held back together with the error when a connection over a cut link was closed, and the reader used them. A zone that was cut off took a version through the cut. Ruled out: a read of the log over the cut, a link of unknown zones. The daemons were right; the test network was not.

--- a/internal/inprocess/network.go
+++ b/internal/inprocess/network.go
@@ -130,7 +130,10 @@
 	if err != nil {
 		return n, err
 	}
-	return n, c.wait()
+	if err := c.wait(); err != nil {
+		return 0, err
+	}
+	return n, nil
 }
 
 func (c *linkConn) Write(p []byte) (int, error) {
