--- a/internal/distribute/fakes_test.go
+++ b/internal/distribute/fakes_test.go
@@ -537,6 +537,8 @@
 	members map[string]membership.Member
 	nodes   map[string]*node
 	options Options
+	// failure is the first promise that was seen broken.
+	failure error
 }
 
 func newMesh(t *testing.T) *mesh {
--- a/internal/distribute/property_test.go
+++ b/internal/distribute/property_test.go
@@ -28,7 +28,7 @@
 
 var stepKinds = []string{
 	"publish", "publish", "restart", "cut", "heal", "silence", "log out", "log in", "zone out",
-	"pause", "deliver", "lose", "find", "expire",
+	"pause", "deliver", "lose", "find", "expire", "expire", "restart zone", "restart all", "damage",
 }
 
 // run applies the step to a mesh.
@@ -38,8 +38,13 @@
 	case "publish":
 		m.log.add(fmt.Sprint(s.A, s.B))
 	case "restart":
-		m.kill(a)
-		m.start(a)
+		m.restart(a)
+	case "restart zone":
+		m.restart(m.hostsOf(m.members[a].Zone)...)
+	case "restart all":
+		m.restart(hosts...)
+	case "damage":
+		m.log.put(platform.SnapshotStream, []byte("damaged"))
 	case "cut", "heal":
 		one, other := m.members[a].Zone, m.members[b].Zone
 		m.net.separate(s.Kind == "cut" && one != other, m.hostsOf(one), m.hostsOf(other))
@@ -63,6 +68,18 @@
 	time.Sleep(s.Pause)
 }
 
+// restart kills daemons, checks what they had in force, and starts them anew.
+func (m *mesh) restart(hosts ...string) {
+	for _, host := range hosts {
+		events := m.nodes[host].events
+		m.kill(host)
+		if err := events.neverBack(); err != nil {
+			m.failure = fmt.Errorf("%s: %w", host, err)
+		}
+	}
+	m.start(hosts...)
+}
+
 // deliver hands old and repeated records to a daemon.
 func (m *mesh) deliver(host string, from, to int) {
 	log := &hostLog{fakeLog: m.log, host: "operator", net: m.net}
@@ -155,7 +172,7 @@
 // daemon ends at the tail of the log with one digest and never went back.
 func TestAnyDisturbanceHeals(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 8).Draw(rt, "steps")
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 16).Draw(rt, "steps")
 		var failure error
 		synctest.Test(t, func(t *testing.T) {
 			m := newMesh(t)
@@ -171,7 +188,7 @@
 			}
 			m.healAll(hosts)
 			last := m.log.add("last")
-			failure = m.verify(last, 2*time.Minute)
+			failure = errors.Join(m.failure, m.verify(last, 50*time.Second))
 		})
 		if failure != nil {
 			rt.Fatalf("%v", failure)
