Let open connections to the stand-in log go silent while new ones work

Cause: the fault that the client must survive was not shown: connections that go silent for good, idle or during a long read, while new ones work. Before: a silent service still ended long reads that were already waiting. Now: silence also holds answers in progress, and one fault silences just the connections that are open. A request on one ends by its timeout, an append as unknown, and the next request uses a new connection. Ruled out: holding a request without reading its body, for then the server never sees that the client has left, and closing it hangs.

--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -173,6 +173,41 @@
 	}
 }
 
+// TestSilentConnectionIsReplaced lets the open connection of a client go
+// silent, idle and during a long read. The request that meets it ends by its
+// timeout; the next ones use a new connection.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	service, server := serve(t, logservice.Options{})
+	client := platform.NewClient(server.URL, shortTimeout, nil)
+	_, err := client.Append(t.Context(), stream, []byte("a"))
+	assert.NilError(t, err)
+
+	service.SetFaults(logservice.Faults{SilentOpen: true})
+	_, err = client.Append(t.Context(), stream, []byte("b"))
+	assert.ErrorIs(t, err, platform.ErrUnknown)
+	assert.Equal(t, next(t, service), uint64(2))
+	_, err = client.Append(t.Context(), stream, []byte("c"))
+	assert.NilError(t, err)
+
+	failures := make(chan error, 1)
+	reads := service.Counts().Reads
+	go func() {
+		_, err := client.Read(t.Context(), stream, 3, 4*shortTimeout)
+		failures <- err
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if service.Counts().Reads > reads {
+			return poll.Success()
+		}
+		return poll.Continue("no read yet")
+	}, poll.WithDelay(time.Millisecond))
+	service.SetFaults(logservice.Faults{SilentOpen: true})
+	assert.ErrorIs(t, <-failures, context.DeadlineExceeded)
+	result, err := client.Read(t.Context(), stream, 2, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Records), 1)
+}
+
 func TestDelayIsWaitedFor(t *testing.T) {
 	service, server := serve(t, logservice.Options{})
 	client := platform.NewClient(server.URL, longTimeout, nil)
--- a/internal/standin/logservice/faults.go
+++ b/internal/standin/logservice/faults.go
@@ -16,6 +16,10 @@
 	// Silent leaves every request without an answer until the fault is lifted
 	// or the client leaves. Nothing is written before.
 	Silent bool `json:"silent"`
+	// SilentOpen leaves the requests of the connections that are open when it
+	// is switched on without an answer, for good. New connections work. It
+	// concerns HTTP only and switches itself off.
+	SilentOpen bool `json:"silent_open"`
 }
 
 func (f Faults) delay() time.Duration {
--- a/internal/standin/logservice/http.go
+++ b/internal/standin/logservice/http.go
@@ -26,7 +26,7 @@
 	router := httprouter.New()
 	router.POST("/streams/:stream/records", s.serveAppend)
 	router.GET("/streams/:stream/records", s.serveRead)
-	return router
+	return s.withSilence(router)
 }
 
 // AdminHandler switches faults (GET and POST /faults, JSON) and shows the
--- a/internal/standin/logservice/service.go
+++ b/internal/standin/logservice/service.go
@@ -36,6 +36,9 @@
 	// lifted is closed when the faults next change.
 	lifted chan struct{}
 	counts Counts
+	// connections holds the client address of every connection that sent a
+	// request, and whether it has gone silent.
+	connections map[string]bool
 }
 
 var _ platform.Log = (*Service)(nil)
@@ -45,13 +48,22 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &Service{options: options, streams: map[string]*stream{}, lifted: make(chan struct{})}
+	return &Service{
+		options:     options,
+		streams:     map[string]*stream{},
+		lifted:      make(chan struct{}),
+		connections: map[string]bool{},
+	}
 }
 
 // SetFaults replaces the faults. Requests held by the earlier ones go on.
 func (s *Service) SetFaults(faults Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if faults.SilentOpen {
+		s.silenceOpen()
+		faults.SilentOpen = false
+	}
 	s.faults = faults
 	close(s.lifted)
 	s.lifted = make(chan struct{})
@@ -103,13 +115,16 @@
 	defer timer.Stop()
 	for {
 		result, appended, err := s.look(name, from, maxBytes)
-		if err != nil || len(result.Records) > 0 {
+		if err != nil {
 			return result, err
 		}
+		if len(result.Records) > 0 {
+			return result, s.hold(ctx)
+		}
 		select {
 		case <-appended:
 		case <-timer.C:
-			return result, nil
+			return result, s.hold(ctx)
 		case <-ctx.Done():
 			return platform.ReadResult{}, fmt.Errorf("read stream %s: %w", name, ctx.Err())
 		}
