Tell a caller when a refused key may have run before

Cause: every refusal of a key was answered as not-run, also when the home knew that the key had run or was running. A caller that trusted it would mint a new key, and the order would be carried out twice. After: already run and in progress are unknown; any other refusal of a call with a key is not-run with Mulberry-Earlier: may-have-run. The new test sees not-run for a key that ran when the distinction is taken out.

--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -37,6 +37,7 @@
 	if failure != nil {
 		s.newTrace(id, "", "").failed(failure)
 		s.countFailure(failure)
+		markEarlier(w, failure, r.Header.Get(HeaderKey))
 		writeError(w, id, failure)
 		return
 	}
@@ -53,6 +54,7 @@
 		c.trace.failed(failure)
 		s.countFailure(failure)
 		c.request.body.stop(w)
+		markEarlier(w, failure, c.request.key)
 		writeError(w, c.request.id, failure)
 		return
 	}
@@ -66,6 +68,14 @@
 	s.counters.answered.Inc()
 }
 
+// markEarlier says of a request with a key that was not run that an earlier
+// one with the key may have been.
+func markEarlier(w http.ResponseWriter, failure *Error, key string) {
+	if key != "" && failure.Outcome == NotRun {
+		w.Header().Set(HeaderEarlier, EarlierMayHaveRun)
+	}
+}
+
 func (s *Server) countFailure(failure *Error) {
 	if failure.Outcome == NotRun {
 		s.counters.notRun.Inc()
--- a/internal/call/keyed.go
+++ b/internal/call/keyed.go
@@ -27,7 +27,7 @@
 	}
 	claim, err := s.claim(ctx, q)
 	if err != nil {
-		return nil, s.fail(NotRun, StepKey, http.StatusConflict, err)
+		return nil, s.fail(outcomeOfRefusal(err), StepKey, http.StatusConflict, err)
 	}
 	if stored, ok := claim.Replay(); ok {
 		s.counters.replayed.Inc()
@@ -70,6 +70,21 @@
 	}
 }
 
+// outcomeOfRefusal is unknown for a key that an attempt has run or is running:
+// the caller must not take the request for one that was never run.
+func outcomeOfRefusal(err error) Outcome {
+	var refusal *once.Refusal
+	if !errors.As(err, &refusal) {
+		return NotRun
+	}
+	switch refusal.Reason {
+	case once.AlreadyRan, once.InProgress:
+		return Unknown
+	default:
+		return NotRun
+	}
+}
+
 // store reads an answer whole.
 func store(result *answer) (*StoredAnswer, error) {
 	whole, err := io.ReadAll(io.LimitReader(result.body, maxStored+1))
--- a/internal/call/mesh_test.go
+++ b/internal/call/mesh_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -21,6 +20,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/call"
 	"github.com/mulberrybank/mulberrybank/internal/enforce"
 	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/once"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/route"
@@ -97,6 +97,8 @@
 	host string
 	mu   sync.Mutex
 	runs map[string]*keyRun
+	// refusal is the answer to every key, nil to run them.
+	refusal *once.Refusal
 }
 
 type keyRun struct {
@@ -110,9 +112,12 @@
 func (k *keys) Begin(_ *publish.Configuration, _, key string) (call.KeyRun, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.refusal != nil {
+		return nil, k.refusal
+	}
 	if run, found := k.runs[key]; found {
 		if run.answer == nil {
-			return nil, errors.New("an earlier attempt may have run")
+			return nil, &once.Refusal{Reason: once.AlreadyRan, EarlierMayHaveRun: true}
 		}
 		return run, nil
 	}
--- a/internal/call/outcome.go
+++ b/internal/call/outcome.go
@@ -11,6 +11,11 @@
 	HeaderStep = "Mulberry-Step"
 	// HeaderPeer names the host at which an error arose.
 	HeaderPeer = "Mulberry-Peer"
+	// HeaderEarlier is EarlierMayHaveRun on a not-run error of a call with a
+	// key: this request was not run, but an earlier one with the key may have
+	// been. A caller mints a new key only if every answer for the old one said
+	// not-run.
+	HeaderEarlier = "Mulberry-Earlier"
 	// HeaderDeadline is the time left for the call, such as "250ms".
 	HeaderDeadline = "Mulberry-Deadline"
 	// HeaderKey is the key of a call that may not be repeated, a UUIDv7.
@@ -31,6 +36,9 @@
 	HeaderClock = "Mulberry-Clock"
 )
 
+// EarlierMayHaveRun is the value of HeaderEarlier.
+const EarlierMayHaveRun = "may-have-run"
+
 // Outcome says whether a request that failed was run.
 type Outcome string
 
--- /dev/null
+++ b/internal/call/refusal_test.go
@@ -0,0 +1,40 @@
+package call_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/once"
+)
+
+// TestRefusedKeySpeaksOfEarlierRequests checks what a caller learns of its key
+// through the home and through another daemon. It must not take a key that ran
+// for one that did not.
+func TestRefusedKeySpeaksOfEarlierRequests(t *testing.T) {
+	cases := []struct {
+		reason  once.Reason
+		outcome call.Outcome
+		earlier string
+	}{
+		{once.AlreadyRan, call.Unknown, ""},
+		{once.InProgress, call.Unknown, ""},
+		{once.BeforeStart, call.NotRun, call.EarlierMayHaveRun},
+		{once.NotHome, call.NotRun, call.EarlierMayHaveRun},
+		{once.ExpiredKey, call.NotRun, call.EarlierMayHaveRun},
+	}
+	m := newMesh(t, 2, config(nil), nil)
+	for _, c := range cases {
+		m.nodes[0].keys.refusal = &once.Refusal{Reason: c.reason, EarlierMayHaveRun: true}
+		for _, through := range m.nodes {
+			key := newKey(t)
+			got := through.post(t, orders+"/heaters", "order", call.HeaderKey, key)
+			assert.Equal(t, got.status, http.StatusConflict, c.reason)
+			assert.Equal(t, got.outcome(), string(c.outcome), c.reason)
+			assert.Equal(t, got.header.Get(call.HeaderEarlier), c.earlier, c.reason)
+			assert.Equal(t, len(m.runsOfKey(key)), 0)
+		}
+	}
+}
