--- a/internal/distribute/distribute_test.go
+++ b/internal/distribute/distribute_test.go
@@ -18,6 +18,16 @@
 	return m
 }
 
+// calmRegions is a mesh of three regions that has had its first record for long.
+func calmRegions(t *testing.T, perZone int) *mesh {
+	m := threeRegions(t, perZone)
+	m.log.add("1")
+	m.startAll()
+	m.waitFor(1, 10*time.Second)
+	time.Sleep(calm)
+	return m
+}
+
 func TestRecordsReachEveryDaemon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := threeRegions(t, 8)
--- a/internal/distribute/failure_test.go
+++ b/internal/distribute/failure_test.go
@@ -107,11 +107,7 @@
 
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := threeRegions(t, 6)
-		m.log.add("1")
-		m.startAll()
-		m.waitFor(1, 10*time.Second)
-		time.Sleep(calm)
+		m := calmRegions(t, 6)
 		reader := m.readerOf("northern")
 		for host := range m.nodes {
 			m.net.silence(reader, host)
@@ -135,11 +131,7 @@
 
 func TestZoneCutOffFromPlatform(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := threeRegions(t, 6)
-		m.log.add("1")
-		m.startAll()
-		m.waitFor(1, 10*time.Second)
-		time.Sleep(calm)
+		m := calmRegions(t, 6)
 		// The zone reaches no log and, of the other zones, only one.
 		hosts := m.hostsOf("ashanti-a")
 		m.log.setOut(true, hosts...)
@@ -151,11 +143,7 @@
 
 func TestRegionCutAndHealed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := threeRegions(t, 6)
-		m.log.add("1")
-		m.startAll()
-		m.waitFor(1, 10*time.Second)
-		time.Sleep(calm)
+		m := calmRegions(t, 6)
 		zones := []string{"northern-a", "northern-b"}
 		cut, others := m.hostsOf(zones...), m.except(zones...)
 		m.log.setOut(true, cut...)
@@ -345,11 +333,7 @@
 
 func TestConvergenceNamesTheMissing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := threeRegions(t, 6)
-		m.log.add("1")
-		m.startAll()
-		m.waitFor(1, 10*time.Second)
-		time.Sleep(calm)
+		m := calmRegions(t, 6)
 		dead, stuck := "northern-b-4", "ashanti-a-5"
 		m.kill(dead)
 		m.lost(membership.Unreachable, dead)
@@ -398,11 +382,7 @@
 
 func TestSilentExchangeIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := threeRegions(t, 4)
-		m.log.add("1")
-		m.startAll()
-		m.waitFor(1, 10*time.Second)
-		time.Sleep(calm)
+		m := calmRegions(t, 4)
 		for _, a := range m.rooted() {
 			for _, b := range m.rooted() {
 				m.net.silence(a, b)
--- a/internal/publish/page_test.go
+++ b/internal/publish/page_test.go
@@ -4,18 +4,13 @@
 	"fmt"
 	"os"
 	"reflect"
-	"regexp"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
-)
-
-// page is the operators' page of workspaces, seen from this package.
-const page = "../../docs/CONFIGURATION.md"
 
-// rowPattern matches a row of the page's tables of fields, without its last cell.
-var rowPattern = regexp.MustCompile("(?m)^\\| `[a-z0-9_.]+` \\| [^|]+ \\| [^|]+ \\| [^|]+ \\|")
+	"github.com/mulberrybank/mulberrybank/internal/testpage"
+)
 
 // bounds are the default and the range of fields that have them.
 var bounds = map[string][2]string{
@@ -41,16 +36,12 @@
 // TestPageListsTheFields holds names, types, defaults and ranges on the page
 // to the documents that templates render to, both ways.
 func TestPageListsTheFields(t *testing.T) {
-	text, err := os.ReadFile(page)
-	assert.NilError(t, err)
-	_, section, _ := strings.Cut(string(text), "## Fields of a workspace")
-	section, _, _ = strings.Cut(section, "\n## ")
 	var rows []string
 	list := reflect.TypeFor[document]()
 	for i := range list.NumField() {
 		rows = append(rows, rowsOf(list.Field(i).Type.Elem(), list.Field(i).Tag.Get("json"))...)
 	}
-	assert.DeepEqual(t, rowPattern.FindAllString(section, -1), rows)
+	assert.DeepEqual(t, testpage.Rows(t, testpage.Configuration, "Fields of a workspace"), rows)
 }
 
 func rowsOf(item reflect.Type, path string) []string {
@@ -84,7 +75,7 @@
 
 // TestPageListsTheLimits holds the sizes of a workspace on the page to the code.
 func TestPageListsTheLimits(t *testing.T) {
-	text, err := os.ReadFile(page)
+	text, err := os.ReadFile(testpage.Configuration)
 	assert.NilError(t, err)
 	for name, limit := range map[string]int{
 		"workspaces in the mesh":             MaxWorkspaces,
--- a/internal/settings/page_test.go
+++ b/internal/settings/page_test.go
@@ -1,29 +1,19 @@
 package settings
 
 import (
-	"os"
 	"reflect"
-	"regexp"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
-)
-
-// page is the operators' page of settings, seen from this package.
-const page = "../../docs/CONFIGURATION.md"
 
-// rowPattern matches a row of the page's tables of settings, without its last cell.
-var rowPattern = regexp.MustCompile("(?m)^\\| `[a-z0-9_.]+` \\| [^|]+ \\| [^|]+ \\| [^|]+ \\|")
+	"github.com/mulberrybank/mulberrybank/internal/testpage"
+)
 
 // TestPageListsTheSettings holds names, types, defaults and ranges on the page
 // to the struct tags, both ways.
 func TestPageListsTheSettings(t *testing.T) {
-	text, err := os.ReadFile(page)
-	assert.NilError(t, err)
-	_, section, _ := strings.Cut(string(text), "## Settings of a daemon")
-	section, _, _ = strings.Cut(section, "\n## ")
-	assert.DeepEqual(t, rowPattern.FindAllString(section, -1), rows(reflect.TypeFor[Settings](), ""))
+	assert.DeepEqual(t, testpage.Rows(t, testpage.Configuration, "Settings of a daemon"), rows(reflect.TypeFor[Settings](), ""))
 }
 
 // rows returns the row of each setting in the order of the types.
