Leave the offset out of the list of members

Cause: the list showed what an entry said when it was written, 0 or an old offset, beside a status that had the true number.

--- a/internal/admin/convert.go
+++ b/internal/admin/convert.go
@@ -112,7 +112,6 @@
 		Target:      targetName(m.TargetState),
 		Reach:       reachName(m.Reach),
 		Heard:       m.Heard,
-		InForce:     m.InForce,
 	}
 }
 
--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -143,9 +143,8 @@
 	// Target is "none", "cold", "ready" or "draining".
 	Target string `json:"target"`
 	// Reach is "reachable", "suspect" or "unreachable".
-	Reach   string    `json:"reach"`
-	Heard   time.Time `json:"heard"`
-	InForce uint64    `json:"in_force"`
+	Reach string    `json:"reach"`
+	Heard time.Time `json:"heard"`
 }
 
 // Members lists the daemons that this one knows.
--- a/internal/cli/members.go
+++ b/internal/cli/members.go
@@ -27,10 +27,10 @@
 	}
 	return c.print(env.stdout, members, func(w io.Writer) {
 		table(w, func(w io.Writer) {
-			fmt.Fprintln(w, "HOST\tZONE\tREGION\tSTATE\tREACH\tSERVICE\tTARGET\tOFFSET")
+			fmt.Fprintln(w, "HOST\tZONE\tREGION\tSTATE\tREACH\tSERVICE\tTARGET")
 			for _, m := range members.Members {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\n",
-					m.Host, m.Zone, m.Region, m.State, m.Reach, m.Service, m.Target, m.InForce)
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n",
+					m.Host, m.Zone, m.Region, m.State, m.Reach, m.Service, m.Target)
 			}
 		})
 	})
