Let a starting daemon hear of the others before it chooses its source

Cause: a daemon that has just started knows few hosts of its zone, so it ranks itself among the zone's readers and reads the log; in a herd's return many do. Ruled out: long reads that end early; one slow run of the test. Conclusion: half a second after its peers have answered the view is complete enough; a daemon without peers that answer waits for nothing.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -14,6 +14,8 @@
 const (
 	// floorTimeout bounds how long a start asks peers for the floor of this host.
 	floorTimeout = 2 * time.Second
+	// membersDelay is how long a start waits for its peers' word of the others.
+	membersDelay = 500 * time.Millisecond
 	// eventSampleShare is the share of ordinary calls whose events are kept.
 	eventSampleShare = 0.01
 )
@@ -67,9 +69,23 @@
 	cancel()
 	d.enforcer.RaiseFloor(floor)
 	d.log.Infof("floor is %d by %d peers", floor, answered)
+	if answered > 0 {
+		d.awaitMembers(ctx)
+	}
 	return d.distributor.Run(ctx)
 }
 
+// awaitMembers gives peers that answered the time to tell of the others. A
+// daemon that knows few of its zone takes itself for a reader of the log.
+func (d *Daemon) awaitMembers(ctx context.Context) {
+	timer := time.NewTimer(membersDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // stop ends the daemon's work in order within the stop timeout.
 func (d *Daemon) stop() {
 	d.log.Infof("host %s stops", d.identity.Host)
