Pass over a host that has no configuration in force yet

Cause: a restarted daemon offers its target at once but refuses calls until it has a configuration; since a start waits for word of the others that takes half a second longer, and other daemons went on choosing it until their retry budget was used up. Ruled out: the stop (it had ended), the view (the target is announced). Conclusion: a refusal at the step configuration is certain knowledge, as one of a leaving host is.

--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -314,7 +314,10 @@
 // verdictOf says what a failed attempt shows of its host. Limits and drains
 // are no fault, nor is a caller that went away.
 func verdictOf(failure *Error) route.Verdict {
-	if failure.Step == StepDrain || errors.Is(failure.Err, syscall.ECONNREFUSED) {
+	if failure.Step == StepDrain || failure.Step == StepConfiguration {
+		return route.Leaving
+	}
+	if errors.Is(failure.Err, syscall.ECONNREFUSED) {
 		return route.Leaving
 	}
 	switch failure.Step {
