Wait for a time in one place

Cause: six slices each had their own timer that ends with a context: membership, distribution, calls, the stand-in target, the daemon's start and the mesh in one process. After: wait.For serves all of them.

--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -12,6 +12,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/route"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 const (
@@ -183,14 +184,7 @@
 	if c.request.key == "" {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(homeBackoff << min(attempt-1, 6))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, homeBackoff<<min(attempt-1, 6))
 }
 
 // attempt makes one attempt on a host.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 const (
@@ -70,22 +71,13 @@
 	d.enforcer.RaiseFloor(floor)
 	d.log.Infof("floor is %d by %d peers", floor, answered)
 	if answered > 0 {
-		d.awaitMembers(ctx)
+		// A daemon that knows few hosts of its zone takes itself for a reader
+		// of the log; peers that answered tell of the others.
+		wait.For(ctx, membersDelay)
 	}
 	return d.distributor.Run(ctx)
 }
 
-// awaitMembers gives peers that answered the time to tell of the others. A
-// daemon that knows few of its zone takes itself for a reader of the log.
-func (d *Daemon) awaitMembers(ctx context.Context) {
-	timer := time.NewTimer(membersDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // stop ends the daemon's work in order within the stop timeout.
 func (d *Daemon) stop() {
 	d.log.Infof("host %s stops", d.identity.Host)
--- a/internal/demo/idle_test.go
+++ b/internal/demo/idle_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/inprocess"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 const (
@@ -85,10 +86,10 @@
 	assert.NilError(b, err)
 	defer m.Stop()
 	assert.NilError(b, newShow(m, io.Discard).publication(ctx))
-	inprocess.Pause(ctx, idleSettle)
+	wait.For(ctx, idleSettle)
 
 	before := costOf(b, m)
-	inprocess.Pause(ctx, idleSpan)
+	wait.For(ctx, idleSpan)
 	after := costOf(b, m)
 
 	var memory runtime.MemStats
--- a/internal/demo/scenes.go
+++ b/internal/demo/scenes.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/standin/logservice"
 	"github.com/mulberrybank/mulberrybank/internal/standin/target"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 const (
@@ -173,12 +174,12 @@
 			if err != nil || answer.Failed() {
 				failed.Add(1)
 			}
-			inprocess.Pause(load, loadPause)
+			wait.For(load, loadPause)
 		}
 	})
 	before := len(leaving.Target.Records())
 	err := leaving.Target.Set(target.Behaviour{State: target.StateDraining})
-	inprocess.Pause(ctx, drainLoad)
+	wait.For(ctx, drainLoad)
 	cancel()
 	callers.Wait()
 	if err != nil {
--- a/internal/distribute/exchange.go
+++ b/internal/distribute/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 // Times of exchanges.
@@ -62,7 +64,7 @@
 		if err := e.d.tradeWith(ctx, address); err != nil && ctx.Err() == nil {
 			e.d.logger.WithError(err).Debug("Exchange of summaries ended.")
 		}
-		e.d.sleep(ctx, e.d.jitter.around(exchangeRetry))
+		wait.For(ctx, e.d.jitter.around(exchangeRetry))
 	})
 }
 
--- a/internal/distribute/upstream.go
+++ b/internal/distribute/upstream.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 // reconsiderInterval is how often a daemon asks whether a better source than
@@ -44,9 +45,9 @@
 func (d *Distributor) runUpstream(ctx context.Context) {
 	up := &upstream{health: newHealth(d.now)}
 	for ctx.Err() == nil {
-		source, wait, ok := up.choose(d.plan().Sources)
+		source, delay, ok := up.choose(d.plan().Sources)
 		if !ok {
-			d.sleep(ctx, wait)
+			wait.For(ctx, delay)
 			continue
 		}
 		d.events.Record(timeline.Event{Kind: timeline.UpstreamChosen, Peer: source.String()})
@@ -170,16 +171,6 @@
 	u.health.worked(source)
 }
 
-// sleep waits for a time or the end of ctx.
-func (d *Distributor) sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // shedError says that a peer has too much to do.
 type shedError struct{ retryAfter time.Duration }
 
--- a/internal/inprocess/calls.go
+++ b/internal/inprocess/calls.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/admin"
 	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 // pollInterval is the time between two looks at a condition.
@@ -132,18 +133,8 @@
 			if ctx.Err() != nil {
 				return fmt.Errorf("wait for %s on %s: %w", what, m.Hosts[index].Place.Host, ctx.Err())
 			}
-			Pause(ctx, pollInterval)
+			wait.For(ctx, pollInterval)
 		}
 	}
 	return nil
 }
-
-// Pause waits for d or the end of ctx.
-func Pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/inprocess/failure_test.go
+++ b/internal/inprocess/failure_test.go
@@ -13,6 +13,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/standin/logservice"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 const (
@@ -106,7 +107,7 @@
 				return
 			}
 		}
-		inprocess.Pause(f.ctx, 20*time.Millisecond)
+		wait.For(f.ctx, 20*time.Millisecond)
 	}
 	f.t.Fatalf("%s does not see %s as reachable=%t", f.Hosts[from].Place.Host, host, reachable)
 }
--- a/internal/membership/floor.go
+++ b/internal/membership/floor.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 const (
@@ -33,7 +34,7 @@
 	}
 	for {
 		offset, answered = m.askAllFloors(ctx)
-		if answered > 0 || !pause(ctx, floorRetry) {
+		if answered > 0 || !wait.For(ctx, floorRetry) {
 			return offset, answered
 		}
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -13,6 +13,7 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/logging"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 const (
@@ -291,7 +292,7 @@
 		m.mu.Lock()
 		m.publishLocked(time.Now())
 		m.mu.Unlock()
-		if !pause(ctx, viewInterval) {
+		if !wait.For(ctx, viewInterval) {
 			return
 		}
 	}
@@ -304,15 +305,3 @@
 	default:
 	}
 }
-
-// pause waits and reports false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/membership/neighbour.go
+++ b/internal/membership/neighbour.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 const (
@@ -96,7 +97,7 @@
 		case <-timer.C:
 		}
 		timer.Stop()
-		if !pause(ctx, choiceInterval) {
+		if !wait.For(ctx, choiceInterval) {
 			return
 		}
 	}
@@ -137,7 +138,7 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = redialInterval
 	retry.MaxInterval = maxRedialInterval
-	if !pause(ctx, jitter(startSpread)) {
+	if !wait.For(ctx, jitter(startSpread)) {
 		return
 	}
 	for ctx.Err() == nil {
@@ -202,7 +203,7 @@
 // awaitBeat waits until the next heartbeat is due and reports false when ctx
 // ended first.
 func (m *Membership) awaitBeat(ctx context.Context, n *neighbour, more bool) bool {
-	if !pause(ctx, pushInterval+time.Duration(n.paid)*entryInterval) {
+	if !wait.For(ctx, pushInterval+time.Duration(n.paid)*entryInterval) {
 		return false
 	}
 	if more {
--- a/internal/standin/target/http.go
+++ b/internal/standin/target/http.go
@@ -12,6 +12,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 const (
@@ -160,14 +161,7 @@
 	if duration <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, duration)
 }
 
 // answer writes an answer of known length where one is asked for, and else
