Count a daemon that got a parent once, push summaries when they change

Cause: two faults in how summaries travel. (1) Acknowledgements, exchanges and summaries were polled once a second at each of up to eight hops, so the sum of the waits reached the 8 s that the test allows; load only changed the order of the tickers. Ruled out: lost messages (each missing region arrived a tick later) and enforcement (every daemon had the record). Change: a change wakes the next hop after 100 ms; a daemon that gets a parent replaces its summary by one without daemons, which goes up with the acknowledgements and on from there.

--- a/internal/distribute/convergence.go
+++ b/internal/distribute/convergence.go
@@ -54,7 +54,9 @@
 func converge(known []RegionSummary, view *membership.View, own uint64) Convergence {
 	var all []ZoneSummary
 	for _, summary := range known {
-		all = append(all, summary.Zones...)
+		if !summary.retired() {
+			all = append(all, summary.Zones...)
+		}
 	}
 	status := Convergence{Offset: own, Zones: mergeZones(all)}
 	for _, zone := range status.Zones {
--- a/internal/distribute/encoding.go
+++ b/internal/distribute/encoding.go
@@ -36,6 +36,7 @@
 		Digest:    shortDigest(message.Digest),
 		Zones:     zonesToWire(message.Zones, now),
 		SettledAt: message.SettledAt,
+		Retired:   regionsToWire(message.Retired, now),
 	}
 }
 
@@ -151,6 +152,7 @@
 		Digest:    wire.GetDigest(),
 		Zones:     d.zones(wire.GetZones()),
 		SettledAt: wire.GetSettledAt(),
+		Retired:   d.regions(wire.GetRetired()),
 	}
 }
 
--- a/internal/distribute/exchange.go
+++ b/internal/distribute/exchange.go
@@ -111,12 +111,14 @@
 	defer ticker.Stop()
 	tell := newTeller(d.now)
 	for {
-		for _, summary := range tell.next(d.regions, d.self.Region) {
+		changed := d.regions.changed.Wait()
+		for _, summary := range tell.next(d.regions, inRegion(d.self.Region)) {
 			if err := stream.Send(summary); err != nil {
 				return fmt.Errorf("send summary: %w", err)
 			}
 		}
 		select {
+		case <-changed:
 		case <-ticker.C:
 		case <-ctx.Done():
 			return context.Cause(ctx)
--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -46,6 +46,7 @@
 		}
 		watch.Reset(silenceLimit)
 		d.followers.acknowledge(f, message)
+		d.regions.merge(message.Retired)
 		d.compare(f.identity.Host, message.Offset, message.Digest)
 	}
 }
@@ -59,11 +60,12 @@
 	tell := newTeller(d.now)
 	for {
 		changed := d.enforcer.Changed()
+		summed := d.regions.changed.Wait()
 		next, err := d.nextUpdate(sent)
 		if err != nil {
 			return err
 		}
-		next.Regions = tell.next(d.regions, allRegions)
+		next.Regions = tell.next(d.regions, anySummary)
 		if err := stream.Send(changedUpdate(next, last)); err != nil {
 			return fmt.Errorf("send update: %w", err)
 		}
@@ -72,15 +74,36 @@
 		if sent < next.Offset {
 			continue
 		}
-		select {
-		case <-changed:
-		case <-ticker.C:
-		case <-ctx.Done():
+		if !awaitUpdate(ctx, ticker, changed, summed) {
 			return context.Cause(ctx)
 		}
 	}
 }
 
+// awaitUpdate returns when there is something to send: at once for records,
+// after gatherDelay for summaries, else at the next heartbeat. It reports false
+// when ctx ended first.
+func awaitUpdate(ctx context.Context, ticker *time.Ticker, changed, summed <-chan struct{}) bool {
+	select {
+	case <-summed:
+		ticker.Reset(gatherDelay)
+		defer ticker.Reset(heartbeatInterval)
+	case <-changed:
+		return true
+	case <-ticker.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-changed:
+	case <-ticker.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // nextUpdate builds what a follower at an offset lacks.
 func (d *Distributor) nextUpdate(sent uint64) (update, error) {
 	snap, records, err := d.state.after(sent)
--- a/internal/distribute/follow.go
+++ b/internal/distribute/follow.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 // Times of the heartbeats on a stream between two daemons.
@@ -18,6 +19,9 @@
 	heartbeatInterval = time.Second
 	// silenceLimit is how long a stream may carry nothing.
 	silenceLimit = 3500 * time.Millisecond
+	// gatherDelay is how long a change of summaries waits for others, so that
+	// the acknowledgements of many daemons go on in one message.
+	gatherDelay = 100 * time.Millisecond
 )
 
 // follow gets records from a peer until ctx ends or the stream fails.
@@ -70,17 +74,28 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	var sent ack
+	tell := newTeller(d.now)
 	for {
+		folded := d.enforcer.Changed()
+		acknowledged := d.followers.changed.Wait()
+		summed := d.regions.changed.Wait()
 		next := d.nextAck()
+		next.Retired = tell.next(d.regions, RegionSummary.retired)
 		if err := stream.Send(changedAck(next, sent)); err != nil {
 			return fmt.Errorf("send acknowledgement: %w", err)
 		}
 		sent = next
 		select {
+		case <-folded:
+		case <-acknowledged:
+		case <-summed:
 		case <-ticker.C:
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		}
+		if !wait.For(ctx, gatherDelay) {
+			return context.Cause(ctx)
+		}
 	}
 }
 
--- a/internal/distribute/followers.go
+++ b/internal/distribute/followers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 // follower is a daemon that gets its records from this one.
@@ -17,9 +18,11 @@
 
 // followers are the daemons that follow this one at present.
 type followers struct {
-	now  func() time.Time
-	mu   sync.Mutex
-	list map[*follower]struct{}
+	now func() time.Time
+	// changed is notified when what the followers count has changed.
+	changed wait.Broadcast
+	mu      sync.Mutex
+	list    map[*follower]struct{}
 }
 
 func newFollowers(now func() time.Time) *followers {
@@ -52,12 +55,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.list, gone)
+	f.changed.Notify()
 }
 
 // acknowledge notes what a follower says of its subtree.
 func (f *followers) acknowledge(from *follower, message ack) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if from.offset != message.Offset || len(message.Zones) > 0 || message.SettledAt > 0 {
+		defer f.changed.Notify()
+	}
 	from.offset = message.Offset
 	from.heard = f.now()
 	switch {
--- a/internal/distribute/messages.go
+++ b/internal/distribute/messages.go
@@ -16,6 +16,9 @@
 	// SettledAt stands in for Zones when the daemons are the same as before
 	// and all are at this offset.
 	SettledAt uint64
+	// Retired holds the summaries, without daemons, of those in the subtree
+	// that once had no parent in their region.
+	Retired []RegionSummary
 }
 
 // update is what a parent tells a follower.
--- a/internal/distribute/regions.go
+++ b/internal/distribute/regions.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 // Ages of summaries.
@@ -43,9 +45,21 @@
 	return s.Zones[0].Region
 }
 
+// retire returns the summary of a daemon that has got a parent in its region:
+// its zone without daemons, since the parent counts them.
+func retire(root, zone, region string, now time.Time) RegionSummary {
+	return RegionSummary{Root: root, Made: now, Zones: []ZoneSummary{{Zone: zone, Region: region}}}
+}
+
+// retired reports whether the root counts no daemons any more.
+func (s RegionSummary) retired() bool {
+	return len(s.Zones) == 1 && s.Zones[0].Daemons == 0
+}
+
 // regions holds the newest summary of each root.
 type regions struct {
-	now func() time.Time
+	now     func() time.Time
+	changed wait.Broadcast
 
 	mu      sync.Mutex
 	entries map[string]regionEntry
@@ -66,6 +80,12 @@
 func (r *regions) merge(summaries []RegionSummary) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	before := r.counter
+	defer func() {
+		if r.counter != before {
+			r.changed.Notify()
+		}
+	}()
 	for _, summary := range summaries {
 		known, ok := r.entries[summary.Root]
 		if ok && summary.Made.Sub(known.summary.Made) < summaryInterval/2 {
--- a/internal/distribute/summaries.go
+++ b/internal/distribute/summaries.go
@@ -24,6 +24,7 @@
 			return
 		}
 		if !d.isTop() {
+			d.retireSummary()
 			trades.keep(nil)
 			continue
 		}
@@ -53,6 +54,15 @@
 	return time.Time{}
 }
 
+// retireSummary replaces this daemon's summary, if there is one, by one that
+// counts no daemons: its parent in the region counts them now.
+func (d *Distributor) retireSummary() {
+	last, ok := d.regions.of(d.self.Host)
+	if ok && !last.retired() {
+		d.regions.merge([]RegionSummary{retire(d.self.Host, d.self.Zone, d.self.Region, d.now())})
+	}
+}
+
 // exchangeTargets returns the control addresses to trade summaries with. Of
 // two regions the reader of the one whose name sorts first dials.
 func (d *Distributor) exchangeTargets() []string {
--- a/internal/distribute/teller.go
+++ b/internal/distribute/teller.go
@@ -19,16 +19,21 @@
 	return &teller{now: now, told: make(map[string]toldSummary)}
 }
 
-// allRegions makes next return the summaries of every region.
-const allRegions = ""
+// anySummary is the filter that keeps every summary.
+func anySummary(RegionSummary) bool { return true }
 
-// next returns the summaries of a region that the stream is to be told.
-func (t *teller) next(known *regions, region string) []RegionSummary {
+// inRegion returns the filter that keeps the summaries of one region.
+func inRegion(region string) func(RegionSummary) bool {
+	return func(summary RegionSummary) bool { return summary.region() == region }
+}
+
+// next returns the summaries that changed and that the stream is to be told.
+func (t *teller) next(known *regions, wanted func(RegionSummary) bool) []RegionSummary {
 	changed, seen := known.since(t.seen)
 	t.seen = seen
 	var next []RegionSummary
 	for _, summary := range changed {
-		if region == allRegions || summary.region() == region {
+		if wanted(summary) {
 			next = append(next, t.shorten(summary))
 		}
 	}
--- a/internal/membership/client.go
+++ b/internal/membership/client.go
@@ -29,7 +29,7 @@
 	}
 	m.counts.heartbeats.Inc()
 	more = m.finish(n, remote, request, answer, told)
-	m.told.notify()
+	m.told.Notify()
 	m.reached(n)
 	m.reportPosition(remote.Host)
 	return more, nil
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -32,7 +32,7 @@
 	// rebuild asks for a new view.
 	rebuild chan struct{}
 	// told is notified when a peer took entries.
-	told broadcast
+	told wait.Broadcast
 	// comparisons limits the comparisons of tables that are answered.
 	comparisons *rate.Limiter
 	// probes holds a place for each probe in progress.
@@ -114,7 +114,7 @@
 func (m *Membership) View() *View { return m.view.current.Load() }
 
 // Changed returns a channel that is closed at the next change of the view.
-func (m *Membership) Changed() <-chan struct{} { return m.view.changed.wait() }
+func (m *Membership) Changed() <-chan struct{} { return m.view.changed.Wait() }
 
 // Announced returns what the target on this host announced last and its
 // state. It reports false without a target.
@@ -167,7 +167,7 @@
 	sequence := m.table.sequence
 	m.mu.Unlock()
 	for {
-		told := m.told.wait()
+		told := m.told.Wait()
 		if m.allTold(sequence) {
 			return nil
 		}
--- a/internal/membership/neighbour.go
+++ b/internal/membership/neighbour.go
@@ -228,7 +228,7 @@
 	m.mu.Lock()
 	n.connected = connected
 	m.mu.Unlock()
-	m.told.notify()
+	m.told.Notify()
 }
 
 // wakeNeighbours makes all neighbours but one send at once.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -3,45 +3,20 @@
 import (
 	"cmp"
 	"slices"
-	"sync"
 	"sync/atomic"
+
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 // publishedView is the view that others read.
 type publishedView struct {
 	current atomic.Pointer[View]
-	changed broadcast
+	changed wait.Broadcast
 }
 
 func (p *publishedView) set(view *View) {
 	p.current.Store(view)
-	p.changed.notify()
-}
-
-// broadcast wakes all that wait for the next event.
-type broadcast struct {
-	mu   sync.Mutex
-	next chan struct{}
-}
-
-// wait returns a channel that is closed at the next event.
-func (b *broadcast) wait() <-chan struct{} {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.next == nil {
-		b.next = make(chan struct{})
-	}
-	return b.next
-}
-
-// notify wakes all that wait.
-func (b *broadcast) notify() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.next != nil {
-		close(b.next)
-		b.next = nil
-	}
+	p.changed.Notify()
 }
 
 // member returns a row as others see it.
