Claim no daemon twice while it changes its parent

What exceeds the daemons known of a zone is now not claimed, so the claim is a lower bound. TestDaemonCountedTwiceIsNotClaimed fails without it.

--- a/internal/distribute/convergence.go
+++ b/internal/distribute/convergence.go
@@ -51,9 +51,9 @@
 
 // converge joins summaries with the directory. own is the offset of the
 // daemon that asks, which counts as known.
-func converge(known []RegionSummary, view *membership.View, own uint64) Convergence {
+func converge(summaries []RegionSummary, view *membership.View, own uint64) Convergence {
 	var all []ZoneSummary
-	for _, summary := range known {
+	for _, summary := range summaries {
 		if !summary.retired() {
 			all = append(all, summary.Zones...)
 		}
@@ -62,27 +62,36 @@
 	for _, zone := range status.Zones {
 		status.Offset = max(status.Offset, zone.Highest)
 	}
+	known, total := expected(view)
 	for _, zone := range status.Zones {
 		if zone.Highest == status.Offset {
-			status.Reached += zone.AtHighest
+			status.Reached += zone.surely(known[zone.Zone])
 		}
 	}
-	status.Daemons = max(expected(view), status.Reached)
+	status.Daemons = total
 	if status.Reached < status.Daemons {
 		status.Missing = missing(status.Zones, view, status.Offset)
 	}
 	return status
 }
 
-// expected counts the daemons that did not leave in order.
-func expected(view *membership.View) int {
-	count := 0
+// expected counts the daemons that did not leave in order, by zone and in all.
+func expected(view *membership.View) (zones map[string]int, total int) {
+	zones = make(map[string]int)
 	for _, member := range view.Members {
 		if member.State != membership.Left {
-			count++
+			zones[member.Zone]++
+			total++
 		}
 	}
-	return count
+	return zones, total
+}
+
+// surely returns how many of the zone's daemons are at the highest offset in
+// any case. While a daemon changes its parent it may be counted by the old and
+// the new one; what exceeds the known daemons of the zone is not claimed.
+func (s ZoneSummary) surely(known int) int {
+	return max(0, s.AtHighest-max(0, s.Daemons-known))
 }
 
 // missing names the daemons below an offset: those that their parents name,
