--- a/cmd/mulberrybank/main.go
+++ b/cmd/mulberrybank/main.go
@@ -6,8 +6,9 @@
 	"os"
 
 	"github.com/mulberrybank/mulberrybank/internal/cli"
+	"github.com/mulberrybank/mulberrybank/platform"
 )
 
 func main() {
-	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, platform.Adapter{}))
 }
--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -28,9 +28,12 @@
 	route *publish.Route
 	// request is the template of each attempt.
 	request request
-	// left is how many retries the call may still take.
-	left  int
-	trace *trace
+	// left is how many further targets the call may still be sent to.
+	left int
+	// refusals counts the hosts that refused the call before it reached their
+	// target.
+	refusals int
+	trace    *trace
 	// tried holds the hosts that failed this call.
 	tried map[string]bool
 	// mayHaveRun is set once an attempt that failed may have run.
@@ -43,7 +46,7 @@
 	if !s.shares.take(service) {
 		return nil, s.fail(NotRun, StepAdmit, http.StatusServiceUnavailable, errTooManyCalls)
 	}
-	s.budgets.Deposit(c.route)
+	s.budgets.Deposit(c.route, c.request.service)
 	result, failure := s.attempts(ctx, c)
 	if failure != nil {
 		s.shares.give(service)
@@ -75,7 +78,6 @@
 			result.discard()
 		}
 		last = failure
-		c.left--
 		s.counters.retries.Inc()
 	}
 }
@@ -152,21 +154,36 @@
 }
 
 // mayRetry reports whether another attempt is true to the route and within
-// its budget. A nil failure stands for a target that turned the call away.
+// its budget, and counts it. A nil failure stands for a target that turned the
+// call away.
 func (s *Server) mayRetry(c *outbound, failure *Error) bool {
-	if c.left <= 0 || !c.request.body.repeatable() || !c.allows(failure) {
+	if !c.request.body.repeatable() || !c.allows(failure) {
 		return false
 	}
 	if c.request.deadline.Sub(s.now()) < minRetryTime {
 		return false
 	}
-	if !s.budgets.Withdraw(c.route) {
+	if failure.beforeTarget() && c.refusals < c.route.Refusals {
+		c.refusals++
+		return true
+	}
+	if c.left <= 0 {
+		return false
+	}
+	if !s.budgets.Withdraw(c.route, c.request.service) {
 		s.counters.noBudget.Inc()
 		return false
 	}
+	c.left--
 	return true
 }
 
+// beforeTarget reports whether an attempt was refused before it reached a
+// target, so that another one costs targets nothing.
+func (e *Error) beforeTarget() bool {
+	return e != nil && e.Outcome == NotRun && e.Step != StepShed
+}
+
 // allows reports whether a failure leaves room for another attempt.
 func (c *outbound) allows(failure *Error) bool {
 	if failure == nil {
@@ -189,11 +206,11 @@
 
 // attempt makes one attempt on a host.
 func (s *Server) attempt(ctx context.Context, c *outbound, number int, member membership.Member) (*answer, *Error) {
-	return s.prepare(c, number, member)(ctx)
+	return s.stage(c, number, member)(ctx)
 }
 
-// prepare counts an attempt as sent and returns what makes it.
-func (s *Server) prepare(c *outbound, number int, member membership.Member) func(context.Context) (*answer, *Error) {
+// stage counts an attempt as sent and returns what makes it.
+func (s *Server) stage(c *outbound, number int, member membership.Member) func(context.Context) (*answer, *Error) {
 	q := c.request
 	q.attempt = number
 	q.retries = route.Below(c.left)
@@ -224,7 +241,7 @@
 // attemptThere hands an attempt to the daemon of another host.
 func (s *Server) attemptThere(ctx context.Context, q *request, member membership.Member) (*answer, *Error) {
 	q.header = s.hopHeader(q)
-	response, handed, err := s.exchange(ctx, s.peers, member.CallsAddress, q, func() {})
+	response, handed, err := s.exchange(ctx, s.peers, member.CallsAddress, q, func() {}, nil)
 	if err != nil {
 		failure := &Error{
 			Outcome: outcomeOf(handed),
@@ -285,6 +302,7 @@
 	header := q.header.Clone()
 	header.Set(HeaderService, q.service.Name)
 	header.Set(headerWorkspace, q.workspace)
+	header.Set(headerPriority, strconv.Itoa(q.priority))
 	header.Set(HeaderVersion, strconv.FormatUint(uint64(q.config.Version), 10))
 	if s.clock != nil {
 		header.Set(HeaderClock, s.clock.Now().String())
--- a/internal/call/headers.go
+++ b/internal/call/headers.go
@@ -20,6 +20,10 @@
 	maxRetryBudget = 100
 	// maxAttempt bounds the number of an attempt.
 	maxAttempt = 1000
+	// maxPriority bounds the rank of a route.
+	maxPriority = 1 << 20
+	// maxCallID bounds the id of a call, in bytes.
+	maxCallID = 128
 )
 
 // hopHeaders concern one connection and are never passed on.
@@ -94,13 +98,17 @@
 	return count, nil
 }
 
-// parseCall checks the id of a call that another daemon minted.
+// parseCall checks the id of a call that another daemon sent: visible ASCII.
 func parseCall(text string) (string, error) {
-	id, err := uuid.Parse(text)
-	if err != nil {
-		return "", fmt.Errorf("%s: %w", HeaderCall, err)
+	if text == "" || len(text) > maxCallID {
+		return "", fmt.Errorf("%s: has %d bytes, 1 to %d are allowed", HeaderCall, len(text), maxCallID)
+	}
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] > '~' {
+			return "", fmt.Errorf("%s: %q is not visible ASCII", HeaderCall, text)
+		}
 	}
-	return id.String(), nil
+	return text, nil
 }
 
 // splitPath divides "/{workspace}/{route}/{rest}" of an escaped path into the
--- a/internal/call/hedge.go
+++ b/internal/call/hedge.go
@@ -59,7 +59,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	entry := &leg{number: number, member: member, cancel: cancel}
 	r.started = number
-	attempt := r.server.prepare(r.call, number, member)
+	attempt := r.server.stage(r.call, number, member)
 	r.tasks.Go(func() {
 		entry.result, entry.failure = attempt(ctx)
 		r.legs <- entry
@@ -104,7 +104,7 @@
 func (r *race) hedge(ctx context.Context, primary *leg) *leg {
 	exclude := with(r.call.tried, primary.member.Host)
 	member, err := r.server.router.PickSpare(r.call.request.service, exclude)
-	if err != nil || !r.server.budgets.Withdraw(r.call.route) {
+	if err != nil || !r.server.budgets.Withdraw(r.call.route, r.call.request.service) {
 		return nil
 	}
 	r.call.left--
--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -15,6 +14,8 @@
 const (
 	// headerWorkspace names the workspace of the caller's route between daemons.
 	headerWorkspace = "Mulberry-Workspace"
+	// headerPriority carries the rank of the caller's route between daemons.
+	headerPriority = "Mulberry-Priority"
 	// defaultDeadline bounds calls of routes that name none.
 	defaultDeadline = 30 * time.Second
 	// writeGrace is how long after a call's deadline its connection may still
@@ -24,38 +25,29 @@
 
 // serveCaller carries one call of a caller.
 func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
-	end := s.inflight.begin()
-	defer end()
-	if s.inflight.isDraining() {
-		w.Header().Set("Connection", "close")
-	}
 	id := newCallID()
 	w.Header().Set(HeaderCall, id)
-	began := s.now()
-	defer func() { s.counters.durations.Update(s.now().Sub(began).Seconds()) }()
-	c, failure := s.parseCaller(w, r, id)
-	if failure != nil {
-		s.newTrace(id, "", "").failed(failure)
-		s.countFailure(failure)
-		markEarlier(w, failure, r.Header.Get(HeaderKey))
+	key := r.Header.Get(HeaderKey)
+	refuse := func(w http.ResponseWriter, id string, failure *Error) {
+		markEarlier(w, failure, key)
 		writeError(w, id, failure)
+	}
+	in, failure := s.parseCaller(r, id)
+	if failure != nil {
+		s.Refuse(w, id, failure, refuse)
 		return
 	}
-	defer bound(w, c.request.deadline, c.request.body)()
-	ctx, cancel := context.WithDeadline(r.Context(), c.request.deadline)
-	defer cancel()
-	s.answerCaller(ctx, w, c)
+	s.Carry(w, r, in, refuse)
 }
 
 // answerCaller carries the call and writes its answer or error.
-func (s *Server) answerCaller(ctx context.Context, w http.ResponseWriter, c *outbound) {
+func (s *Server) answerCaller(ctx context.Context, w http.ResponseWriter, c *outbound, refuse Refuser) {
 	result, failure := s.carry(ctx, c)
 	if failure != nil {
 		c.trace.failed(failure)
 		s.countFailure(failure)
 		c.request.body.stop(w)
-		markEarlier(w, failure, c.request.key)
-		writeError(w, c.request.id, failure)
+		refuse(w, c.request.id, failure)
 		return
 	}
 	c.request.body.duplex(w)
@@ -105,51 +97,48 @@
 }
 
 // parseCaller reads what a caller asks for. Errors are not-run.
-func (s *Server) parseCaller(w http.ResponseWriter, r *http.Request, id string) (*outbound, *Error) {
+func (s *Server) parseCaller(r *http.Request, id string) (Inbound, *Error) {
 	table := s.tables.Table()
 	if table == nil {
-		return nil, s.fail(NotRun, StepConfiguration, http.StatusServiceUnavailable, errNoConfiguration)
+		return Inbound{}, s.fail(NotRun, StepConfiguration, http.StatusServiceUnavailable, errNoConfiguration)
 	}
-	name, rest, err := splitPath(r.URL.EscapedPath())
+	route, rest, err := findRoute(table.Config, r)
 	if err != nil {
-		return nil, s.fail(NotRun, StepRoute, http.StatusNotFound, err)
-	}
-	route := table.Config.Routes[name]
-	if route == nil || table.Config.Services[route.Service] == nil {
-		return nil, s.fail(NotRun, StepRoute, http.StatusNotFound, errNoRoute)
+		return Inbound{}, s.fail(NotRun, StepRoute, http.StatusNotFound, err)
 	}
 	terms, err := parseTerms(r.Header, route)
 	if err != nil {
-		return nil, s.fail(NotRun, StepRequest, http.StatusBadRequest, err)
-	}
-	deadline := s.now().Add(terms.left)
-	_ = http.NewResponseController(w).SetReadDeadline(deadline.Add(writeGrace))
-	body, err := readBody(r)
+		return Inbound{}, s.fail(NotRun, StepRequest, http.StatusBadRequest, err)
+	}
+	return Inbound{
+		ID:      id,
+		Config:  table.Config,
+		Route:   route,
+		Key:     terms.key,
+		Left:    terms.left,
+		Retries: terms.retries,
+		Path:    rest,
+		Query:   r.URL.RawQuery,
+		Header:  passHeaders(r.Header),
+	}, nil
+}
+
+// findRoute returns the route that a request names by its host and path, else
+// the one whose full name begins its path, and the path for the target.
+func findRoute(config *publish.Configuration, r *http.Request) (*publish.Route, string, error) {
+	path := r.URL.EscapedPath()
+	if route := config.Match(r.Host, path); route != nil {
+		return route, path, nil
+	}
+	name, rest, err := splitPath(path)
 	if err != nil {
-		return nil, s.fail(NotRun, StepRequest, http.StatusBadRequest, err)
+		return nil, "", err
+	}
+	route := config.Routes[name]
+	if route == nil || config.Services[route.Service] == nil {
+		return nil, "", errNoRoute
 	}
-	workspace, _, _ := strings.Cut(name, "/")
-	c := &outbound{
-		route: route,
-		left:  terms.retries,
-		trace: s.newTrace(id, terms.key, route.Service),
-		request: request{
-			id:        id,
-			key:       terms.key,
-			service:   table.Config.Services[route.Service],
-			workspace: workspace,
-			config:    table.Config,
-			deadline:  deadline,
-			method:    r.Method,
-			host:      r.Host,
-			path:      rest,
-			query:     r.URL.RawQuery,
-			header:    passHeaders(r.Header),
-			body:      body,
-		},
-	}
-	c.trace.began(uint64(table.Config.Version), name)
-	return c, nil
+	return route, rest, nil
 }
 
 // terms are what a caller may say about its call.
@@ -172,20 +161,13 @@
 	if err != nil {
 		return terms{}, err
 	}
-	allowed := route.Deadline
-	if allowed <= 0 {
-		allowed = defaultDeadline
-	}
-	if left > 0 {
-		allowed = min(allowed, left)
-	}
-	return terms{left: allowed, retries: min(retries, route.Retries), key: key}, nil
+	return terms{left: left, retries: retries, key: key}, nil
 }
 
 // keyOf returns the key of a call to a route that is not idempotent. On other
 // routes a key means nothing.
 func keyOf(header http.Header, route *publish.Route) (string, error) {
-	if route.Idempotent {
+	if route.Idempotent || route.Keyless {
 		return "", nil
 	}
 	text := header.Get(HeaderKey)
@@ -293,6 +275,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	priority, err := parseCount(r.Header, headerPriority, maxPriority, 0)
+	if err != nil {
+		return nil, 0, err
+	}
 	key := r.Header.Get(HeaderKey)
 	if key != "" {
 		if key, err = parseKey(key); err != nil {
@@ -304,6 +290,7 @@
 		attempt:   attempt,
 		key:       key,
 		workspace: r.Header.Get(headerWorkspace),
+		priority:  priority,
 		retries:   retries,
 		method:    r.Method,
 		host:      r.Host,
--- /dev/null
+++ b/internal/call/inbound.go
@@ -0,0 +1,146 @@
+package call
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+)
+
+// Inbound is a call of a caller as a front end understood it.
+type Inbound struct {
+	// ID identifies the call over all hops and in logs.
+	ID     string
+	Config *publish.Configuration
+	Route  *publish.Route
+	// Key is set for a call that runs at most once over several requests.
+	Key string
+	// Left is the time that the caller gives, 0 for none. The route's deadline
+	// bounds it.
+	Left time.Duration
+	// Retries bounds the further targets of the call, besides the route.
+	Retries int
+	// Path is the escaped path that the target gets, Query its raw query.
+	Path  string
+	Query string
+	// Header holds what the target gets, without what concerns the caller's
+	// connection only.
+	Header http.Header
+}
+
+// Refuser writes the error of a call to its caller.
+type Refuser func(w http.ResponseWriter, id string, failure *Error)
+
+// PassHeaders returns a copy of the headers without those that concern one
+// connection or belong to the mesh.
+func PassHeaders(from http.Header) http.Header { return passHeaders(from) }
+
+// Carry carries one call of a caller and writes its answer, or its error
+// through refuse.
+func (s *Server) Carry(w http.ResponseWriter, r *http.Request, in Inbound, refuse Refuser) {
+	end := s.inflight.begin()
+	defer end()
+	s.closeWhenDraining(w)
+	if s.inflight.isEnding() {
+		s.refuseCaller(w, in.ID, s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, errStopping), refuse)
+		return
+	}
+	began := s.now()
+	defer func() { s.counters.durations.Update(s.now().Sub(began).Seconds()) }()
+	deadline := began.Add(in.timeLeft())
+	_ = http.NewResponseController(w).SetReadDeadline(deadline.Add(writeGrace))
+	body, err := readBody(r)
+	if err != nil {
+		s.refuseCaller(w, in.ID, s.fail(NotRun, StepRequest, http.StatusBadRequest, err), refuse)
+		return
+	}
+	c := s.newOutbound(r, in, deadline, body)
+	defer bound(w, deadline, body)()
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	s.answerCaller(ctx, w, c, refuse)
+}
+
+// Refuse writes the error of a request that names no call.
+func (s *Server) Refuse(w http.ResponseWriter, id string, failure *Error, refuse Refuser) {
+	end := s.inflight.begin()
+	defer end()
+	s.closeWhenDraining(w)
+	s.refuseCaller(w, id, failure, refuse)
+}
+
+func (s *Server) refuseCaller(w http.ResponseWriter, id string, failure *Error, refuse Refuser) {
+	s.newTrace(id, "", "").failed(failure)
+	s.countFailure(failure)
+	refuse(w, id, failure)
+}
+
+// closeWhenDraining asks a caller to open its next connection elsewhere.
+func (s *Server) closeWhenDraining(w http.ResponseWriter) {
+	if s.inflight.isDraining() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// timeLeft returns how long the call may take.
+func (in Inbound) timeLeft() time.Duration {
+	allowed := in.Route.Deadline
+	if allowed <= 0 {
+		allowed = defaultDeadline
+	}
+	if in.Left > 0 {
+		allowed = min(allowed, in.Left)
+	}
+	return allowed
+}
+
+// newOutbound returns the call on its way to a target of one of the route's
+// services.
+func (s *Server) newOutbound(r *http.Request, in Inbound, deadline time.Time, body *body) *outbound {
+	service := s.splits.Pick(in.Route)
+	workspace, _, _ := strings.Cut(in.Route.Name, "/")
+	c := &outbound{
+		route: in.Route,
+		left:  min(in.Retries, in.Route.Retries),
+		trace: s.newTrace(in.ID, in.Key, service),
+		request: request{
+			id:        in.ID,
+			key:       in.Key,
+			service:   in.Config.Services[service],
+			workspace: workspace,
+			priority:  in.Route.Priority,
+			config:    in.Config,
+			deadline:  deadline,
+			method:    r.Method,
+			host:      r.Host,
+			path:      in.Path,
+			query:     in.Query,
+			header:    in.Header,
+			body:      body,
+		},
+	}
+	c.trace.began(uint64(in.Config.Version), in.Route.Name)
+	return c
+}
+
+// NoConfiguration is the error of calls while nothing is in force.
+func (s *Server) NoConfiguration() *Error {
+	return s.fail(NotRun, StepConfiguration, http.StatusServiceUnavailable, errNoConfiguration)
+}
+
+// NoRoute is the error of calls that no route takes.
+func (s *Server) NoRoute(host, path string) *Error {
+	return s.fail(NotRun, StepRoute, http.StatusNotFound, fmt.Errorf("%w: host %q path %q", errNoRoute, host, path))
+}
+
+// BadRequest is the error of requests that a front end cannot read. A nil
+// error stands for a request without an id.
+func (s *Server) BadRequest(err error) *Error {
+	if err == nil {
+		err = errNoID
+	}
+	return s.fail(NotRun, StepRequest, http.StatusBadRequest, err)
+}
--- a/internal/call/inflight.go
+++ b/internal/call/inflight.go
@@ -14,9 +14,15 @@
 	before   int
 	after    int
 	empty    chan struct{}
+	// ending is set when later calls are refused; idle is closed when none of
+	// any kind is in progress then.
+	ending bool
+	idle   chan struct{}
 }
 
-func newInflight() *inflight { return &inflight{empty: make(chan struct{})} }
+func newInflight() *inflight {
+	return &inflight{empty: make(chan struct{}), idle: make(chan struct{})}
+}
 
 // begin counts a call and returns what ends it.
 func (f *inflight) begin() (end func()) {
@@ -37,6 +43,41 @@
 	if f.draining && f.before == 0 && count == &f.before {
 		close(f.empty)
 	}
+	if f.ending && f.before+f.after == 0 {
+		f.closeIdle()
+	}
+}
+
+func (f *inflight) closeIdle() {
+	select {
+	case <-f.idle:
+	default:
+		close(f.idle)
+	}
+}
+
+func (f *inflight) isEnding() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ending
+}
+
+// finish makes isEnding true and returns when no call is in progress.
+func (f *inflight) finish(ctx context.Context) error {
+	f.mu.Lock()
+	f.ending = true
+	if f.before+f.after == 0 {
+		f.closeIdle()
+	}
+	f.mu.Unlock()
+	select {
+	case <-f.idle:
+		return nil
+	case <-ctx.Done():
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return fmt.Errorf("finish: %d calls in progress: %w", f.before+f.after, ctx.Err())
+	}
 }
 
 func (f *inflight) isDraining() bool {
--- a/internal/call/mesh_test.go
+++ b/internal/call/mesh_test.go
@@ -160,11 +160,11 @@
 	address atomic.Pointer[string]
 }
 
-func (n *node) TargetAddress() string {
+func (n *node) TargetAddress() (address, instance string) {
 	if address := n.address.Load(); address != nil {
-		return *address
+		return *address, ""
 	}
-	return n.target.Address()
+	return n.target.Address(), ""
 }
 
 // behave changes the behaviour of the host's target.
--- a/internal/call/outcome.go
+++ b/internal/call/outcome.go
@@ -1,7 +1,11 @@
 // Package call carries HTTP calls from callers to targets.
 package call
 
-import "fmt"
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
 
 // Headers of calls.
 const (
@@ -50,6 +54,16 @@
 	Unknown Outcome = "unknown"
 )
 
+// Times after which a call that was not run may be made again.
+const (
+	comeBackMin    = 100 * time.Millisecond
+	comeBackSpread = 200 * time.Millisecond
+)
+
+// ComeBack returns when a call that was not run may be made again. Callers
+// that were refused together are spread over time.
+func (e *Error) ComeBack() time.Duration { return comeBackMin + rand.N(comeBackSpread) }
+
 // Error is a call that failed inside the mesh.
 type Error struct {
 	Outcome Outcome
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -26,8 +26,10 @@
 	key       string
 	service   *publish.Service
 	workspace string
-	config    *publish.Configuration
-	deadline  time.Time
+	// priority is the rank of the route, 0 the highest.
+	priority int
+	config   *publish.Configuration
+	deadline time.Time
 	// retries is what the next hop may spend on retries.
 	retries int
 	method  string
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -35,8 +35,9 @@
 
 // TargetSource knows where the target of this host serves.
 type TargetSource interface {
-	// TargetAddress returns "IP:port", empty when no target has announced itself.
-	TargetAddress() string
+	// TargetAddress returns "IP:port", empty when no target has announced
+	// itself, and the name of its start if it gave one.
+	TargetAddress() (address, instance string)
 }
 
 // Options of a server.
@@ -45,6 +46,8 @@
 	Tables    Tables
 	Directory membership.Directory
 	Target    TargetSource
+	// Dialect is how the target is spoken to, nil for the mesh's own headers.
+	Dialect Dialect
 	// Keys is nil where calls that may not be repeated are not served.
 	Keys   Keys
 	Router *route.Router
@@ -62,6 +65,9 @@
 	// SampleShare is the share of calls, from 0 to 1, whose events are
 	// recorded. Calls that fail, are retried or carry a key always are.
 	SampleShare float64
+	// RetrySlack is how many retries of one service all daemons together may
+	// save up, 0 for a fixed number on each.
+	RetrySlack float64
 	// TargetConnections, PeerConnections and MaxCalls are bounds; 0 means
 	// the default.
 	TargetConnections int
@@ -75,6 +81,8 @@
 	tables    Tables
 	directory membership.Directory
 	target    TargetSource
+	dialect   Dialect
+	splits    *route.Splits
 	keys      Keys
 	router    *route.Router
 	budgets   *route.Budgets
@@ -100,9 +108,11 @@
 		tables:    options.Tables,
 		directory: options.Directory,
 		target:    options.Target,
+		dialect:   options.Dialect,
+		splits:    route.NewSplits(),
 		keys:      options.Keys,
 		router:    options.Router,
-		budgets:   route.NewBudgets(),
+		budgets:   route.NewBudgets(options.RetrySlack, options.Directory),
 		events:    options.Events,
 		clock:     options.Clock,
 		log:       logging.Part(options.Logger, "call"),
@@ -165,6 +175,10 @@
 	return nil
 }
 
+// Finish makes the server refuse every later call as not run, and returns once
+// none is in progress. The error says how many were left when ctx ended.
+func (s *Server) Finish(ctx context.Context) error { return s.inflight.finish(ctx) }
+
 // Load is the present load of the own target.
 func (s *Server) Load() route.Load { return s.gate.load() }
 
@@ -182,7 +196,7 @@
 // limitsOf returns the limits of the gate for a service.
 func limitsOf(service *publish.Service, announced int) limits {
 	slots := service.Slots
-	if announced > 0 && (slots <= 0 || announced < slots) {
+	if announced > 0 && (slots <= 0 || announced < slots || service.SlotsOpen) {
 		slots = announced
 	}
 	if service.Connections > 0 && slots > service.Connections {
--- a/internal/call/steps.go
+++ b/internal/call/steps.go
@@ -28,6 +28,8 @@
 	StepPeer = "peer"
 	// StepTarget fails at the target or on the way to it.
 	StepTarget = "target"
+	// StepShed fails when the target itself says that it did not run a request.
+	StepShed = "shed"
 	// StepAnswer fails while an answer is read.
 	StepAnswer = "answer"
 )
@@ -39,12 +41,15 @@
 var (
 	errNoConfiguration = errors.New("no configuration is in force")
 	errNoRoute         = errors.New("no such route")
+	errNoID            = errors.New("the request has no id")
 	errNoKey           = errors.New("the route requires a key")
 	errNoKeys          = errors.New("calls with keys are not served here")
 	errNoHome          = errors.New("home is not known here")
 	errDraining        = errors.New("target takes no new calls")
+	errStopping        = errors.New("this daemon stops")
 	errNoTargetHere    = errors.New("no such target on this host")
 	errCrossed         = errors.New("answer belongs to another request")
+	errShed            = errors.New("target did not run the request")
 	errTooManyCalls    = errors.New("too many calls in progress")
 )
 
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -40,7 +42,7 @@
 // run admits a request, hands it to the target and takes the answer. It
 // reports whether a byte of the request may have been handed on.
 func (s *Server) run(ctx context.Context, q *request, self membership.Member) (*answer, *Error, bool) {
-	address := s.target.TargetAddress()
+	address, instance := s.target.TargetAddress()
 	if address == "" {
 		return nil, s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errNoTargetHere), false
 	}
@@ -51,11 +53,16 @@
 	s.counters.admitted.Inc()
 	began := s.now()
 	leave := sync.OnceFunc(func() { s.gate.leave(s.now().Sub(began)) })
-	response, handed, err := s.exchange(ctx, s.targets, address, q, s.ranEvent(q))
+	sent := TargetRequest{ID: q.id, Instance: instance}
+	response, handed, err := s.exchange(ctx, s.targets, address, q, s.ranEvent(q), s.prepare(&sent))
 	if err != nil {
 		leave()
 		return nil, s.fail(outcomeOf(handed), StepTarget, statusOf(ctx, err), err), handed
 	}
+	if failure := s.judge(sent, response); failure != nil {
+		leave()
+		return nil, failure, failure.Outcome != NotRun
+	}
 	result, err := newAnswer(response, func(bool) { leave() })
 	if err != nil {
 		return nil, s.fail(Unknown, StepAnswer, statusOf(ctx, err), err), true
@@ -63,6 +70,40 @@
 	return result, nil, true
 }
 
+// prepare returns what puts the headers of the target's dialect in place of
+// the mesh's own, nil when there is no dialect.
+func (s *Server) prepare(sent *TargetRequest) func(http.Header, time.Duration) {
+	if s.dialect == nil {
+		return nil
+	}
+	return func(header http.Header, left time.Duration) {
+		for name := range header {
+			if strings.HasPrefix(name, headerPrefix) {
+				delete(header, name)
+			}
+		}
+		sent.Left = left
+		s.dialect.Prepare(header, *sent)
+	}
+}
+
+// judge returns why an answer of the target cannot be passed on, nil when it
+// can.
+func (s *Server) judge(sent TargetRequest, response *http.Response) *Error {
+	if s.dialect == nil {
+		return nil
+	}
+	switch s.dialect.Judge(sent, response.StatusCode, response.Header) {
+	case Shed:
+		_ = response.Body.Close()
+		return s.fail(NotRun, StepShed, http.StatusServiceUnavailable, fmt.Errorf("%w: status %d", errShed, response.StatusCode))
+	case Foreign:
+		closeConnection(response)
+		return s.fail(Unknown, StepAnswer, http.StatusBadGateway, errCrossed)
+	}
+	return nil
+}
+
 // ranEvent returns what records, once, that a request was handed on.
 func (s *Server) ranEvent(q *request) func() {
 	if q.key == "" && q.attempt <= 1 && !s.sampled(q.id) {
@@ -82,15 +123,19 @@
 
 // exchange sends an attempt to an address and returns the response. On an
 // error it reports whether a byte of the request may have been handed on.
-func (s *Server) exchange(ctx context.Context, transport *http.Transport, address string, q *request, onWrite func()) (*http.Response, bool, error) {
-	left := q.deadline.Sub(s.now())
-	out, err := q.outgoing(ctx, address, max(left, time.Nanosecond))
+func (s *Server) exchange(ctx context.Context, transport *http.Transport, address string, q *request, onWrite func(), prepare func(http.Header, time.Duration)) (*http.Response, bool, error) {
+	left := max(q.deadline.Sub(s.now()), time.Nanosecond)
+	out, err := q.outgoing(ctx, address, left)
 	if err != nil {
 		return nil, false, err
 	}
-	var watch handover
+	if prepare != nil {
+		prepare(out.Header, left)
+	}
+	watch := &handover{}
 	response, err := transport.RoundTrip(out.WithContext(watch.trace(ctx, onWrite)))
 	if err == nil {
+		response.Body = &watchedBody{ReadCloser: response.Body, watch: watch}
 		return response, true, nil
 	}
 	if watch.happened() {
--- a/internal/call/transport.go
+++ b/internal/call/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -92,6 +93,30 @@
 	return true
 }
 
+// watchedBody is the body of a response together with its connection.
+type watchedBody struct {
+	io.ReadCloser
+	watch *handover
+}
+
+// closeConnection closes a response and its connection, so that nothing that
+// still arrives on it is taken for the answer to a later request.
+func closeConnection(response *http.Response) {
+	if body, ok := response.Body.(*watchedBody); ok {
+		body.watch.close()
+	}
+	_ = response.Body.Close()
+}
+
+// close closes the connections that the request was given.
+func (h *handover) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, conn := range h.conns {
+		_ = conn.Close()
+	}
+}
+
 // handover watches whether bytes of one request were written to a connection.
 type handover struct {
 	mu      sync.Mutex
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,6 +13,8 @@
 	"syscall"
 
 	arg "github.com/alexflint/go-arg"
+
+	"github.com/mulberrybank/mulberrybank/internal/daemon"
 )
 
 // commands has one field for each subcommand.
@@ -60,6 +62,8 @@
 	stderr io.Writer
 	http   *http.Client
 	all    *commands
+	// adapter is used by daemons whose settings name one.
+	adapter daemon.Adapter
 }
 
 // Exit statuses.
@@ -81,14 +85,15 @@
 func (e *usageError) Error() string { return e.reason }
 
 // Run runs the subcommand that the arguments name and returns the exit
-// status. An interrupt or a termination signal ends it in order.
-func Run(args []string, stdout, stderr io.Writer) int {
+// status. An interrupt or a termination signal ends it in order. The adapter is
+// for daemons whose settings name one.
+func Run(args []string, stdout, stderr io.Writer, adapter daemon.Adapter) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	return run(ctx, args, stdout, stderr)
+	return run(ctx, args, stdout, stderr, adapter)
 }
 
-func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+func run(ctx context.Context, args []string, stdout, stderr io.Writer, adapter daemon.Adapter) int {
 	all := &commands{}
 	parser, err := arg.NewParser(arg.Config{Program: program, Out: stderr}, all)
 	if err != nil {
@@ -107,7 +112,7 @@
 	if err != nil {
 		return failUsage(stderr, parser, err)
 	}
-	e := &env{stdout: stdout, stderr: stderr, http: &http.Client{}, all: all}
+	e := &env{stdout: stdout, stderr: stderr, http: &http.Client{}, all: all, adapter: adapter}
 	return finish(selected.run(ctx, e), stderr, parser)
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -24,7 +24,7 @@
 func invoke(t *testing.T, args ...string) (int, string, string) {
 	t.Helper()
 	var stdout, stderr bytes.Buffer
-	status := run(t.Context(), args, &stdout, &stderr)
+	status := run(t.Context(), args, &stdout, &stderr, nil)
 	return status, stdout.String(), stderr.String()
 }
 
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -3,6 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"github.com/mulberrybank/mulberrybank/internal/daemon"
 	"github.com/mulberrybank/mulberrybank/internal/logging"
@@ -11,7 +18,7 @@
 
 // daemonCommand runs the daemon of this host.
 type daemonCommand struct {
-	Settings string   `arg:"--settings,required" placeholder:"FILE" help:"settings of this host, JSON with comments"`
+	Settings string   `arg:"--settings,required,env:MULBERRYBANK_CONFIG" placeholder:"FILE" help:"settings of this host, JSON with comments"`
 	Check    bool     `arg:"--check" help:"only check the settings"`
 	Set      []string `arg:"--set,separate" placeholder:"FIELD=VALUE" help:"replace one setting, such as log.level=debug"`
 }
@@ -33,13 +40,54 @@
 		fmt.Fprintf(env.stdout, "%s: settings of host %s are valid\n", c.Settings, loaded.Host)
 		return nil
 	}
-	logger, err := logging.New(env.stderr, loaded.Log.Level)
+	logger, err := logging.New(env.stdout, loaded.Log.Level)
 	if err != nil {
 		return fmt.Errorf("log level: %w", err)
 	}
-	process, err := daemon.New(daemon.Options{Settings: loaded, Logger: logger})
+	limitMemory(uint64(loaded.Memory))
+	options := daemon.Options{Settings: loaded, Logger: logger}
+	if loaded.Adapter != settings.AdapterNone {
+		options.Adapter = env.adapter
+	}
+	process, err := daemon.New(options)
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer cancel()
+	tasks.Go(func() { c.reloadOnHangup(ctx, process, overrides, logger) })
 	return process.Run(ctx)
 }
+
+// memoryShare is the part of the memory at which the collector works harder.
+const memoryShare = 0.8
+
+// limitMemory makes the collector keep the process below its memory, in bytes.
+func limitMemory(memory uint64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
+	}
+}
+
+// reloadOnHangup reads the settings again at each SIGHUP until ctx ends.
+func (c *daemonCommand) reloadOnHangup(ctx context.Context, process *daemon.Daemon, overrides []settings.Override, logger *logrus.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-hangups:
+		case <-ctx.Done():
+			return
+		}
+		next, err := settings.Load(c.Settings, overrides...)
+		if err == nil {
+			err = process.Reload(next)
+		}
+		if err != nil {
+			logging.Part(logger, "cli").WithError(err).Error("new settings were refused, the old ones stay")
+		}
+	}
+}
--- a/internal/daemon/adapt.go
+++ b/internal/daemon/adapt.go
@@ -27,12 +27,12 @@
 // targetAddress tells calls where the target of this host serves.
 type targetAddress struct{ members *membership.Membership }
 
-func (t targetAddress) TargetAddress() string {
+func (t targetAddress) TargetAddress() (address, instance string) {
 	announcement, _, ok := t.members.Announced()
 	if !ok {
-		return ""
+		return "", ""
 	}
-	return announcement.Address
+	return announcement.Address, announcement.Instance
 }
 
 // keys shows the keeper to calls.
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -13,8 +13,10 @@
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/once"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/route"
+	"github.com/mulberrybank/mulberrybank/internal/settings"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
 
@@ -47,6 +49,7 @@
 }
 
 func (d *Daemon) buildMembership(dialer *peer.Dialer) error {
+	hosts, _ := d.platform.(platform.KeyedLog)
 	d.members = membership.New(membership.Options{
 		Self: membership.Member{
 			Host:           d.identity.Host,
@@ -60,6 +63,8 @@
 		Seeds:          d.settings.Peers,
 		Position:       d.enforcer.Position,
 		OnPeerPosition: d.peerPosition,
+		Lease:          time.Duration(d.settings.Target.Lease),
+		Hosts:          hosts,
 		Events:         d.events,
 		Logger:         d.logger,
 		Metrics:        d.metrics,
@@ -75,15 +80,17 @@
 
 func (d *Daemon) buildDistribution(dialer *peer.Dialer) error {
 	d.distributor = distribute.New(distribute.Options{
-		Self:      d.identity,
-		Log:       d.platform,
-		Enforcer:  d.enforcer,
-		Directory: d.members,
-		Dialer:    dialer,
-		Peers:     d.settings.Peers,
-		Events:    d.events,
-		Logger:    d.logger,
-		Metrics:   d.metrics,
+		Self:        d.identity,
+		Log:         d.platform,
+		Enforcer:    d.enforcer,
+		Directory:   d.members,
+		Dialer:      dialer,
+		Peers:       d.settings.Peers,
+		Events:      d.events,
+		Logger:      d.logger,
+		Metrics:     d.metrics,
+		Timing:      timing(d.settings.Pace),
+		NoSnapshots: d.settings.Snapshots == settings.SwitchOff,
 	})
 	return d.distributor.Register(d.server.Mux())
 }
@@ -115,6 +122,8 @@
 		Tables:      d.enforcer,
 		Directory:   d.members,
 		Target:      targetAddress{d.members},
+		Dialect:     d.dialect(),
+		RetrySlack:  d.settings.Retries.Slack,
 		Keys:        keys{d.keeper},
 		Router:      d.router,
 		Events:      d.events,
@@ -145,3 +154,11 @@
 		Metrics:     d.metrics,
 	})
 }
+
+// timing returns the times of distribution at a pace of the settings.
+func timing(pace string) distribute.Timing {
+	if pace == settings.PaceBrisk {
+		return distribute.BriskTiming
+	}
+	return distribute.CalmTiming
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -33,11 +34,18 @@
 	Dial peer.DialFunc
 	// Logger is where the daemon logs; nil discards.
 	Logger *logrus.Logger
+	// Adapter speaks to callers, the target and the platform, nil for the
+	// mesh's own interfaces.
+	Adapter Adapter
 }
 
 // Daemon is one process of the system.
 type Daemon struct {
 	settings *settings.Settings
+	// reloaded holds the settings of the last reload, nil before one.
+	reloaded atomic.Pointer[settings.Settings]
+	adapter  Adapter
+	stopping atomic.Bool
 	identity peer.Identity
 	logger   *logrus.Logger
 	log      *logrus.Entry
@@ -69,6 +77,7 @@
 		metrics:  metrics.NewSet(),
 		traffic:  peer.NewTraffic(),
 		platform: options.Log,
+		adapter:  options.Adapter,
 	}
 	if d.logger == nil {
 		d.logger = logging.Discard()
@@ -114,3 +123,15 @@
 
 // Traffic returns the control bytes by kind and scope.
 func (d *Daemon) Traffic() map[peer.Class]peer.Bytes { return d.traffic.Snapshot() }
+
+// Settings returns the settings in force.
+func (d *Daemon) Settings() *settings.Settings {
+	if reloaded := d.reloaded.Load(); reloaded != nil {
+		return reloaded
+	}
+	return d.settings
+}
+
+// Ready reports whether this daemon takes callers: it has configuration in
+// force and does not stop.
+func (d *Daemon) Ready() bool { return d.enforcer.Table() != nil && !d.stopping.Load() }
--- /dev/null
+++ b/internal/daemon/handlers.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"net/http"
+
+	"github.com/mulberrybank/mulberrybank/internal/call"
+)
+
+// callerHandler serves callers.
+func (d *Daemon) callerHandler() http.Handler {
+	if d.adapter == nil {
+		return d.calls.CallerHandler()
+	}
+	return d.adapter.Callers(d.calls, d.enforcer, d)
+}
+
+// announceHandler serves the target of this host.
+func (d *Daemon) announceHandler() http.Handler {
+	if d.adapter == nil {
+		return d.members.AnnounceHandler()
+	}
+	return d.adapter.Announcements(d.members, d, d.logger)
+}
+
+// readyHandler serves those who ask whether this daemon takes callers: any
+// request is answered 200 or 503.
+func (d *Daemon) readyHandler() http.Handler {
+	if d.adapter != nil {
+		return d.adapter.Readiness(d.Ready)
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !d.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// dialect is how the target is spoken to, nil for the mesh's own headers.
+func (d *Daemon) dialect() call.Dialect {
+	if d.adapter == nil {
+		return nil
+	}
+	return d.adapter.Dialect()
+}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -25,6 +25,8 @@
 	control net.Listener
 	admin   net.Listener
 	target  net.Listener
+	// ready is nil when nobody asks.
+	ready net.Listener
 }
 
 // open listens on every address and writes the ports chosen by the system
@@ -40,8 +42,12 @@
 		{"control", &listen.Control, &l.control},
 		{"admin", &listen.Admin, &l.admin},
 		{"target", &listen.Target, &l.target},
+		{"ready", &listen.Ready, &l.ready},
 	}
 	for _, port := range ports {
+		if *port.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", *port.address)
 		if err != nil {
 			l.close()
@@ -55,7 +61,7 @@
 
 // close closes every open listener.
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.calls, l.control, l.admin, l.target} {
+	for _, listener := range []net.Listener{l.callers, l.calls, l.control, l.admin, l.target, l.ready} {
 		if listener != nil {
 			_ = listener.Close()
 		}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/mulberrybank/mulberrybank/internal/settings"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
@@ -50,13 +51,18 @@
 // start begins the task of each listener and each slice.
 func (d *Daemon) start(tasks *pool.ContextPool) {
 	tasks.Go(func(ctx context.Context) error { return d.server.Serve(ctx, d.listen.control) })
-	tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listen.callers, d.calls.CallerHandler()) })
+	tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listen.callers, d.callerHandler()) })
 	tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listen.calls, d.calls.PeerHandler()) })
 	tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listen.admin, d.admin.Handler()) })
-	tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listen.target, d.members.AnnounceHandler()) })
+	tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listen.target, d.announceHandler()) })
+	if d.listen.ready != nil {
+		tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listen.ready, d.readyHandler()) })
+	}
 	tasks.Go(d.members.Run)
 	tasks.Go(d.distributeAboveFloor)
-	tasks.Go(d.proposer.Run)
+	if d.settings.Keys == settings.SwitchOn {
+		tasks.Go(d.proposer.Run)
+	}
 	if d.secure != nil {
 		tasks.Go(d.secure.Run)
 	}
@@ -81,6 +87,8 @@
 // stop ends the daemon's work in order within the stop timeout.
 func (d *Daemon) stop() {
 	d.log.Infof("host %s stops", d.identity.Host)
+	began := time.Now()
+	d.stopping.Store(true)
 	d.events.Record(timeline.Event{Kind: timeline.Stopping})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.StopTimeout))
 	defer cancel()
@@ -90,6 +98,10 @@
 	if err := d.calls.Drain(ctx); err != nil {
 		d.log.WithError(err).Warn("calls in progress were cut")
 	}
+	wait.For(ctx, time.Until(began.Add(time.Duration(d.settings.StopLinger))))
+	if err := d.calls.Finish(ctx); err != nil {
+		d.log.WithError(err).Warn("calls in progress were cut")
+	}
 	if err := d.members.Depart(ctx); err != nil {
 		d.log.WithError(err).Debug("some peers were not told of the end")
 	}
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -13,8 +13,9 @@
 // platformKind is the kind of traffic to the platform's log.
 const platformKind = "platform"
 
-// platformClient returns a client of the log whose bytes are counted.
-func (d *Daemon) platformClient() *platform.Client {
+// platformClient returns a client of the log whose bytes are counted, in the
+// words of the adapter if there is one.
+func (d *Daemon) platformClient() platform.Log {
 	location := peer.Identity{Zone: d.settings.Platform.Zone, Region: d.settings.Platform.Region}
 	class := peer.Class{Kind: platformKind, Scope: peer.ScopeOf(d.identity, location)}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
@@ -29,6 +30,9 @@
 	if d.secure != nil {
 		transport.TLSClientConfig = d.secure.PlatformClient()
 	}
+	if d.adapter != nil {
+		return d.adapter.Log(d.settings, transport, d.logger)
+	}
 	timeout := time.Duration(d.settings.Platform.Timeout)
 	return platform.NewClient(d.settings.Platform.Address, timeout, transport)
 }
--- a/internal/distribute/choice.go
+++ b/internal/distribute/choice.go
@@ -10,33 +10,28 @@
 const (
 	firstHoldOff = 200 * time.Millisecond
 	maxHoldOff   = 30 * time.Second
-	// maxLogHoldOff is the same for the log, so that its return is seen soon.
-	maxLogHoldOff = 5 * time.Second
 	// staleHoldOff and maxStaleHoldOff bound the hold-off of a source that
 	// answers but is cut off from the log.
 	staleHoldOff    = 10 * time.Second
 	maxStaleHoldOff = 5 * time.Minute
-	// readerStaleLimit is how old the state of a zone's reader may be before
-	// it tries another source.
-	readerStaleLimit = 8 * time.Second
-	// followerStaleLimit is the same for the others, who leave it to their
-	// readers to find a way first.
-	followerStaleLimit = time.Minute
 )
 
 // staleLimit returns how old the state of a daemon may be before it tries
 // another source.
-func staleLimit(reader bool) time.Duration {
+func (t Timing) staleLimit(reader bool) time.Duration {
 	if reader {
-		return readerStaleLimit
+		return t.ReaderStale
 	}
-	return followerStaleLimit
+	return t.FollowerStale
 }
 
 // health remembers what happened with each source. It is owned by one task.
 type health struct {
-	now     func() time.Time
-	entries map[Source]*sourceHealth
+	now func() time.Time
+	// logHoldOff bounds the hold-off of the log, so that its return is seen
+	// soon.
+	logHoldOff time.Duration
+	entries    map[Source]*sourceHealth
 }
 
 type sourceHealth struct {
@@ -46,8 +41,8 @@
 	stales      *backoff.ExponentialBackOff
 }
 
-func newHealth(now func() time.Time) *health {
-	return &health{now: now, entries: make(map[Source]*sourceHealth)}
+func newHealth(now func() time.Time, logHoldOff time.Duration) *health {
+	return &health{now: now, logHoldOff: logHoldOff, entries: make(map[Source]*sourceHealth)}
 }
 
 func (h *health) entry(source Source) *sourceHealth {
@@ -55,7 +50,7 @@
 	if !ok {
 		limit := maxHoldOff
 		if source.Log {
-			limit = maxLogHoldOff
+			limit = h.logHoldOff
 		}
 		entry = &sourceHealth{
 			failures: newBackOff(firstHoldOff, limit),
--- a/internal/distribute/distribute.go
+++ b/internal/distribute/distribute.go
@@ -42,6 +42,10 @@
 	Metrics *metrics.Set
 	// Snapshots says when snapshots are written; zero values mean defaults.
 	Snapshots SnapshotPolicy
+	// NoSnapshots keeps this daemon from writing any.
+	NoSnapshots bool
+	// Timing is CalmTiming when it is zero.
+	Timing Timing
 	// Clock returns the time; nil means time.Now.
 	Clock func() time.Time
 	// Rand is the source of jitter; nil means a random seed.
@@ -63,6 +67,8 @@
 	now       func() time.Time
 	jitter    *jitter
 
+	timing         Timing
+	noSnapshots    bool
 	reads          *rate.Limiter
 	catchUps       *rate.Limiter
 	snapshotPolicy SnapshotPolicy
@@ -77,6 +83,9 @@
 
 // New returns a distributor that does nothing before Run.
 func New(options Options) *Distributor {
+	if options.Timing == (Timing{}) {
+		options.Timing = CalmTiming
+	}
 	if options.Clock == nil {
 		options.Clock = time.Now
 	}
@@ -104,6 +113,8 @@
 		counters:       newCounters(options.Metrics),
 		now:            options.Clock,
 		jitter:         &jitter{random: options.Rand},
+		timing:         options.Timing,
+		noSnapshots:    options.NoSnapshots,
 		reads:          newReadLimiter(),
 		catchUps:       newCatchUpLimiter(),
 		snapshotPolicy: options.Snapshots.withDefaults(),
@@ -124,7 +135,9 @@
 	tasks.Go(func() { d.runUpstream(ctx) })
 	tasks.Go(func() { d.runPulls(ctx) })
 	tasks.Go(func() { d.runSummaries(ctx) })
-	tasks.Go(func() { d.runSnapshots(ctx) })
+	if !d.noSnapshots {
+		tasks.Go(func() { d.runSnapshots(ctx) })
+	}
 	tasks.Wait()
 	return nil
 }
--- a/internal/distribute/failure_test.go
+++ b/internal/distribute/failure_test.go
@@ -120,7 +120,7 @@
 		}
 		assert.Assert(t, silent > 0, "found by its silence")
 		// The parents have dropped the followers whose connections are gone.
-		time.Sleep(2 * silenceLimit)
+		time.Sleep(2 * CalmTiming.Silence)
 		followers := 0
 		for _, n := range m.nodes {
 			followers += n.dist.followers.count()
@@ -451,7 +451,7 @@
 		m.zone("greater-accra", "a", 3)
 		d := m.startNode("a-0", &fakeFold{}).dist
 		sources := d.plan().Sources
-		up := &upstream{health: newHealth(time.Now), stale: true}
+		up := &upstream{health: newHealth(time.Now, CalmTiming.LogHoldOff), stale: true}
 		up.observe(sources[0], true)
 		best, _, _ := up.choose(sources)
 		assert.Assert(t, best != sources[0])
--- a/internal/distribute/feed.go
+++ b/internal/distribute/feed.go
@@ -37,14 +37,14 @@
 
 // receiveAcks takes acknowledgements; it ends the stream when they stop.
 func (d *Distributor) receiveAcks(f *follower, stream downLink, cancel context.CancelCauseFunc) error {
-	watch := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
+	watch := time.AfterFunc(d.timing.Silence, func() { cancel(errSilent) })
 	defer watch.Stop()
 	for {
 		message, err := stream.Recv()
 		if err != nil {
 			return ended(err)
 		}
-		watch.Reset(silenceLimit)
+		watch.Reset(d.timing.Silence)
 		d.followers.acknowledge(f, message)
 		d.regions.merge(message.Retired)
 		d.compare(f.identity.Host, message.Offset, message.Digest)
@@ -54,7 +54,7 @@
 // sendUpdates sends records after an offset as they are folded, and
 // heartbeats while there are none.
 func (d *Distributor) sendUpdates(ctx context.Context, sent uint64, stream downLink) error {
-	ticker := time.NewTicker(heartbeatInterval)
+	ticker := time.NewTicker(d.timing.Heartbeat)
 	defer ticker.Stop()
 	var last update
 	tell := newTeller(d.now)
@@ -74,7 +74,7 @@
 		if sent < next.Offset {
 			continue
 		}
-		if !awaitUpdate(ctx, ticker, changed, summed) {
+		if !d.awaitUpdate(ctx, ticker, changed, summed) {
 			return context.Cause(ctx)
 		}
 	}
@@ -83,11 +83,11 @@
 // awaitUpdate returns when there is something to send: at once for records,
 // after gatherDelay for summaries, else at the next heartbeat. It reports false
 // when ctx ended first.
-func awaitUpdate(ctx context.Context, ticker *time.Ticker, changed, summed <-chan struct{}) bool {
+func (d *Distributor) awaitUpdate(ctx context.Context, ticker *time.Ticker, changed, summed <-chan struct{}) bool {
 	select {
 	case <-summed:
 		ticker.Reset(gatherDelay)
-		defer ticker.Reset(heartbeatInterval)
+		defer ticker.Reset(d.timing.Heartbeat)
 	case <-changed:
 		return true
 	case <-ticker.C:
--- a/internal/distribute/follow.go
+++ b/internal/distribute/follow.go
@@ -14,15 +14,9 @@
 	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
-// Times of the heartbeats on a stream between two daemons.
-const (
-	heartbeatInterval = time.Second
-	// silenceLimit is how long a stream may carry nothing.
-	silenceLimit = 3500 * time.Millisecond
-	// gatherDelay is how long a change of summaries waits for others, so that
-	// the acknowledgements of many daemons go on in one message.
-	gatherDelay = 100 * time.Millisecond
-)
+// gatherDelay is how long a change of summaries waits for others, so that the
+// acknowledgements of many daemons go on in one message.
+const gatherDelay = 100 * time.Millisecond
 
 // follow gets records from a peer until ctx ends or the stream fails.
 func (d *Distributor) follow(ctx context.Context, up *upstream, source Source) error {
@@ -41,7 +35,7 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	stop := context.AfterFunc(ctx, stream.Close)
 	defer stop()
-	watch := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
+	watch := time.AfterFunc(d.timing.Silence, func() { cancel(errSilent) })
 	defer watch.Stop()
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
@@ -49,7 +43,7 @@
 	for {
 		message, err := stream.Recv()
 		if err == nil {
-			watch.Reset(silenceLimit)
+			watch.Reset(d.timing.Silence)
 			err = d.takeUpdate(source, message)
 		}
 		if err != nil {
@@ -71,7 +65,7 @@
 // sendAcks tells the parent the state of this daemon and its subtree, at once
 // when it has changed and as a heartbeat when it has not.
 func (d *Distributor) sendAcks(ctx context.Context, stream upLink) error {
-	ticker := time.NewTicker(heartbeatInterval)
+	ticker := time.NewTicker(d.timing.Heartbeat)
 	defer ticker.Stop()
 	var sent ack
 	tell := newTeller(d.now)
--- a/internal/distribute/hints.go
+++ b/internal/distribute/hints.go
@@ -12,8 +12,6 @@
 	// pullAfter is how long a peer must have been ahead, so that the push
 	// along the tree goes first.
 	pullAfter = time.Second
-	// pullTimeout bounds one pull.
-	pullTimeout = 5 * time.Second
 )
 
 // hint says that a peer was seen ahead.
@@ -102,7 +100,7 @@
 // pull asks a peer until this daemon is level with it. When the peer sheds
 // the request, the addresses that it names are asked in its place.
 func (d *Distributor) pull(ctx context.Context, ahead hint) error {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.timing.Pull)
 	defer cancel()
 	d.counters.pulls.Inc()
 	elsewhere, err := d.pullFrom(ctx, ahead.address)
--- a/internal/distribute/probe.go
+++ b/internal/distribute/probe.go
@@ -44,7 +44,7 @@
 
 // probePeer catches up from a peer and checks that it may be followed.
 func (d *Distributor) probePeer(ctx context.Context, source Source) error {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.timing.Pull)
 	defer cancel()
 	offset, digest := d.enforcer.Position()
 	answer, err := d.catchUp(ctx, source.Address, offset, digest)
@@ -54,7 +54,7 @@
 	if err := checkSource(answer, d.self.Host); err != nil {
 		return fmt.Errorf("probe %s: %w", source, err)
 	}
-	if d.now().Sub(answer.Fresh) > readerStaleLimit {
+	if d.now().Sub(answer.Fresh) > d.timing.ReaderStale {
 		return fmt.Errorf("probe %s: %w", source, errStale)
 	}
 	return d.take(answer.Snapshot, answer.Records)
--- a/internal/distribute/read.go
+++ b/internal/distribute/read.go
@@ -12,13 +12,8 @@
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
 
-// Limits of reads from the log.
+// readsPerSecond and readBurst bound the reads of one daemon.
 const (
-	// readWait is how long the log holds a read that finds nothing.
-	readWait = 2 * time.Second
-	// readTimeout is how long an answer may take beyond the wait.
-	readTimeout = 3 * time.Second
-	// readsPerSecond and readBurst bound the reads of one daemon.
 	readsPerSecond = 5
 	readBurst      = 5
 )
@@ -31,40 +26,94 @@
 	d.state.setVia(nil)
 	d.state.setRooted(true)
 	defer d.state.setRooted(false)
-	for {
-		if err := d.readNext(ctx); err != nil {
-			d.platform.lost(err)
-			return err
+	cursor, err := d.firstUnread(ctx)
+	for err == nil {
+		cursor, err = d.readNext(ctx, cursor)
+		if err == nil {
+			d.platform.found()
+			up.worked(logSource)
 		}
-		d.platform.found()
-		up.worked(logSource)
 	}
+	d.platform.lost(err)
+	return err
 }
 
-// readNext waits for the next records of the log and folds them.
-func (d *Distributor) readNext(ctx context.Context) error {
+// firstUnread returns the offset to read from. A daemon that has folded nothing
+// begins with the newest records of a log that keeps them.
+func (d *Distributor) firstUnread(ctx context.Context) (uint64, error) {
 	offset, _ := d.enforcer.Position()
-	result, err := d.readOnce(ctx, platform.ConfigurationStream, offset+1, readWait)
-	if result.Next > 0 {
+	if keyed, ok := d.log.(platform.KeyedLog); ok && offset == 0 {
+		return d.takeNewest(ctx, keyed)
+	}
+	return offset + 1, nil
+}
+
+// readNext waits for the records of the log from a cursor on, folds them and
+// returns the next cursor.
+func (d *Distributor) readNext(ctx context.Context, cursor uint64) (uint64, error) {
+	offset, _ := d.enforcer.Position()
+	cursor = max(cursor, offset+1)
+	result, err := d.readOnce(ctx, platform.ConfigurationStream, cursor, d.timing.ReadWait)
+	if err == nil && result.Next > 0 {
 		d.enforcer.HoldUntil(result.Next - 1)
 	}
 	var expired *platform.ExpiredError
 	if errors.As(err, &expired) {
-		return d.resumeAtSnapshot(ctx, expired.Oldest)
+		return d.resume(ctx, expired, result.Next)
 	}
 	if err != nil {
-		return err
+		return cursor, err
 	}
 	if err := d.take(nil, result.Records); err != nil {
-		return fmt.Errorf("fold the log's records after %d: %w", offset, err)
+		return cursor, fmt.Errorf("fold the log's records after %d: %w", offset, err)
 	}
 	if d.hasStopped() {
-		return errStopped
+		return cursor, errStopped
+	}
+	if count := len(result.Records); count > 0 {
+		cursor = result.Records[count-1].Offset + 1
+	}
+	if cursor >= result.Next {
+		d.state.confirm(d.now())
+	}
+	return cursor, nil
+}
+
+// resume goes on after the records from the cursor on have expired: at the
+// newest record of each key of a log that keeps them, else at a snapshot.
+func (d *Distributor) resume(ctx context.Context, expired *platform.ExpiredError, next uint64) (uint64, error) {
+	if keyed, ok := d.log.(platform.KeyedLog); ok {
+		return d.takeNewest(ctx, keyed)
+	}
+	if next > 0 {
+		d.enforcer.HoldUntil(next - 1)
+	}
+	if err := d.resumeAtSnapshot(ctx, expired.Oldest); err != nil {
+		return 0, err
+	}
+	offset, _ := d.enforcer.Position()
+	return offset + 1, nil
+}
+
+// takeNewest folds the newest records of the log and returns the offset to
+// read from.
+func (d *Distributor) takeNewest(ctx context.Context, keyed platform.KeyedLog) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.timing.ReadTimeout)
+	defer cancel()
+	d.counters.reads.Inc()
+	newest, next, err := keyed.Newest(ctx, platform.ConfigurationStream)
+	if err != nil {
+		return 0, fmt.Errorf("read the newest records: %w", err)
+	}
+	for _, record := range newest {
+		if err := d.take(nil, []platform.Record{record.Record}); err != nil {
+			return 0, fmt.Errorf("fold the newest record %d: %w", record.Offset, err)
+		}
 	}
-	if have, _ := d.enforcer.Position(); have+1 >= result.Next {
+	if len(newest) > 0 {
 		d.state.confirm(d.now())
 	}
-	return nil
+	return next, nil
 }
 
 // readOnce reads a stream within the limits of this daemon.
@@ -72,7 +121,7 @@
 	if err := d.reads.Wait(ctx); err != nil {
 		return platform.ReadResult{}, fmt.Errorf("wait to read %s: %w", stream, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+d.timing.ReadTimeout)
 	defer cancel()
 	d.counters.reads.Inc()
 	result, err := d.log.Read(ctx, stream, from, wait)
--- a/internal/distribute/upstream.go
+++ b/internal/distribute/upstream.go
@@ -14,13 +14,9 @@
 	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
-// reconsiderInterval is how often a daemon asks whether a better source than
-// its present one is there.
-const reconsiderInterval = time.Second
-
 // Errors that end the use of a source.
 var (
-	// errSilent says that nothing arrived for silenceLimit on an open
+	// errSilent says that nothing arrived for too long on an open
 	// connection.
 	errSilent = errors.New("heartbeats stopped")
 	// errEnded says that the peer ended the stream.
@@ -43,7 +39,7 @@
 
 // runUpstream uses one source after the other until ctx ends.
 func (d *Distributor) runUpstream(ctx context.Context) {
-	up := &upstream{health: newHealth(d.now)}
+	up := &upstream{health: newHealth(d.now, d.timing.LogHoldOff)}
 	for ctx.Err() == nil {
 		source, delay, ok := up.choose(d.plan().Sources)
 		if !ok {
@@ -103,7 +99,7 @@
 
 // watchSources ends the use of a source when a better one has answered.
 func (d *Distributor) watchSources(ctx context.Context, up *upstream, source Source, end context.CancelCauseFunc) {
-	ticker := time.NewTicker(reconsiderInterval)
+	ticker := time.NewTicker(d.timing.Reconsider)
 	defer ticker.Stop()
 	for {
 		select {
@@ -122,7 +118,7 @@
 // source to use in its place, if there is one.
 func (d *Distributor) better(up *upstream, current Source) (Source, bool) {
 	next := d.plan()
-	stale := d.now().Sub(d.state.freshness()) > staleLimit(next.Reader)
+	stale := d.now().Sub(d.state.freshness()) > d.timing.staleLimit(next.Reader)
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	if up.stale && !stale {
--- a/internal/enforce/enforce.go
+++ b/internal/enforce/enforce.go
@@ -32,6 +32,9 @@
 	Snapshot() ([]byte, error)
 	// Restore replaces the state. The state is unchanged on an error.
 	Restore(snapshot []byte) error
+	// StandsAlone reports whether a record can be folded without those before
+	// it.
+	StandsAlone(record platform.Record) bool
 }
 
 // GapError says that records do not follow the offset already folded.
@@ -133,7 +136,8 @@
 }
 
 // Apply folds records in order. Records at or below the offset are skipped;
-// a gap is a GapError and nothing after it is folded.
+// a gap before a record that does not stand alone is a GapError and nothing
+// after it is folded.
 func (e *Enforcer) Apply(records []platform.Record) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -158,7 +162,7 @@
 		if record.Offset <= have {
 			continue
 		}
-		if record.Offset != have+1 {
+		if record.Offset != have+1 && !e.fold.StandsAlone(record) {
 			return &GapError{Have: have, Got: record.Offset}
 		}
 		if err := e.applyOne(record); err != nil {
@@ -278,8 +282,10 @@
 func dangling(config *publish.Configuration) int {
 	count := 0
 	for _, route := range config.Routes {
-		if config.Services[route.Service] == nil {
-			count++
+		for _, service := range route.Services() {
+			if config.Services[service] == nil {
+				count++
+			}
 		}
 	}
 	return count
--- a/internal/membership/choice.go
+++ b/internal/membership/choice.go
@@ -139,7 +139,7 @@
 			known[r.controlAddress] = true
 		}
 	}
-	for _, address := range m.options.Seeds {
+	for _, address := range m.seeds() {
 		if _, ok := wanted[address]; !ok && !known[address] {
 			wanted[address] = wantedPeer{address: address, role: seedRole}
 		}
--- a/internal/membership/floor.go
+++ b/internal/membership/floor.go
@@ -61,7 +61,7 @@
 // seedPeers returns the seeds as peers.
 func (m *Membership) seedPeers() []wantedPeer {
 	var peers []wantedPeer
-	for _, address := range m.options.Seeds {
+	for _, address := range m.seeds() {
 		if address != m.options.Self.ControlAddress {
 			peers = append(peers, wantedPeer{address: address, role: seedRole})
 		}
--- a/internal/membership/http.go
+++ b/internal/membership/http.go
@@ -63,6 +63,23 @@
 	return nil
 }
 
+// WithdrawStart ends the lease of one start of the target, which does not
+// become ready again. Word of a start that holds no lease is only remembered.
+func (m *Membership) WithdrawStart(instance string, started int64) {
+	m.mu.Lock()
+	known := m.lease.last
+	if known.Instance == instance && started == 0 {
+		started = known.Started
+	}
+	leaving := start{instance: instance, started: started}
+	m.lease.depart(leaving)
+	current := known.start() == leaving
+	m.mu.Unlock()
+	if current {
+		m.Withdraw()
+	}
+}
+
 // Withdraw ends the lease of the target on this host.
 func (m *Membership) Withdraw() {
 	m.mu.Lock()
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -27,13 +28,36 @@
 	"draining": Draining,
 }
 
+// ErrLate is wrapped by the refusal of an announcement that a later one or the
+// target's departure has overtaken.
+var ErrLate = errors.New("announcement came late")
+
+// maxDepartures bounds the starts of targets that are remembered as departed.
+const maxDepartures = 64
+
+// start names one start of a target.
+type start struct {
+	instance string
+	started  int64
+}
+
+func (a Announcement) start() start { return start{instance: a.Instance, started: a.Started} }
+
 // lease is the state of the target on this host.
 type lease struct {
+	// length is how long an announcement holds without renewal, 0 for
+	// announcementLease.
+	length       time.Duration
 	announcement Announcement
-	state        TargetState
-	renewed      time.Time
+	// last is the newest announcement, kept when the lease has ended.
+	last    Announcement
+	state   TargetState
+	renewed time.Time
 	// withdrawn is when the target withdrew or its announcement lapsed.
 	withdrawn time.Time
+	// departed holds the starts that said that they leave, oldest first. They
+	// do not become ready again.
+	departed []start
 	// checked is when the lease was last moved on with time.
 	checked time.Time
 	// drained is set by the operator or by a stop of the daemon.
@@ -59,19 +83,48 @@
 	return state, nil
 }
 
-// renew takes an announcement.
+// renew takes an announcement. The error wraps ErrAnnouncement.
 func (l *lease) renew(a Announcement, now time.Time) error {
 	state, err := check(a)
 	if err != nil {
 		return err
 	}
+	if l.overtaken(a) {
+		return fmt.Errorf("%w: %w: start %q sequence %d", ErrAnnouncement, ErrLate, a.Instance, a.Sequence)
+	}
+	if state == Draining {
+		l.depart(a.start())
+	}
+	if slices.Contains(l.departed, a.start()) {
+		state = Draining
+	}
 	l.announcement = a
+	l.last = a
 	l.state = state
 	l.renewed = now
 	l.withdrawn = time.Time{}
 	return nil
 }
 
+// overtaken reports whether an announcement is older than what is known: an
+// earlier one of the same start, or one of an earlier start. Order of arrival
+// says nothing.
+func (l *lease) overtaken(a Announcement) bool {
+	if a.start() == l.last.start() {
+		return a.Sequence > 0 && a.Sequence <= l.last.Sequence
+	}
+	return a.Started > 0 && a.Started < l.last.Started
+}
+
+// depart remembers a start that leaves. One without a name may come back.
+func (l *lease) depart(leaving start) {
+	if leaving.instance == "" || slices.Contains(l.departed, leaving) {
+		return
+	}
+	l.departed = append(l.departed, leaving)
+	l.departed = l.departed[max(0, len(l.departed)-maxDepartures):]
+}
+
 // withdraw takes the target out and reports whether it was in.
 func (l *lease) withdraw(now time.Time) bool {
 	if l.state == NoTarget || !l.withdrawn.IsZero() {
@@ -81,6 +134,14 @@
 	return true
 }
 
+// holds returns how long an announcement holds without renewal.
+func (l *lease) holds() time.Duration {
+	if l.length > 0 {
+		return l.length
+	}
+	return announcementLease
+}
+
 // expire moves the lease on with time and reports whether it lapsed just now.
 // A daemon that stood still could not hear the target, so that time does not
 // count.
@@ -92,7 +153,7 @@
 	if l.state == NoTarget {
 		return false
 	}
-	if l.withdrawn.IsZero() && now.Sub(l.renewed) >= announcementLease {
+	if l.withdrawn.IsZero() && now.Sub(l.renewed) >= l.holds() {
 		l.withdrawn = now
 		lapsed = true
 	}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -111,6 +111,14 @@
 	Slots int `json:"slots"`
 	// State is "cold", "ready" or "draining".
 	State string `json:"state"`
+	// Instance names one start of the target, empty when it gives none.
+	Instance string `json:"instance,omitempty"`
+	// Started is when the instance started by its own clock, in milliseconds
+	// since 1970; 0 when it is not given.
+	Started int64 `json:"started,omitempty"`
+	// Sequence grows with each announcement of one start, so that a late one is
+	// told apart; 0 when it is not given.
+	Sequence uint64 `json:"sequence,omitempty"`
 }
 
 // ShortName returns the part of a full name after the workspace.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -40,14 +40,16 @@
 	// reconsider asks for a new choice of neighbours.
 	reconsider chan struct{}
 
-	mu         sync.Mutex
-	table      *table
-	lease      lease
-	contacts   map[string]*contact
-	accepted   map[*accepted]bool
-	floors     map[string]uint64
-	lost       map[string]lostPeer
-	watches    map[string]*zoneWatch
+	mu       sync.Mutex
+	table    *table
+	lease    lease
+	contacts map[string]*contact
+	accepted map[*accepted]bool
+	floors   map[string]uint64
+	lost     map[string]lostPeer
+	watches  map[string]*zoneWatch
+	// rolled holds the control addresses of hosts that the log names.
+	rolled     []string
 	neighbours map[string]*neighbour
 	// listed holds the hosts that are unreachable by the word of their zones.
 	listed map[string]bool
@@ -86,6 +88,7 @@
 	m.counts = newCounts(options.Metrics, m)
 	now := time.Now()
 	m.started = now
+	m.lease.length = options.Lease
 	self := newEntry(options.Self, options.Identity.Incarnation)
 	m.table.merge(self, "", now)
 	m.publishLocked(now)
@@ -106,6 +109,7 @@
 	tasks.Go(func() { m.keepView(ctx) })
 	tasks.Go(func() { m.maintain(ctx) })
 	tasks.Go(func() { m.keepNeighbours(ctx) })
+	tasks.Go(func() { m.keepRoll(ctx) })
 	tasks.Wait()
 	return nil
 }
@@ -147,6 +151,7 @@
 // Depart tells all that this daemon has stopped. Call it last, while Run
 // still runs.
 func (m *Membership) Depart(ctx context.Context) error {
+	m.eraseRoll(ctx)
 	return m.retire(ctx, Left)
 }
 
--- a/internal/membership/observe.go
+++ b/internal/membership/observe.go
@@ -104,6 +104,11 @@
 		}
 	}
 	m.mu.Unlock()
+	m.askReconsider()
+}
+
+// askReconsider makes keepNeighbours choose again soon.
+func (m *Membership) askReconsider() {
 	select {
 	case m.reconsider <- struct{}{}:
 	default:
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -9,6 +9,7 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/logging"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
 
@@ -24,9 +25,15 @@
 	Position func() (offset uint64, digest []byte)
 	// OnPeerPosition is told the position of a peer with every heartbeat.
 	OnPeerPosition func(host, control string, offset uint64, digest []byte)
-	Events         timeline.Recorder
-	Logger         *logrus.Logger
-	Metrics        *metrics.Set
+	// Lease is how long an announcement of the target holds without renewal, 0
+	// for announcementLease.
+	Lease time.Duration
+	// Hosts is a log in which daemons find each other without seeds, nil for
+	// none.
+	Hosts   platform.KeyedLog
+	Events  timeline.Recorder
+	Logger  *logrus.Logger
+	Metrics *metrics.Set
 }
 
 // withDefaults returns options in which nothing optional is nil.
--- a/internal/publish/compose.go
+++ b/internal/publish/compose.go
@@ -20,6 +20,7 @@
 			next.Routes[route.Name] = route
 		}
 	}
+	next.Hosts = newHostTable(next.Routes)
 	return next
 }
 
--- a/internal/publish/configuration.go
+++ b/internal/publish/configuration.go
@@ -31,6 +31,8 @@
 	Routes map[string]*Route
 	// Grants assign keys of calls that may not be repeated to homes.
 	Grants once.Grants
+	// Hosts holds the routes that are reached by host and path prefix.
+	Hosts HostTable
 }
 
 // Workspace is the rendered configuration of one team.
@@ -41,6 +43,19 @@
 	Routes   []*Route
 	// Tokens give access to the administration of the workspace, by name.
 	Tokens []Token
+	// Limits bound what callers may send, nil for the defaults.
+	Limits *Limits
+}
+
+// Limits bound what callers of a workspace given as a whole may send.
+type Limits struct {
+	// HeaderBytes and BodyBytes are sizes in bytes.
+	HeaderBytes int64
+	BodyBytes   int64
+	// HeaderTimeout is how long a caller may take for the headers.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection is kept without a call.
+	IdleTimeout time.Duration
 }
 
 // Service is a set of targets that run the same program.
@@ -49,6 +64,8 @@
 	Name string
 	// Slots is how many requests one target runs at once.
 	Slots int
+	// SlotsOpen says that a target that announces slots knows better.
+	SlotsOpen bool
 	// Queue is how many requests may wait for a slot.
 	Queue int
 	// Connections is how many connections a daemon keeps to its target.
@@ -65,12 +82,30 @@
 	Name string
 	// Service is the full name of the service, maybe of another workspace.
 	Service string
+	// Split divides the calls between services by weight; empty means that
+	// Service gets all.
+	Split []Share
+	// Host and Prefix reach the route by the host and the beginning of the path
+	// of a request, besides its name. Host is empty for a route without them.
+	Host   string
+	Prefix string
 	// Idempotent says that a call may be run again.
 	Idempotent bool
+	// Keyless says that calls that may not be repeated come without a key. They
+	// run at most once for each request, but not over requests.
+	Keyless bool
+	// Objective is the time within which an answer is worth its full value, 0
+	// when none is given.
+	Objective time.Duration
+	// Priority is the rank of the route's calls under overload, 0 the highest.
+	Priority int
 	// Deadline bounds each call that carries none.
 	Deadline time.Duration
 	// Retries is how many more attempts one call may take.
 	Retries int
+	// Refusals is how many further hosts one call may be taken to after hosts
+	// that refused it before it reached their target.
+	Refusals int
 	// RetryBudget is the share of calls that may be retries, from 0 to 1.
 	RetryBudget float64
 	// Hedge is the delay after which an idempotent call is sent to a second
@@ -78,6 +113,26 @@
 	Hedge time.Duration
 }
 
+// Services returns the full names of the services that may get calls.
+func (r *Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	names := make([]string, len(r.Split))
+	for i, share := range r.Split {
+		names[i] = share.Service
+	}
+	return names
+}
+
+// Share is a service's part of the calls of a route.
+type Share struct {
+	// Service is the full name of the service.
+	Service string
+	// Weight is relative to the weights of the other shares.
+	Weight int
+}
+
 // Outcome says what a fold did with a publication.
 type Outcome int
 
--- a/internal/publish/entry.go
+++ b/internal/publish/entry.go
@@ -9,8 +9,8 @@
 		return "has no schema number"
 	case len(entry.ProtoReflect().GetUnknown()) > 0:
 		return "has fields that its schema lacks"
-	case entry.GetGrant() == nil && entry.GetPublication() == nil:
-		return "holds neither a publication nor a grant"
+	case entry.GetKind() == nil:
+		return "holds nothing that its schema knows"
 	}
 	return ""
 }
--- a/internal/publish/fold.go
+++ b/internal/publish/fold.go
@@ -21,7 +21,9 @@
 
 // workspaceState is the accepted source of one workspace.
 type workspaceState struct {
+	// source is nil for a workspace that is given as a whole.
 	source  *Source
+	whole   *Whole
 	version Version
 	author  string
 	digest  itemDigest
@@ -65,7 +67,7 @@
 // Source returns the source of a workspace and its version, false for none.
 func (f *Fold) Source(workspace string) (*Source, Version, bool) {
 	state, found := f.workspaces[workspace]
-	return state.source, state.version, found
+	return state.source, state.version, found && state.source != nil
 }
 
 // Apply folds the record that follows Offset. The verdict is nil when the
@@ -88,6 +90,18 @@
 		f.advance(record.Offset)
 		return nil, nil
 	}
+	if entry.GetSkip() != nil {
+		f.advance(record.Offset)
+		return nil, nil
+	}
+	if whole := entry.GetWhole(); whole != nil {
+		// The verdict is not kept: a fold that began at a later whole must
+		// equal this one.
+		verdict := f.replaceWhole(record.Offset, whole)
+		verdict.Offset = record.Offset
+		f.advance(record.Offset)
+		return &verdict, nil
+	}
 	return f.conclude(record.Offset, f.publish(record.Offset, entry.GetPublication())), nil
 }
 
--- a/internal/publish/snapshot.go
+++ b/internal/publish/snapshot.go
@@ -24,6 +24,11 @@
 	}
 	for _, name := range f.names() {
 		state := f.workspaces[name]
+		if state.whole != nil {
+			wire := &WorkspaceSource{Name: name, Version: uint64(state.version), Whole: state.whole}
+			snapshot.Workspaces = append(snapshot.Workspaces, wire)
+			continue
+		}
 		snapshot.Workspaces = append(snapshot.Workspaces, sourceToWire(state.source, state.version, state.author))
 	}
 	for _, each := range f.verdicts.kept {
@@ -81,6 +86,9 @@
 }
 
 func (f *Fold) restoreWorkspace(wire *WorkspaceSource) error {
+	if whole := wire.GetWhole(); whole != nil {
+		return f.restoreWhole(whole, Version(wire.GetVersion()))
+	}
 	source := sourceFromWire(wire)
 	workspace, found := Render(source)
 	if len(found) > 0 {
@@ -97,3 +105,14 @@
 	}
 	return nil
 }
+
+func (f *Fold) restoreWhole(whole *Whole, version Version) error {
+	if found := checkWhole(whole); len(found) > 0 {
+		return errors.New(found[0].String())
+	}
+	workspace := renderWhole(whole)
+	workspace.Version = version
+	f.config = replace(f.config, workspace)
+	f.workspaces[workspace.Name] = wholeState(whole, version)
+	return nil
+}
--- a/internal/publish/validate.go
+++ b/internal/publish/validate.go
@@ -131,8 +131,10 @@
 	var found problems
 	for _, name := range slices.Sorted(maps.Keys(config.Routes)) {
 		route := config.Routes[name]
-		if config.Services[route.Service] == nil {
-			found.add("route "+name, "service %s does not exist", route.Service)
+		for _, service := range route.Services() {
+			if config.Services[service] == nil {
+				found.add("route "+name, "service %s does not exist", service)
+			}
 		}
 	}
 	return found
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -3,54 +3,77 @@
 import (
 	"sync"
 
+	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
 
 const (
-	// budgetBurst is how many retries a route may save up.
+	// budgetBurst is how many retries of a service may be saved up.
 	budgetBurst = 10
-	// budgetStart is how many retries a route has before its first call.
+	// budgetStart is how many retries a service has before its first call.
 	budgetStart = 3
 )
 
-// Budgets holds the retry budget of each route: retries are a share of calls,
+// Budgets holds the retry budget of each service: retries are a share of calls,
 // so that they fade where calls fail in numbers.
 type Budgets struct {
+	// slack is how many retries all daemons together may save up for one
+	// service, 0 for budgetBurst on each.
+	slack     float64
+	directory membership.Directory
+
 	mu     sync.Mutex
 	tokens map[string]float64
 }
 
-// NewBudgets returns budgets of routes that have seen no calls.
-func NewBudgets() *Budgets { return &Budgets{tokens: make(map[string]float64)} }
+// NewBudgets returns budgets of services that have seen no calls. With a slack
+// each living daemon of the directory saves up an equal part of it.
+func NewBudgets(slack float64, directory membership.Directory) *Budgets {
+	return &Budgets{slack: slack, directory: directory, tokens: make(map[string]float64)}
+}
 
-// Deposit counts one call of a route.
-func (b *Budgets) Deposit(route *publish.Route) {
+// Deposit counts one call of a route to a service.
+func (b *Budgets) Deposit(route *publish.Route, service *publish.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tokens := b.of(route.Name) + min(max(route.RetryBudget, 0), 1)
-	b.tokens[route.Name] = min(tokens, budgetBurst)
+	tokens := b.of(service.Name) + min(max(route.RetryBudget, 0), 1)
+	b.tokens[service.Name] = min(tokens, b.burst())
 }
 
-// Withdraw reports whether the route may make one more retry now, and counts it.
-func (b *Budgets) Withdraw(route *publish.Route) bool {
+// Withdraw reports whether one more retry may be made now, and counts it.
+func (b *Budgets) Withdraw(route *publish.Route, service *publish.Service) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tokens := b.of(route.Name)
+	tokens := b.of(service.Name)
 	if route.RetryBudget <= 0 || tokens < 1 {
 		return false
 	}
-	b.tokens[route.Name] = tokens - 1
+	b.tokens[service.Name] = tokens - 1
 	return true
 }
 
-func (b *Budgets) of(route string) float64 {
-	tokens, found := b.tokens[route]
+func (b *Budgets) of(service string) float64 {
+	tokens, found := b.tokens[service]
 	if !found {
-		return budgetStart
+		return min(budgetStart, b.burst())
 	}
 	return tokens
 }
 
+// burst returns how many retries of a service this daemon may save up.
+func (b *Budgets) burst() float64 {
+	if b.slack <= 0 || b.directory == nil {
+		return budgetBurst
+	}
+	living := 0
+	for _, member := range b.directory.View().Members {
+		if member.State != membership.Left {
+			living++
+		}
+	}
+	return b.slack / float64(max(living, 1))
+}
+
 // belowShare divides the retries left to a call by what the next hop may spend.
 const belowShare = 2
 
--- a/internal/route/budget_test.go
+++ b/internal/route/budget_test.go
@@ -17,13 +17,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		share := rapid.Float64Range(0, 1).Draw(t, "share")
 		one := &publish.Route{Name: "huts/lookups", RetryBudget: share}
-		budgets := route.NewBudgets()
+		service := &publish.Service{Name: "huts/registry"}
+		budgets := route.NewBudgets(0, nil)
 		calls, retries := 0, 0
 		for _, call := range rapid.SliceOf(rapid.Bool()).Draw(t, "calls") {
 			if call {
 				calls++
-				budgets.Deposit(one)
-			} else if budgets.Withdraw(one) {
+				budgets.Deposit(one, service)
+			} else if budgets.Withdraw(one, service) {
 				retries++
 			}
 			assert.Assert(t, float64(retries) <= start+share*float64(calls)+1e-9)
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -170,6 +170,12 @@
 			return refuse()
 		}
 		into.SetInt(int64(number))
+	} else if into.Kind() == reflect.Float64 {
+		number, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return refuse()
+		}
+		into.SetFloat(number)
 	} else {
 		into.SetString(text)
 	}
--- a/internal/settings/page_test.go
+++ b/internal/settings/page_test.go
@@ -40,7 +40,7 @@
 		return "size"
 	case t.Kind() == reflect.Slice:
 		return "list of texts"
-	case t.Kind() == reflect.Int:
+	case t.Kind() == reflect.Int, t.Kind() == reflect.Float64:
 		return "number"
 	default:
 		return "text"
--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -37,7 +37,7 @@
 		literal: '"',
 		kind:    field.Type,
 	}
-	if field.Type.Kind() == reflect.Int {
+	if kind := field.Type.Kind(); kind == reflect.Int || kind == reflect.Float64 {
 		r.literal = '0'
 	}
 	return r
@@ -52,6 +52,8 @@
 		return fmt.Sprintf(`a size with a unit from %q to %q, such as "64KiB"`, r.min, r.max)
 	case r.kind.Kind() == reflect.Int:
 		return fmt.Sprintf("a whole number from %s to %s", r.min, r.max)
+	case r.kind.Kind() == reflect.Float64:
+		return fmt.Sprintf("a number from %s to %s", r.min, r.max)
 	}
 	return formText(r.form)
 }
@@ -72,6 +74,12 @@
 		return `"debug", "info", "warning" or "error"`
 	case "access":
 		return `"` + AccessOpen + `" or "` + AccessTokens + `"`
+	case "address or nothing":
+		return `an IP address with a port, such as "10.0.0.7:7400", or nothing`
+	case "adapter":
+		return `"` + AdapterNone + `" or "platform"`
+	case "pace":
+		return `"` + PaceCalm + `" or "` + PaceBrisk + `"`
 	case "hash":
 		return "64 lower-case hexadecimal digits, or nothing"
 	default:
@@ -90,6 +98,10 @@
 	case v.Kind() == reflect.Int:
 		return v.Int() >= mustInt(r.min) && v.Int() <= mustInt(r.max)
 	}
+	if v.Kind() == reflect.Float64 {
+		// Written so that a NaN is refused.
+		return v.Float() >= float64(mustInt(r.min)) && v.Float() <= float64(mustInt(r.max))
+	}
 	return formAllows(r.form, v.String())
 }
 
@@ -108,6 +120,12 @@
 		return text != "warn" && isLevel(text)
 	case "access":
 		return text == AccessOpen || text == AccessTokens
+	case "address or nothing":
+		return text == "" || formAllows("address", text)
+	case "adapter":
+		return text == AdapterNone || text == "platform"
+	case "pace":
+		return text == PaceCalm || text == PaceBrisk
 	case "hash":
 		return text == "" || hashPattern.MatchString(text)
 	default:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,12 +19,28 @@
 	// Platform is how the log is reached.
 	Platform Platform `json:"platform"`
 	// Peers are control addresses of a few other daemons, at best of several zones.
-	Peers    []string `json:"peers" form:"address"`
+	Peers []string `json:"peers" form:"address"`
+	// Adapter names the adapter through which callers, the target and the
+	// platform are spoken to, "none" for the mesh's own interfaces.
+	Adapter string  `json:"adapter" default:"none" form:"adapter"`
+	Target  Target  `json:"target"`
+	Retries Retries `json:"retries"`
+	// Pace is how soon a silent source of configuration is left.
+	Pace string `json:"pace" default:"calm" form:"pace"`
+	// Keys says whether calls with keys are served. Off, no grants are written.
+	Keys string `json:"keys" default:"on" form:"switch"`
+	// Snapshots says whether this daemon may write snapshots to the log.
+	Snapshots string `json:"snapshots" default:"on" form:"switch"`
+	// Memory is what the process may use, 0B for no limit.
+	Memory   Size     `json:"memory" default:"0B" min:"0B" max:"1TiB"`
 	Log      Log      `json:"log"`
 	Admin    Admin    `json:"admin"`
 	Timeline Timeline `json:"timeline"`
 	// TLS secures connections between daemons, to the platform and of operators.
 	TLS TLS `json:"tls"`
+	// StopLinger is how long a stop goes on taking calls of callers, which need
+	// time to learn that this daemon is not ready any more.
+	StopLinger Duration `json:"stop_linger" default:"0s" min:"0s" max:"10m"`
 	// StopTimeout bounds a graceful stop.
 	StopTimeout Duration `json:"stop_timeout" default:"10s" min:"100ms" max:"10m"`
 }
@@ -41,6 +57,8 @@
 	Admin string `json:"admin" required:"true" form:"address"`
 	// Target takes the announcements of the target on this host.
 	Target string `json:"target" required:"true" form:"address"`
+	// Ready answers whether this daemon takes callers, empty for nowhere.
+	Ready string `json:"ready" form:"address or nothing"`
 }
 
 // Platform is how the log service is reached.
@@ -55,6 +73,31 @@
 	Timeout Duration `json:"timeout" default:"2s" min:"10ms" max:"1m"`
 }
 
+// Target is the target of this host.
+type Target struct {
+	// Service is the service that the target runs, empty to take any that it
+	// announces.
+	Service string `json:"service"`
+	// Lease is how long an announcement holds without renewal.
+	Lease Duration `json:"lease" default:"3s" min:"100ms" max:"10m"`
+}
+
+// Retries bounds the retries of calls besides the budget of each route.
+type Retries struct {
+	// Slack is how many retries of one service all daemons together may save
+	// up, 0 for a fixed number on each daemon.
+	Slack float64 `json:"slack" default:"0" min:"0" max:"1000000"`
+}
+
+// Values of Settings.Pace.
+const (
+	PaceCalm  = "calm"
+	PaceBrisk = "brisk"
+)
+
+// AdapterNone is the value of Settings.Adapter for the mesh's own interfaces.
+const AdapterNone = "none"
+
 // Log says what is logged.
 type Log struct {
 	// Level is "debug", "info", "warning" or "error".
