Admit by rank and objective, learn what a place in the queue costs

Change: the queue is ordered by priority, within a priority those whose caller came back late go last; a request queues only where the wait that its rank has met of late fits its objective; other regions are asked for a free slot only; a host that refused as full is passed over for 0.1 to 0.8 s by that rank and less urgent ones; a call is answered 20 ms before its caller's time is up. Ruled out: more slots at the gate (upstreams shed beyond theirs), more retries (the budget was not what bound).

--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -59,10 +59,12 @@
 func (s *Server) attempts(ctx context.Context, c *outbound) (*answer, *Error) {
 	var last *Error
 	for attempt := 1; ; attempt++ {
-		member, failure := s.choose(c)
+		choice, failure := s.choose(c)
 		if failure != nil {
 			return nil, c.conclude(last, failure)
 		}
+		member := choice.Member
+		c.request.freeSlotOnly = choice.FreeSlotOnly
 		result, failure := s.attemptOrHedge(ctx, c, &attempt, &member)
 		if failure == nil && !c.shedByTarget(result) {
 			return result, nil
@@ -113,19 +115,21 @@
 }
 
 // choose returns the host for the next attempt.
-func (s *Server) choose(c *outbound) (membership.Member, *Error) {
+func (s *Server) choose(c *outbound) (route.Choice, *Error) {
 	if c.request.key != "" {
-		return s.home(c)
+		member, failure := s.home(c)
+		return route.Choice{Member: member}, failure
 	}
 	exclude := c.tried
 	if s.inflight.isDraining() {
 		exclude = with(exclude, s.self.Host)
 	}
-	member, err := s.router.Pick(c.request.service, exclude)
+	want := route.Want{Service: c.request.service, Exclude: exclude, Priority: c.request.priority}
+	choice, err := s.router.Choose(want)
 	if err != nil {
-		return membership.Member{}, s.fail(NotRun, StepPick, http.StatusServiceUnavailable, err)
+		return route.Choice{}, s.fail(NotRun, StepPick, http.StatusServiceUnavailable, err)
 	}
-	return member, nil
+	return choice, nil
 }
 
 func with(hosts map[string]bool, host string) map[string]bool {
@@ -228,12 +232,12 @@
 	result, failure := s.serveTarget(ctx, q)
 	load := s.gate.load()
 	if failure != nil {
-		s.router.Done(s.self.Host, route.Result{Verdict: verdictOf(failure), Position: member.Position, Load: &load})
+		s.router.Done(s.self.Host, route.Result{Verdict: verdictOf(failure), Priority: q.priority, Position: member.Position, Load: &load})
 		return nil, failure
 	}
 	result.host, result.attempt = s.self.Host, q.attempt
 	result.onRelease(func(whole bool) {
-		s.router.Done(s.self.Host, route.Result{Verdict: result.verdict(whole), Load: &load})
+		s.router.Done(s.self.Host, route.Result{Verdict: result.verdict(whole), Priority: q.priority, Load: &load})
 	})
 	return result, nil
 }
@@ -261,7 +265,7 @@
 	load := loadOf(response.Header)
 	if failure := readError(member.Host, response); failure != nil {
 		_ = response.Body.Close()
-		s.router.Done(member.Host, route.Result{Verdict: verdictOf(failure), Position: member.Position, Load: load})
+		s.router.Done(member.Host, route.Result{Verdict: verdictOf(failure), Priority: q.priority, Position: member.Position, Load: load})
 		return nil, failure
 	}
 	return s.takeAnswer(ctx, q, member.Host, response, load)
@@ -270,7 +274,7 @@
 func (s *Server) takeAnswer(ctx context.Context, q *request, host string, response *http.Response, load *route.Load) (*answer, *Error) {
 	status := response.StatusCode
 	result, err := newAnswer(response, func(whole bool) {
-		s.router.Done(host, route.Result{Verdict: answerVerdict(status, whole), Load: load})
+		s.router.Done(host, route.Result{Verdict: answerVerdict(status, whole), Priority: q.priority, Load: load})
 	})
 	if err != nil {
 		return nil, &Error{Outcome: Unknown, Step: StepAnswer, Peer: host, Status: statusOf(ctx, err), Err: err}
@@ -303,6 +307,15 @@
 	header.Set(HeaderService, q.service.Name)
 	header.Set(headerWorkspace, q.workspace)
 	header.Set(headerPriority, strconv.Itoa(q.priority))
+	if q.objective > 0 {
+		header.Set(headerObjective, q.objective.String())
+	}
+	if q.late {
+		header.Set(headerLate, "1")
+	}
+	if q.freeSlotOnly {
+		header.Set(headerFreeSlot, "1")
+	}
 	header.Set(HeaderVersion, strconv.FormatUint(uint64(q.config.Version), 10))
 	if s.clock != nil {
 		header.Set(HeaderClock, s.clock.Now().String())
@@ -333,6 +346,8 @@
 		return route.Leaving
 	}
 	switch failure.Step {
+	case StepAdmit:
+		return route.Full
 	case StepPeer, StepTarget, StepAnswer:
 		if failure.Status != statusCallerGone {
 			return route.Bad
--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -20,11 +20,17 @@
 
 // Enter takes a slot.
 func (g *Gate) Enter(ctx context.Context, workspace string, deadline time.Time, slots, queue int, timeout time.Duration) error {
-	return g.gate.enter(ctx, workspace, deadline, limits{slots: slots, queue: queue, timeout: timeout})
+	return g.EnterAs(ctx, workspace, 0, deadline, slots, queue, timeout)
+}
+
+// EnterAs takes a slot for a request of a rank.
+func (g *Gate) EnterAs(ctx context.Context, workspace string, priority int, deadline time.Time, slots, queue int, timeout time.Duration) error {
+	request := ticket{workspace: workspace, priority: priority, deadline: deadline}
+	return g.gate.enter(ctx, request, limits{slots: slots, queue: queue, timeout: timeout})
 }
 
 // Leave frees a slot.
-func (g *Gate) Leave(held time.Duration) { g.gate.leave(held) }
+func (g *Gate) Leave(held time.Duration) { g.gate.leave(0, held) }
 
 // Load returns how many requests hold slots and how many wait.
 func (g *Gate) Load() (busy, queued int) {
--- a/internal/call/gate.go
+++ b/internal/call/gate.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,10 +28,34 @@
 	timeout time.Duration
 }
 
+// ticket is a request before a gate.
+type ticket struct {
+	workspace string
+	// priority is the rank of the request, 0 the highest.
+	priority int
+	// late says that the objective has passed.
+	late     bool
+	deadline time.Time
+	// objective is the time within which an answer has its full value, 0 when
+	// none is given.
+	objective time.Duration
+}
+
+// rank orders requests of one line: by priority, then those that can still meet
+// their objective first.
+func (t ticket) rank() int {
+	if t.late {
+		return 2*t.priority + 1
+	}
+	return 2 * t.priority
+}
+
 // waiter is one request in the queue.
 type waiter struct {
-	workspace string
-	deadline  time.Time
+	ticket
+	since time.Time
+	// place is how many waiters were ahead when it came, itself included.
+	place int
 	// settled is closed when the waiter has left the queue; err says how.
 	settled chan struct{}
 	err     error
@@ -48,22 +74,38 @@
 	turns []string
 	// limits are those of the latest request.
 	limits limits
-	// serviceTime is the moving mean time that a request holds a slot.
+	// serviceTime is the moving mean time that a request holds a slot, and
+	// rankTimes the same for the requests of each rank.
 	serviceTime time.Duration
+	rankTimes   map[int]time.Duration
+	// waits holds, by rank, what a place in the queue has cost of late.
+	waits map[int]*placeWait
+}
+
+// placeWait is the moving mean time that each place in the queue costs a rank.
+// More urgent requests that come later push others back, so it may be far above
+// the service time over the slots.
+type placeWait struct {
+	mean    time.Duration
+	updated time.Time
 }
 
+// placeHalfLife is how long it takes until half of a learnt wait counts, so that
+// a rank that was refused for a while is tried again.
+const placeHalfLife = 500 * time.Millisecond
+
 func newGate(now func() time.Time) *gate {
-	return &gate{now: now, lines: make(map[string][]*waiter)}
+	return &gate{now: now, lines: make(map[string][]*waiter), rankTimes: make(map[int]time.Duration), waits: make(map[int]*placeWait)}
 }
 
 // enter takes a slot, waiting for one if need be. leave must follow a nil
 // error.
-func (g *gate) enter(ctx context.Context, workspace string, deadline time.Time, limits limits) error {
-	entry, err := g.line(workspace, deadline, limits)
+func (g *gate) enter(ctx context.Context, request ticket, limits limits) error {
+	entry, err := g.line(request, limits)
 	if err != nil || entry == nil {
 		return err
 	}
-	timer := time.NewTimer(limits.timeout)
+	timer := time.NewTimer(min(limits.timeout, g.mayWait(request)))
 	defer timer.Stop()
 	select {
 	case <-entry.settled:
@@ -76,7 +118,7 @@
 }
 
 // line takes a free slot or queues. It returns nil when it took a slot.
-func (g *gate) line(workspace string, deadline time.Time, limits limits) (*waiter, error) {
+func (g *gate) line(request ticket, limits limits) (*waiter, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limits = limits
@@ -85,38 +127,120 @@
 		g.busy++
 		return nil, nil
 	}
-	if !g.canMeet(deadline) {
+	if limits.queue == 0 {
+		return nil, errQueueFull
+	}
+	if !g.canMeet(request) {
 		return nil, errTooLate
 	}
-	if g.queued >= limits.queue && !g.displace(workspace) {
+	if g.queued >= limits.queue && !g.displace(request) {
 		return nil, errQueueFull
 	}
-	entry := &waiter{workspace: workspace, deadline: deadline, settled: make(chan struct{})}
+	entry := &waiter{ticket: request, since: g.now(), place: g.ahead(request) + 1, settled: make(chan struct{})}
 	g.push(entry)
 	return entry, nil
 }
 
-// canMeet reports whether a request that queues now is expected to end in time.
-func (g *gate) canMeet(deadline time.Time) bool {
-	slots := max(g.limits.slots, 1)
-	wait := g.serviceTime * time.Duration(g.queued+1) / time.Duration(slots)
-	return g.now().Add(wait + g.serviceTime).Before(deadline)
+// patience is the share of an objective that a request may at least wait, also
+// one that is late.
+const patience = 0.25
+
+// canMeet reports whether a request that queues now is expected to end by its
+// deadline, and to wait no longer than its objective leaves room for.
+func (g *gate) canMeet(request ticket) bool {
+	wait := time.Duration(g.ahead(request)+1) * g.placeTime(request.rank())
+	if !g.now().Add(wait + g.timeOf(request.priority)).Before(request.deadline) {
+		return false
+	}
+	return request.objective <= 0 || wait <= g.room(request)
+}
+
+// mayWait returns how long a request waits before it is refused.
+func (g *gate) mayWait(request ticket) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	left := request.deadline.Sub(g.now()) - g.timeOf(request.priority)
+	if request.objective > 0 {
+		left = min(left, g.room(request))
+	}
+	return max(left, 0)
+}
+
+// room returns how long a request may wait within its objective.
+func (g *gate) room(request ticket) time.Duration {
+	least := time.Duration(patience * float64(request.objective))
+	if request.late {
+		return least
+	}
+	return max(request.objective-g.timeOf(request.priority), least)
 }
 
-// displace makes room for a workspace by refusing the last waiter of the
-// longest line, if that line is longer than the workspace's own would be.
-func (g *gate) displace(workspace string) bool {
+// placeTime returns what one place in the queue is expected to cost a rank.
+func (g *gate) placeTime(rank int) time.Duration {
+	least := g.serviceTime / time.Duration(max(g.limits.slots, 1))
+	known := g.waits[rank]
+	if known == nil {
+		return least
+	}
+	fade := math.Exp2(-float64(g.now().Sub(known.updated)) / float64(placeHalfLife))
+	return max(least, time.Duration(fade*float64(known.mean)))
+}
+
+// learn notes how long a waiter waited for its place.
+func (g *gate) learn(entry *waiter) {
+	known := g.waits[entry.rank()]
+	if known == nil {
+		known = &placeWait{}
+		g.waits[entry.rank()] = known
+	}
+	now := g.now()
+	known.mean = moved(known.mean, now.Sub(entry.since)/time.Duration(max(entry.place, 1)))
+	known.updated = now
+}
+
+// timeOf returns the mean time that a request of a rank holds a slot.
+func (g *gate) timeOf(priority int) time.Duration {
+	if known, found := g.rankTimes[priority]; found {
+		return known
+	}
+	return g.serviceTime
+}
+
+// ahead counts the waiters that get a slot before a request that comes now.
+func (g *gate) ahead(request ticket) int {
+	count := 0
+	for workspace, line := range g.lines {
+		for _, other := range line {
+			if workspace != request.workspace || other.rank() <= request.rank() {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// displace makes room for a request by refusing the last waiter of the longest
+// line: of another workspace, if that line is longer than the request's own
+// would be, or of the same one, if that waiter is less urgent.
+func (g *gate) displace(request ticket) bool {
 	longest := ""
 	for name, line := range g.lines {
 		if longest == "" || len(line) > len(g.lines[longest]) {
 			longest = name
 		}
 	}
+	if own := g.lines[request.workspace]; len(own) > 0 && own[len(own)-1].rank() > request.rank() {
+		longest = request.workspace
+	}
 	line := g.lines[longest]
-	if len(line) <= len(g.lines[workspace])+1 {
+	if len(line) == 0 {
 		return false
 	}
 	last := line[len(line)-1]
+	lessUrgent := longest == request.workspace && last.rank() > request.rank()
+	if !lessUrgent && len(line) <= len(g.lines[request.workspace])+1 {
+		return false
+	}
 	g.remove(last)
 	last.settle(errQueueFull)
 	return true
@@ -127,11 +251,18 @@
 	close(w.settled)
 }
 
+// push puts a waiter into the line of its workspace, behind those that are as
+// urgent.
 func (g *gate) push(entry *waiter) {
 	if len(g.lines[entry.workspace]) == 0 {
 		g.turns = append(g.turns, entry.workspace)
 	}
-	g.lines[entry.workspace] = append(g.lines[entry.workspace], entry)
+	line := g.lines[entry.workspace]
+	at := len(line)
+	for at > 0 && line[at-1].rank() > entry.rank() {
+		at--
+	}
+	g.lines[entry.workspace] = slices.Insert(line, at, entry)
 	g.queued++
 }
 
@@ -168,28 +299,36 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.remove(entry) {
+		g.learn(entry)
 		return cause
 	}
 	return entry.err
 }
 
 // leave frees a slot that was held for a time.
-func (g *gate) leave(held time.Duration) {
+func (g *gate) leave(priority int, held time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.busy--
-	if g.serviceTime == 0 {
-		g.serviceTime = held
-	}
-	g.serviceTime += time.Duration(serviceTimeWeight * float64(held-g.serviceTime))
+	g.serviceTime = moved(g.serviceTime, held)
+	g.rankTimes[priority] = moved(g.rankTimes[priority], held)
 	g.grant()
 }
 
+// moved returns a moving mean after a new sample. A mean of 0 has none yet.
+func moved(mean, sample time.Duration) time.Duration {
+	if mean == 0 {
+		return sample
+	}
+	return mean + time.Duration(serviceTimeWeight*float64(sample-mean))
+}
+
 // grant gives free slots to waiters in turn and refuses those that are late.
 func (g *gate) grant() {
 	for g.busy < g.limits.slots && g.queued > 0 {
 		entry := g.next()
-		if g.now().Add(g.serviceTime).After(entry.deadline) {
+		g.learn(entry)
+		if g.now().Add(g.timeOf(entry.priority)).After(entry.deadline) {
 			entry.settle(errTooLate)
 			continue
 		}
--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -16,6 +16,13 @@
 	headerWorkspace = "Mulberry-Workspace"
 	// headerPriority carries the rank of the caller's route between daemons.
 	headerPriority = "Mulberry-Priority"
+	// headerObjective carries the objective of the caller's route, such as
+	// "400ms".
+	headerObjective = "Mulberry-Objective"
+	// headerLate is "1" when the objective has passed.
+	headerLate = "Mulberry-Late"
+	// headerFreeSlot is "1" when the request does not wait for a slot.
+	headerFreeSlot = "Mulberry-Free-Slot"
 	// defaultDeadline bounds calls of routes that name none.
 	defaultDeadline = 30 * time.Second
 	// writeGrace is how long after a call's deadline its connection may still
@@ -279,6 +286,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	objective, err := parseDeadline(r.Header.Get(headerObjective))
+	if err != nil {
+		return nil, 0, err
+	}
 	key := r.Header.Get(HeaderKey)
 	if key != "" {
 		if key, err = parseKey(key); err != nil {
@@ -286,16 +297,19 @@
 		}
 	}
 	return &request{
-		id:        id,
-		attempt:   attempt,
-		key:       key,
-		workspace: r.Header.Get(headerWorkspace),
-		priority:  priority,
-		retries:   retries,
-		method:    r.Method,
-		host:      r.Host,
-		path:      r.URL.EscapedPath(),
-		query:     r.URL.RawQuery,
-		header:    passHeaders(r.Header),
+		id:           id,
+		attempt:      attempt,
+		key:          key,
+		workspace:    r.Header.Get(headerWorkspace),
+		priority:     priority,
+		objective:    objective,
+		late:         r.Header.Get(headerLate) != "",
+		freeSlotOnly: r.Header.Get(headerFreeSlot) != "",
+		retries:      retries,
+		method:       r.Method,
+		host:         r.Host,
+		path:         r.URL.EscapedPath(),
+		query:        r.URL.RawQuery,
+		header:       passHeaders(r.Header),
 	}, left, nil
 }
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -92,11 +92,26 @@
 		allowed = defaultDeadline
 	}
 	if in.Left > 0 {
-		allowed = min(allowed, in.Left)
+		allowed = min(allowed, in.Left-min(finalMargin, in.Left/finalShare))
 	}
 	return allowed
 }
 
+// isLate reports whether the objective of a call has passed already, because its
+// caller came back after refusals.
+func (s *Server) isLate(in Inbound) bool {
+	waited := s.patiences.waited(in.Route.Name, in.Left)
+	return in.Route.Objective > 0 && waited >= in.Route.Objective/2
+}
+
+// finalMargin is how much before its caller's time is up a call is answered in
+// any case, so that the answer still arrives; finalShare bounds it to a part of
+// the time given.
+const (
+	finalMargin = 20 * time.Millisecond
+	finalShare  = 20
+)
+
 // newOutbound returns the call on its way to a target of one of the route's
 // services.
 func (s *Server) newOutbound(r *http.Request, in Inbound, deadline time.Time, body *body) *outbound {
@@ -112,6 +127,8 @@
 			service:   in.Config.Services[service],
 			workspace: workspace,
 			priority:  in.Route.Priority,
+			objective: in.Route.Objective,
+			late:      s.isLate(in),
 			config:    in.Config,
 			deadline:  deadline,
 			method:    r.Method,
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
 
@@ -28,8 +29,15 @@
 	workspace string
 	// priority is the rank of the route, 0 the highest.
 	priority int
-	config   *publish.Configuration
-	deadline time.Time
+	// objective is the time within which an answer has its full value, 0 when
+	// none is given.
+	objective time.Duration
+	// late says that the objective has passed.
+	late bool
+	// freeSlotOnly says that the request does not wait for a slot.
+	freeSlotOnly bool
+	config       *publish.Configuration
+	deadline     time.Time
 	// retries is what the next hop may spend on retries.
 	retries int
 	method  string
@@ -40,6 +48,20 @@
 	body    *body
 }
 
+// ticket is what the gate asks of a request.
+func (q *request) ticket() ticket {
+	return ticket{workspace: q.workspace, priority: q.priority, late: q.late, deadline: q.deadline, objective: q.objective}
+}
+
+// limits returns the limits of the gate for a request to the own target.
+func (q *request) limits(self membership.Member) limits {
+	allowed := limitsOf(q.service, self.Slots)
+	if q.freeSlotOnly {
+		allowed.queue = 0
+	}
+	return allowed
+}
+
 // outgoing builds the HTTP request that carries an attempt to an address.
 func (q *request) outgoing(ctx context.Context, address string, left time.Duration) (*http.Request, error) {
 	path, err := url.PathUnescape(q.path)
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -83,6 +83,7 @@
 	target    TargetSource
 	dialect   Dialect
 	splits    *route.Splits
+	patiences *patiences
 	keys      Keys
 	router    *route.Router
 	budgets   *route.Budgets
@@ -110,6 +111,7 @@
 		target:    options.Target,
 		dialect:   options.Dialect,
 		splits:    route.NewSplits(),
+		patiences: newPatiences(),
 		keys:      options.Keys,
 		router:    options.Router,
 		budgets:   route.NewBudgets(options.RetrySlack, options.Directory),
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -46,13 +46,13 @@
 	if address == "" {
 		return nil, s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errNoTargetHere), false
 	}
-	if err := s.gate.enter(ctx, q.workspace, q.deadline, limitsOf(q.service, self.Slots)); err != nil {
+	if err := s.gate.enter(ctx, q.ticket(), q.limits(self)); err != nil {
 		s.counters.refused.Inc()
 		return nil, s.fail(NotRun, StepAdmit, http.StatusServiceUnavailable, err), false
 	}
 	s.counters.admitted.Inc()
 	began := s.now()
-	leave := sync.OnceFunc(func() { s.gate.leave(s.now().Sub(began)) })
+	leave := sync.OnceFunc(func() { s.gate.leave(q.priority, s.now().Sub(began)) })
 	sent := TargetRequest{ID: q.id, Instance: instance}
 	response, handed, err := s.exchange(ctx, s.targets, address, q, s.ranEvent(q), s.prepare(&sent))
 	if err != nil {
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -13,6 +13,9 @@
 	spillScore = 0.8
 	// spillMargin is how much lower a remote score must be.
 	spillMargin = 0.2
+	// farScore is the score of the better near choice at which targets of other
+	// regions are looked at: calls would have to wait for a slot.
+	farScore = 1.0
 	// spareScore is the score below which a target has slots to spare.
 	spareScore = 0.5
 	// minStartShare is the share of a target that has just started.
@@ -21,37 +24,80 @@
 	coldSamples = 4
 )
 
-// choose takes the better of two random targets of the own zone, or of two of
-// other zones when the own zone is loaded and they are clearly less so.
-func (r *Router) choose(candidates []candidate) candidate {
-	local, remote := splitByZone(candidates, r.self.Zone)
-	if len(local) == 0 {
+// choose takes a target of the own zone, of the own region when the zone is
+// loaded, and of another region only for a slot that is free there. It reports
+// false when all of them are full.
+func (r *Router) choose(candidates []candidate) (picked candidate, freeSlotOnly, ok bool) {
+	open := withoutFull(candidates)
+	if len(open) == 0 {
+		return candidate{}, false, false
+	}
+	zone, region, far := r.byDistance(open)
+	near, found := r.nearest(zone, region)
+	if !found {
+		r.counters.remote.Inc()
+		return r.better(far), false, true
+	}
+	if len(far) == 0 || near.score < farScore {
+		return near, false, true
+	}
+	other := r.better(far)
+	if other.score < spillScore {
+		r.counters.spilled.Inc()
+		return other, true, true
+	}
+	return near, false, true
+}
+
+// nearest takes the better of two random targets of the own zone, or of two of
+// the region when the zone is loaded and they are clearly less so.
+func (r *Router) nearest(zone, region []candidate) (candidate, bool) {
+	if len(zone) == 0 && len(region) == 0 {
+		return candidate{}, false
+	}
+	if len(zone) == 0 {
 		r.counters.remote.Inc()
-		return r.better(remote)
+		return r.better(region), true
 	}
-	near := r.better(local)
-	if len(remote) == 0 || near.score < spillScore {
+	near := r.better(zone)
+	if len(region) == 0 || near.score < spillScore {
 		r.counters.local.Inc()
-		return near
+		return near, true
 	}
-	far := r.better(remote)
-	if far.score+spillMargin < near.score {
+	other := r.better(region)
+	if other.score+spillMargin < near.score {
 		r.counters.spilled.Inc()
-		return far
+		return other, true
 	}
 	r.counters.local.Inc()
-	return near
+	return near, true
+}
+
+// withoutFull drops the targets that have just refused calls of the rank.
+func withoutFull(candidates []candidate) []candidate {
+	open := make([]candidate, 0, len(candidates))
+	for _, one := range candidates {
+		if !one.full {
+			open = append(open, one)
+		}
+	}
+	return open
 }
 
-func splitByZone(candidates []candidate, zone string) (local, remote []candidate) {
+// byDistance divides targets into those of the own zone, of other zones of the
+// region and of other regions.
+func (r *Router) byDistance(candidates []candidate) (zone, region, far []candidate) {
 	for _, one := range candidates {
-		if one.member.Zone == zone {
-			local = append(local, one)
-		} else {
-			remote = append(remote, one)
+		switch {
+		case one.member.Zone == r.self.Zone:
+			zone = append(zone, one)
+		case one.member.Region == r.self.Region:
+			region = append(region, one)
+		default:
+			far = append(far, one)
 		}
 	}
-	return local, remote
+	return zone, region, far
 }
 
 // better returns the less loaded of two random choices.
--- a/internal/route/evidence.go
+++ b/internal/route/evidence.go
@@ -23,6 +23,10 @@
 	// leavingTime is how long a host that refused work as leaving is passed
 	// over while the directory still shows what it showed then.
 	leavingTime = 2 * time.Second
+	// fullTime is how long a host that refused a call as full is passed over by
+	// calls of the rank. It doubles up to fullMax while the host goes on refusing.
+	fullTime = 100 * time.Millisecond
+	fullMax  = 800 * time.Millisecond
 	// forgetAfter is when a host without calls is forgotten.
 	forgetAfter = 5 * time.Minute
 )
@@ -38,6 +42,8 @@
 	Good
 	// Bad attempts failed at the target or on the way to it.
 	Bad
+	// Full attempts were refused because no slot would be free in time.
+	Full
 	// Leaving attempts met a host that takes no new work, or no longer listens.
 	Leaving
 )
@@ -45,6 +51,8 @@
 // Result is how one attempt ended.
 type Result struct {
 	Verdict Verdict
+	// Priority is the rank of the call.
+	Priority int
 	// Position is that of the member that was picked.
 	Position membership.Position
 	// Load is what the target's daemon reported, nil when it did not.
@@ -79,6 +87,7 @@
 		known.report(*result.Load, now)
 	}
 	known.outstanding = max(known.outstanding-1, 0)
+	known.noteFull(result, now)
 	if result.Verdict == Leaving {
 		known.leavingUntil = now.Add(leavingTime)
 		known.leavingAt = result.Position
@@ -165,3 +174,25 @@
 		}
 	}
 }
+
+// noteFull keeps a refusal as full, or forgets earlier ones when a call of such
+// a rank was taken.
+func (h *host) noteFull(result Result, now time.Time) {
+	switch {
+	case result.Verdict == Full && now.Before(h.fullUntil):
+		h.fullRank = min(h.fullRank, result.Priority)
+	case result.Verdict == Full:
+		length := min(fullTime<<min(h.fulls, 8), fullMax)
+		h.fulls++
+		h.fullRank = result.Priority
+		h.fullUntil = now.Add(length)
+	case result.Verdict == Good && result.Priority >= h.fullRank:
+		h.fulls = 0
+	}
+}
+
+// full reports whether the host has just refused a call of a rank, or of a more
+// urgent one, as full.
+func (h *host) full(priority int, now time.Time) bool {
+	return now.Before(h.fullUntil) && priority >= h.fullRank
+}
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -65,6 +65,11 @@
 	leavingUntil time.Time
 	leavingAt    membership.Position
 	ejectedUntil time.Time
+	// fullUntil is when a refusal as full is forgotten, fullRank the most urgent
+	// rank that was refused, fulls the refusals in a row.
+	fullUntil time.Time
+	fullRank  int
+	fulls     int
 }
 
 // load estimates the requests at the target. What others put there fades with
--- a/internal/route/metrics.go
+++ b/internal/route/metrics.go
@@ -8,6 +8,7 @@
 	remote     *metrics.Counter
 	spilled    *metrics.Counter
 	noTarget   *metrics.Counter
+	allFull    *metrics.Counter
 	ejections  *metrics.Counter
 	distrusted *metrics.Counter
 }
@@ -18,6 +19,7 @@
 		remote:     set.GetOrCreateCounter(`mulberrybank_route_picks_total{choice="other_zone"}`),
 		spilled:    set.GetOrCreateCounter(`mulberrybank_route_picks_total{choice="spilled"}`),
 		noTarget:   set.GetOrCreateCounter(`mulberrybank_route_picks_total{choice="none"}`),
+		allFull:    set.GetOrCreateCounter(`mulberrybank_route_picks_total{choice="full"}`),
 		ejections:  set.GetOrCreateCounter(`mulberrybank_route_ejections_total`),
 		distrusted: set.GetOrCreateCounter(`mulberrybank_route_ejections_distrusted_total`),
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -22,6 +22,9 @@
 // ErrNoTarget says that no target of the service may take a new call.
 var ErrNoTarget = errors.New("no target takes new calls")
 
+// ErrAllFull says that every target has just refused calls as full.
+var ErrAllFull = errors.New("all targets are full")
+
 // Rand is a source of random numbers. It need not be safe for concurrent use.
 type Rand interface {
 	IntN(n int) int
@@ -75,37 +78,66 @@
 	}
 }
 
-// Pick returns the target for the next attempt of a call, never one whose host
-// is excluded. The error is ErrNoTarget when there is none.
+// Want is what a call asks for.
+type Want struct {
+	Service *publish.Service
+	// Exclude holds hosts that are not to be picked.
+	Exclude map[string]bool
+	// Priority is the rank of the call, 0 the highest.
+	Priority int
+}
+
+// Choice is the target for the next attempt of a call.
+type Choice struct {
+	Member membership.Member
+	// FreeSlotOnly says that the attempt is worth making only if a slot is free:
+	// waiting elsewhere is as good and nearer.
+	FreeSlotOnly bool
+}
+
+// Pick is Choose for a call of the highest rank that waits anywhere.
 func (r *Router) Pick(service *publish.Service, exclude map[string]bool) (membership.Member, error) {
-	picked, err := r.pick(service, exclude)
-	return picked.member, err
+	picked, err := r.Choose(Want{Service: service, Exclude: exclude})
+	return picked.Member, err
+}
+
+// Choose returns the target for the next attempt of a call, never one whose
+// host is excluded. The error is ErrNoTarget when there is none, and ErrAllFull
+// when all have just refused calls of the rank as full.
+func (r *Router) Choose(want Want) (Choice, error) {
+	picked, freeSlotOnly, err := r.pick(want)
+	return Choice{Member: picked.member, FreeSlotOnly: freeSlotOnly}, err
 }
 
 // PickSpare is Pick for work that may be left undone: the error is ErrNoTarget
 // too when the target picked has no slots to spare.
 func (r *Router) PickSpare(service *publish.Service, exclude map[string]bool) (membership.Member, error) {
-	picked, err := r.pick(service, exclude)
+	picked, _, err := r.pick(Want{Service: service, Exclude: exclude})
 	if err == nil && picked.score >= spareScore {
 		return membership.Member{}, ErrNoTarget
 	}
 	return picked.member, err
 }
 
-func (r *Router) pick(service *publish.Service, exclude map[string]bool) (candidate, error) {
-	members := r.directory.View().ByService[service.Name]
+func (r *Router) pick(want Want) (candidate, bool, error) {
+	members := r.directory.View().ByService[want.Service.Name]
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	healthy, doubtful := r.candidates(members, service, exclude, now)
+	healthy, doubtful := r.candidates(members, want, now)
 	if len(healthy) == 0 {
 		healthy = doubtful
 	}
 	if len(healthy) == 0 {
 		r.counters.noTarget.Inc()
-		return candidate{}, ErrNoTarget
+		return candidate{}, false, ErrNoTarget
+	}
+	picked, freeSlotOnly, ok := r.choose(r.withoutEjected(healthy))
+	if !ok {
+		r.counters.allFull.Inc()
+		return candidate{}, false, ErrAllFull
 	}
-	return r.choose(r.withoutEjected(healthy)), nil
+	return picked, freeSlotOnly, nil
 }
 
 // candidate is a target that may take a call, with its weighed load.
@@ -114,17 +146,19 @@
 	score   float64
 	share   float64
 	ejected bool
+	// full is set when the target has just refused a call of the rank.
+	full bool
 }
 
 // candidates returns the targets in contact, and those out of contact or that
 // refused work as leaving.
-func (r *Router) candidates(members []membership.Member, service *publish.Service, exclude map[string]bool, now time.Time) (healthy, doubtful []candidate) {
+func (r *Router) candidates(members []membership.Member, want Want, now time.Time) (healthy, doubtful []candidate) {
 	healthy = make([]candidate, 0, len(members))
 	for _, member := range members {
-		if exclude[member.Host] || !takesWork(member) {
+		if want.Exclude[member.Host] || !takesWork(member) {
 			continue
 		}
-		one := r.weigh(member, service, now)
+		one := r.weigh(member, want, now)
 		if member.Reach == membership.Reachable && !r.leaving(member, now) {
 			healthy = append(healthy, one)
 		} else {
@@ -149,7 +183,8 @@
 }
 
 // weigh rates one target. A score of 1 means that all its slots are busy.
-func (r *Router) weigh(member membership.Member, service *publish.Service, now time.Time) candidate {
+func (r *Router) weigh(member membership.Member, want Want, now time.Time) candidate {
+	service := want.Service
 	share := startShare(member, service, now)
 	slots := float64(slotsOf(member, service))
 	known, found := r.hosts[member.Host]
@@ -161,6 +196,7 @@
 		score:   known.load(now) / (slots * share),
 		share:   share,
 		ejected: now.Before(known.ejectedUntil),
+		full:    known.full(want.Priority, now),
 	}
 }
 
