Remember the departure of a target that the daemon had not heard of

Ruled out: an acknowledgement by another machine; a second start of the target. Change: a departure without a start covers every start of that name that came before it, with 5 s for clocks. Each change of a target's state is logged with what decided it.

--- a/internal/membership/http.go
+++ b/internal/membership/http.go
@@ -72,7 +72,7 @@
 		started = known.Started
 	}
 	leaving := start{instance: instance, started: started}
-	m.lease.depart(leaving)
+	m.lease.depart(leaving, time.Now())
 	current := known.start() == leaving
 	m.mu.Unlock()
 	if current {
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -41,6 +41,28 @@
 	started  int64
 }
 
+// departure is a start that said that it leaves. Where it did not say when it
+// started, at is when it left.
+type departure struct {
+	start
+	at time.Time
+}
+
+// clockTolerance is how far the clocks of a daemon and its target may differ.
+const clockTolerance = 5 * time.Second
+
+// covers reports whether a start is the one that left. A start that came after
+// the departure, by the target's clock, is another one.
+func (d departure) covers(s start) bool {
+	if d.instance != s.instance {
+		return false
+	}
+	if d.started > 0 || s.started == 0 {
+		return d.started == s.started
+	}
+	return !time.UnixMilli(s.started).After(d.at.Add(-clockTolerance))
+}
+
 func (a Announcement) start() start { return start{instance: a.Instance, started: a.Started} }
 
 // lease is the state of the target on this host.
@@ -57,7 +79,7 @@
 	withdrawn time.Time
 	// departed holds the starts that said that they leave, oldest first. They
 	// do not become ready again.
-	departed []start
+	departed []departure
 	// checked is when the lease was last moved on with time.
 	checked time.Time
 	// drained is set by the operator or by a stop of the daemon.
@@ -93,9 +115,9 @@
 		return fmt.Errorf("%w: %w: start %q sequence %d", ErrAnnouncement, ErrLate, a.Instance, a.Sequence)
 	}
 	if state == Draining {
-		l.depart(a.start())
+		l.depart(a.start(), now)
 	}
-	if slices.Contains(l.departed, a.start()) {
+	if l.hasDeparted(a.start()) {
 		state = Draining
 	}
 	l.announcement = a
@@ -117,14 +139,19 @@
 }
 
 // depart remembers a start that leaves. One without a name may come back.
-func (l *lease) depart(leaving start) {
-	if leaving.instance == "" || slices.Contains(l.departed, leaving) {
+func (l *lease) depart(leaving start, now time.Time) {
+	if leaving.instance == "" || l.hasDeparted(leaving) {
 		return
 	}
-	l.departed = append(l.departed, leaving)
+	l.departed = append(l.departed, departure{start: leaving, at: now})
 	l.departed = l.departed[max(0, len(l.departed)-maxDepartures):]
 }
 
+// hasDeparted reports whether a start said that it leaves.
+func (l *lease) hasDeparted(s start) bool {
+	return slices.ContainsFunc(l.departed, func(d departure) bool { return d.covers(s) })
+}
+
 // withdraw takes the target out and reports whether it was in.
 func (l *lease) withdraw(now time.Time) bool {
 	if l.state == NoTarget || !l.withdrawn.IsZero() {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -31,6 +31,15 @@
 	Draining
 )
 
+func (s TargetState) String() string {
+	for name, state := range targetStates {
+		if state == s {
+			return name
+		}
+	}
+	return "none"
+}
+
 // Reach is what this daemon knows of its contact with a host.
 type Reach int
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -244,6 +244,12 @@
 	if before.targetState == after.targetState && before.service == after.service {
 		return
 	}
+	m.log.WithFields(logrus.Fields{
+		"service":  after.service,
+		"state":    after.targetState.String(),
+		"instance": m.lastAnnounced().Instance,
+		"sequence": m.lastAnnounced().Sequence,
+	}).Info("target changed its state")
 	switch after.targetState {
 	case Draining:
 		m.options.Events.Record(timeline.Event{Kind: timeline.Draining, Service: after.service})
@@ -252,6 +258,13 @@
 	}
 }
 
+// lastAnnounced returns the newest announcement of the target on this host.
+func (m *Membership) lastAnnounced() Announcement {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lease.last
+}
+
 // maintain is the task that lets leases, contacts and entries age.
 func (m *Membership) maintain(ctx context.Context) {
 	ticker := time.NewTicker(maintenanceInterval)
