Reach splits, hosts, objective, priority and refusals from templates; log decisions without waiting

Routes of templates take what the users' configurations name. A call that fails, and each attempt that failed, is one line with its id and what decided.

--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -70,7 +70,9 @@
 			return result, nil
 		}
 		c.failed(member.Host, failure)
-		if !s.mayRetry(c, failure) || !s.pause(ctx, c, attempt) {
+		again := s.mayRetry(c, failure) && s.pause(ctx, c, attempt)
+		s.logAttempt(c, attempt, member, failure, again)
+		if !again {
 			if failure == nil {
 				return result, nil
 			}
--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -199,6 +199,7 @@
 	defer cancel()
 	result, failure := s.serveTarget(ctx, q)
 	if failure != nil {
+		s.logRefused(q, failure)
 		q.body.stop(w)
 		s.answerPeer(w, q.id, failure)
 		return
--- a/internal/call/trace.go
+++ b/internal/call/trace.go
@@ -89,6 +89,7 @@
 
 func (t *trace) failed(failure *Error) {
 	t.keep()
+	t.server.logFailed(t.call, t.service, failure)
 	t.add(timeline.Event{
 		Kind:    timeline.Failed,
 		Peer:    failure.Peer,
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -40,7 +40,9 @@
 		fmt.Fprintf(env.stdout, "%s: settings of host %s are valid\n", c.Settings, loaded.Host)
 		return nil
 	}
-	logger, err := logging.New(env.stdout, loaded.Log.Level)
+	output := logging.NewAsync(env.stdout)
+	defer output.Close()
+	logger, err := logging.New(output, loaded.Log.Level)
 	if err != nil {
 		return fmt.Errorf("log level: %w", err)
 	}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -44,6 +44,7 @@
 	d.buildCalls(clock, call.DialFunc(options.Dial))
 	d.buildAdmin()
 	d.events.RegisterMetrics(d.metrics)
+	d.metrics.NewGauge(`mulberrybank_log_lines_dropped`, func() float64 { return float64(logging.Dropped()) })
 	d.metrics.RegisterMetricsWriter(metrics.WriteProcessMetrics)
 	return nil
 }
--- /dev/null
+++ b/internal/logging/async.go
@@ -0,0 +1,82 @@
+package logging
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// lineQueue is how many lines wait while nobody reads the output.
+	lineQueue = 1024
+	// closeTimeout bounds the writing of waiting lines at the end.
+	closeTimeout = 200 * time.Millisecond
+)
+
+// dropped counts the lines that this process did not write.
+var dropped atomic.Uint64
+
+// Dropped returns how many lines this process did not write, because they came
+// too fast or because nobody read them.
+func Dropped() uint64 { return dropped.Load() }
+
+// Async writes lines in a task of its own, so that a reader that stands still
+// holds nothing up. Lines for which there is no room are dropped and counted.
+type Async struct {
+	out   io.Writer
+	lines chan []byte
+	lost  atomic.Uint64
+	ended chan struct{}
+}
+
+// NewAsync starts the task. Close ends it.
+func NewAsync(out io.Writer) *Async {
+	a := &Async{out: out, lines: make(chan []byte, lineQueue), ended: make(chan struct{})}
+	var task conc.WaitGroup
+	task.Go(a.writeLines)
+	return a
+}
+
+// Write takes one line or drops it. It never waits and always succeeds.
+func (a *Async) Write(line []byte) (int, error) {
+	select {
+	case a.lines <- append([]byte(nil), line...):
+	default:
+		a.lost.Add(1)
+		dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// writeLines writes the lines, and before one how many were lost.
+func (a *Async) writeLines() {
+	defer close(a.ended)
+	for line := range a.lines {
+		if line == nil {
+			return
+		}
+		if lost := a.lost.Swap(0); lost > 0 {
+			line = append(fmt.Appendf(nil, "logging: %d lines were dropped\n", lost), line...)
+		}
+		// There is nowhere to tell that the log itself cannot be written.
+		_, _ = a.out.Write(line)
+	}
+}
+
+// Close writes the lines that wait, unless nobody reads them.
+func (a *Async) Close() {
+	timeout := time.NewTimer(closeTimeout)
+	defer timeout.Stop()
+	select {
+	case a.lines <- nil:
+	case <-timeout.C:
+		return
+	}
+	select {
+	case <-a.ended:
+	case <-timeout.C:
+	}
+}
--- a/internal/logging/limit.go
+++ b/internal/logging/limit.go
@@ -35,6 +35,7 @@
 	defer w.mu.Unlock()
 	if !w.limiter.Allow() {
 		w.dropped++
+		dropped.Add(1)
 		return len(line), nil
 	}
 	if w.dropped > 0 {
--- a/internal/publish/document.go
+++ b/internal/publish/document.go
@@ -23,13 +23,25 @@
 }
 
 type routeDocument struct {
-	Name        string    `json:"name"`
-	Service     string    `json:"service"`
-	Idempotent  bool      `json:"idempotent"`
-	Deadline    *duration `json:"deadline"`
-	Retries     int       `json:"retries"`
-	RetryBudget float64   `json:"retry_budget"`
-	Hedge       duration  `json:"hedge"`
+	Name        string          `json:"name"`
+	Service     string          `json:"service"`
+	Split       []shareDocument `json:"split"`
+	Host        string          `json:"host"`
+	Prefix      string          `json:"prefix"`
+	Idempotent  bool            `json:"idempotent"`
+	Keyless     bool            `json:"keyless"`
+	Deadline    *duration       `json:"deadline"`
+	Objective   duration        `json:"objective"`
+	Priority    int             `json:"priority"`
+	Refusals    int             `json:"refusals"`
+	Retries     int             `json:"retries"`
+	RetryBudget float64         `json:"retry_budget"`
+	Hedge       duration        `json:"hedge"`
+}
+
+type shareDocument struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // duration is a time span written with a unit, such as "250ms".
@@ -69,13 +81,23 @@
 }
 
 func (r routeDocument) route(workspace string) *Route {
-	return &Route{
+	route := &Route{
 		Name:        workspace + "/" + r.Name,
 		Service:     fullName(workspace, r.Service),
+		Host:        r.Host,
+		Prefix:      r.Prefix,
 		Idempotent:  r.Idempotent,
+		Keyless:     r.Keyless,
 		Deadline:    time.Duration(orDefault(r.Deadline, duration(DefaultDeadline))),
+		Objective:   time.Duration(r.Objective),
+		Priority:    r.Priority,
+		Refusals:    r.Refusals,
 		Retries:     r.Retries,
 		RetryBudget: r.RetryBudget,
 		Hedge:       time.Duration(r.Hedge),
 	}
+	for _, share := range r.Split {
+		route.Split = append(route.Split, Share{Service: fullName(workspace, share.Service), Weight: share.Weight})
+	}
+	return route
 }
--- a/internal/publish/limits.go
+++ b/internal/publish/limits.go
@@ -37,6 +37,14 @@
 	MaxDeadline = 10 * time.Minute
 	// MaxRetries bounds the further attempts of one call.
 	MaxRetries = 5
+	// MaxRefusals bounds the further hosts of one call after refusals.
+	MaxRefusals = 10
+	// MaxPriority bounds the rank of a route.
+	MaxPriority = 1000
+	// MaxShares bounds the services of one route.
+	MaxShares = 16
+	// MaxWeight bounds the weight of a share.
+	MaxWeight = 1_000_000
 	// MaxNameBytes bounds the names of workspaces, services, routes, templates
 	// and parameters, in bytes.
 	MaxNameBytes = 63
--- a/internal/publish/page_test.go
+++ b/internal/publish/page_test.go
@@ -19,6 +19,13 @@
 	"services.queue_timeout": {"`" + DefaultQueueTimeout.String() + "`", span("0s", MaxQueueTimeout)},
 	"services.connections":   {code(DefaultConnections), span(1, MaxConnections)},
 	"services.slow_start":    {"`0s`", span("0s", MaxSlowStart)},
+	"routes.split":           {"none", fmt.Sprintf("up to %d objects with `service` and `weight`, `0` to `%d`", MaxShares, MaxWeight)},
+	"routes.host":            {"none", "the host of a request"},
+	"routes.prefix":          {"none", "a path that begins and ends with a slash"},
+	"routes.keyless":         {"`false`", "`true` or `false`"},
+	"routes.objective":       {"`0s`", span("0s", MaxDeadline)},
+	"routes.priority":        {"`0`", span(0, MaxPriority)},
+	"routes.refusals":        {"`0`", span(0, MaxRefusals)},
 	"routes.service":         {"required", "a name as above, or `WORKSPACE/SERVICE`"},
 	"routes.deadline":        {"`" + DefaultDeadline.String() + "`", span(MinDeadline, MaxDeadline)},
 	"routes.idempotent":      {"`false`", "`true` or `false`"},
@@ -64,6 +71,8 @@
 	switch {
 	case t == reflect.TypeFor[duration]():
 		return "duration"
+	case t.Kind() == reflect.Slice:
+		return "list"
 	case t.Kind() == reflect.Bool:
 		return "boolean"
 	case t.Kind() == reflect.String:
--- a/internal/publish/validate.go
+++ b/internal/publish/validate.go
@@ -95,8 +95,10 @@
 		}
 		routes[route.Name] = true
 		checkRoute(&found, route)
-		if workspaceOf(route.Service) == workspace.Name && !services[route.Service] {
-			found.add("route "+route.Name, "service %s does not exist", route.Service)
+		for _, service := range route.Services() {
+			if workspaceOf(service) == workspace.Name && !services[service] {
+				found.add("route "+route.Name, "service %s does not exist", service)
+			}
 		}
 	}
 	return found
@@ -118,7 +120,12 @@
 	found.name(place, workspaceOf(route.Service), namePattern)
 	found.name(place, localName(route.Service), namePattern)
 	within(found, place, "deadline", route.Deadline, MinDeadline, MaxDeadline)
+	within(found, place, "objective", route.Objective, 0, MaxDeadline)
+	within(found, place, "priority", route.Priority, 0, MaxPriority)
+	within(found, place, "refusals", route.Refusals, 0, MaxRefusals)
 	within(found, place, "retries", route.Retries, 0, MaxRetries)
+	checkHost(found, place, route)
+	checkSplit(found, place, route)
 	within(found, place, "retry_budget", route.RetryBudget, 0.0, 1.0)
 	within(found, place, "hedge", route.Hedge, 0, max(0, route.Deadline-time.Nanosecond))
 	if route.Hedge > 0 && !route.Idempotent {
@@ -126,6 +133,39 @@
 	}
 }
 
+// checkHost checks how a route is reached besides its name.
+func checkHost(found *problems, place string, route *Route) {
+	if (route.Host == "") != (route.Prefix == "") {
+		found.add(place, "host and prefix are given together or not at all")
+		return
+	}
+	if route.Host == "" {
+		return
+	}
+	if len(route.Host) > MaxTextBytes || strings.ContainsAny(route.Host, "/ ") {
+		found.add(place, "host %q is not the host of a request", shorten(route.Host, MaxNameBytes))
+	}
+	if len(route.Prefix) > MaxTextBytes || !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+		found.add(place, "prefix %q does not begin and end with a slash", shorten(route.Prefix, MaxNameBytes))
+	}
+}
+
+// checkSplit checks the shares of a route, of which the first is its service.
+func checkSplit(found *problems, place string, route *Route) {
+	found.count("shares of "+place, len(route.Split), MaxShares)
+	total := 0
+	for _, share := range route.Split {
+		within(found, place, "weight", share.Weight, 0, MaxWeight)
+		total += max(share.Weight, 0)
+	}
+	if len(route.Split) > 0 && total == 0 {
+		found.add(place, "no share has a weight")
+	}
+	if len(route.Split) > 0 && route.Split[0].Service != route.Service {
+		found.add(place, "the first share is of %s, service is %s", route.Split[0].Service, route.Service)
+	}
+}
+
 // checkReferences finds every route of any workspace without its service.
 func checkReferences(config *Configuration) []Problem {
 	var found problems
