Keep a target's capacity while its daemon lingers in a stop

Change: the gate stays open until 0.7 s before the end of the linger; callers are asked at once to close their connections. TestPlatformStopKeepsCapacity.

--- a/cmd/mulberrybank/platform_test.go
+++ b/cmd/mulberrybank/platform_test.go
@@ -393,3 +393,34 @@
 		}
 	}
 }
+
+// TestPlatformStopKeepsCapacity stops the daemon of a target that goes on: while
+// callers move away the target still serves others, and no request fails.
+func TestPlatformStopKeepsCapacity(t *testing.T) {
+	f := startFleet(t)
+	third, fourth := f.machines[2], f.machines[3]
+	f.await("side-4 sends to the target of its zone", func() bool {
+		before := len(third.upstream.Runs())
+		_, err := f.ask(fourth, http.MethodGet, "/lookup/1", "")
+		return err == nil && len(third.upstream.Runs()) > before
+	})
+	assert.NilError(t, third.daemon.Process.Signal(syscall.SIGTERM))
+	f.await("side-3 is not ready", func() bool { return !f.ready(third) })
+	before := len(third.upstream.Runs())
+	got, err := f.ask(third, http.MethodGet, "/lookup/2", "")
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK, "a stopping daemon goes on taking calls")
+	f.mustAsk(fourth, http.MethodGet, "/lookup/3", "")
+	assert.Equal(t, len(third.upstream.Runs()), before+2)
+	ended := make(chan error, 1)
+	go func() { ended <- third.daemon.Wait() }()
+	for running := true; running; {
+		f.mustAsk(fourth, http.MethodGet, "/lookup/4", "")
+		select {
+		case err := <-ended:
+			assert.NilError(t, err)
+			running = false
+		default:
+		}
+	}
+}
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -43,7 +43,7 @@
 func (s *Server) Carry(w http.ResponseWriter, r *http.Request, in Inbound, refuse Refuser) {
 	end := s.inflight.begin()
 	defer end()
-	s.closeWhenDraining(w)
+	s.closeWhenStopping(w)
 	if s.inflight.isEnding() {
 		s.refuseCaller(w, in.ID, s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, errStopping), refuse)
 		return
@@ -68,7 +68,7 @@
 func (s *Server) Refuse(w http.ResponseWriter, id string, failure *Error, refuse Refuser) {
 	end := s.inflight.begin()
 	defer end()
-	s.closeWhenDraining(w)
+	s.closeWhenStopping(w)
 	s.refuseCaller(w, id, failure, refuse)
 }
 
@@ -78,9 +78,9 @@
 	refuse(w, id, failure)
 }
 
-// closeWhenDraining asks a caller to open its next connection elsewhere.
-func (s *Server) closeWhenDraining(w http.ResponseWriter) {
-	if s.inflight.isDraining() {
+// closeWhenStopping asks a caller to open its next connection elsewhere.
+func (s *Server) closeWhenStopping(w http.ResponseWriter) {
+	if s.inflight.isClosing() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/call/inflight.go
+++ b/internal/call/inflight.go
@@ -14,6 +14,8 @@
 	before   int
 	after    int
 	empty    chan struct{}
+	// closing is set when callers are asked to close their connections.
+	closing bool
 	// ending is set when later calls are refused; idle is closed when none of
 	// any kind is in progress then.
 	ending bool
@@ -56,6 +58,18 @@
 	}
 }
 
+func (f *inflight) setClosing() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closing = true
+}
+
+func (f *inflight) isClosing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closing || f.draining
+}
+
 func (f *inflight) isEnding() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -177,6 +177,10 @@
 	return nil
 }
 
+// CloseConnections makes the server ask callers to open their next connection
+// elsewhere. It goes on taking calls.
+func (s *Server) CloseConnections() { s.inflight.setClosing() }
+
 // Finish makes the server refuse every later call as not run, and returns once
 // none is in progress. The error says how many were left when ctx ended.
 func (s *Server) Finish(ctx context.Context) error { return s.inflight.finish(ctx) }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -18,6 +18,9 @@
 	floorTimeout = 2 * time.Second
 	// membersDelay is how long a start waits for its peers' word of the others.
 	membersDelay = 500 * time.Millisecond
+	// leaveTime is how long before the end of its linger a stopping daemon tells
+	// the others that its target takes no new calls.
+	leaveTime = 700 * time.Millisecond
 	// eventSampleShare is the share of ordinary calls whose events are kept.
 	eventSampleShare = 0.01
 )
@@ -92,13 +95,18 @@
 	d.events.Record(timeline.Event{Kind: timeline.Stopping})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.StopTimeout))
 	defer cancel()
+	// Callers learn of the stop and move; the target keeps its capacity until
+	// just before the end.
+	d.calls.CloseConnections()
+	linger := time.Duration(d.settings.StopLinger)
+	wait.For(ctx, linger-leaveTime)
 	if err := d.members.Leave(ctx); err != nil {
 		d.log.WithError(err).Warn("some peers were not told of the stop")
 	}
 	if err := d.calls.Drain(ctx); err != nil {
 		d.log.WithError(err).Warn("calls in progress were cut")
 	}
-	wait.For(ctx, time.Until(began.Add(time.Duration(d.settings.StopLinger))))
+	wait.For(ctx, time.Until(began.Add(linger)))
 	if err := d.calls.Finish(ctx); err != nil {
 		d.log.WithError(err).Warn("calls in progress were cut")
 	}
