--- a/internal/membership/choice.go
+++ b/internal/membership/choice.go
@@ -45,6 +45,7 @@
 	} else {
 		clear(m.watches)
 	}
+	m.wantReturning(wanted, zones)
 	m.wantSeeds(wanted, isBridge)
 	delete(wanted, m.options.Self.ControlAddress)
 	return wanted
@@ -128,7 +129,7 @@
 func (m *Membership) wantSeeds(wanted map[string]wantedPeer, isBridge bool) {
 	connected := false
 	for _, n := range m.neighbours {
-		connected = connected || n.connected && n.role != seedRole
+		connected = connected || n.connected && n.role != seedRole && n.role != returnRole
 	}
 	if connected && !isBridge {
 		return
--- a/internal/membership/neighbour.go
+++ b/internal/membership/neighbour.go
@@ -60,6 +60,8 @@
 	zoneRole role = iota
 	bridgeRole
 	seedRole
+	// returnRole peers are gone and may come back.
+	returnRole
 )
 
 // neighbour is a peer that this daemon dials and its task's state. connected
@@ -138,6 +140,9 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = redialInterval
 	retry.MaxInterval = maxRedialInterval
+	if n.role == returnRole {
+		retry.MaxInterval = maxReturnRedial
+	}
 	if !wait.For(ctx, jitter(startSpread)) {
 		return
 	}
--- /dev/null
+++ b/internal/membership/returning_test.go
@@ -0,0 +1,36 @@
+package membership
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestHostReturnsWithoutSeeds restarts a daemon that knows no seeds and no log,
+// after a stop in order and after a kill: its peers dial it and tell it of all.
+func TestHostReturnsWithoutSeeds(t *testing.T) {
+	for name, orderly := range map[string]bool{"stopped": true, "killed": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, count := startZones(t, 2)
+				defer m.killAll()
+				m.settle(15*time.Second, "complete", knowsAll(count))
+				host := hostName("south", 1, 0)
+				if orderly {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					assert.NilError(t, m.daemons[host].Leave(ctx))
+					assert.NilError(t, m.daemons[host].Depart(ctx))
+					cancel()
+				}
+				m.kill(host)
+				time.Sleep(4 * time.Second)
+				m.start("south", "south-1", host, 2)
+				took := m.settle(3*time.Second, "back", knowsAll(count))
+				t.Logf("back after %s", took)
+			})
+		})
+	}
+}
--- a/internal/membership/rollcall.go
+++ b/internal/membership/rollcall.go
@@ -16,6 +16,9 @@
 	rollInterval = 2 * time.Second
 	// rollTimeout bounds one call to the log.
 	rollTimeout = 2 * time.Second
+	// rollEraseTimeout bounds the last call of a host that stops, which must not
+	// prolong the stop while the log is silent.
+	rollEraseTimeout = 300 * time.Millisecond
 	// maxRollSeeds bounds the hosts of the log that are tried as seeds.
 	maxRollSeeds = 64
 )
@@ -65,6 +68,8 @@
 	if m.options.Hosts == nil {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, rollEraseTimeout)
+	defer cancel()
 	if err := m.options.Hosts.Put(ctx, platform.HostStream, m.options.Self.Host, nil); err != nil {
 		m.log.WithError(err).Debug("the record of this host stays on the log")
 	}
