Take callers once other hosts are known, or after two seconds alone

The refusal was true; the test now waits until side-2 knows the other ledger, and then asks ten times as before. The product's part: a daemon said that it was ready before it had heard of anybody.

--- a/cmd/mulberrybank/platform_test.go
+++ b/cmd/mulberrybank/platform_test.go
@@ -229,6 +229,9 @@
 	f.t.Helper()
 	got, err := f.ask(m, method, path, body)
 	assert.NilError(f.t, err)
+	if got.status != http.StatusOK {
+		f.dumpLogs()
+	}
 	assert.Equal(f.t, got.status, http.StatusOK, "%s through %s", path, m.name)
 	assert.Equal(f.t, got.body, "answer to "+got.id+" "+body)
 	assert.Equal(f.t, got.header.Get("Request-Id"), got.id)
@@ -308,6 +311,10 @@
 	assert.NilError(t, second.upstream.Drain(ctx))
 	before := len(second.upstream.Runs())
 	assert.NilError(t, second.upstream.LateBeat(ctx, "ready", 1))
+	f.await("side-2 knows of the other ledger", func() bool {
+		got, err := f.ask(second, http.MethodPost, "/charge/1", "x")
+		return err == nil && got.status == http.StatusOK
+	})
 	for range 10 {
 		f.mustAsk(second, http.MethodPost, "/charge/1", "x")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 	reloaded atomic.Pointer[settings.Settings]
 	adapter  Adapter
 	stopping atomic.Bool
+	started  time.Time
 	identity peer.Identity
 	logger   *logrus.Logger
 	log      *logrus.Entry
@@ -78,6 +79,7 @@
 		traffic:  peer.NewTraffic(),
 		platform: options.Log,
 		adapter:  options.Adapter,
+		started:  time.Now(),
 	}
 	if d.logger == nil {
 		d.logger = logging.Discard()
@@ -132,6 +134,15 @@
 	return d.settings
 }
 
+// aloneTime is how long after its start a daemon that has heard of no other host
+// waits before it takes callers all the same.
+const aloneTime = 2 * time.Second
+
 // Ready reports whether this daemon takes callers: it has configuration in
-// force and does not stop.
-func (d *Daemon) Ready() bool { return d.enforcer.Table() != nil && !d.stopping.Load() }
+// force, has heard of other hosts or waited for them, and does not stop.
+func (d *Daemon) Ready() bool {
+	if d.enforcer.Table() == nil || d.stopping.Load() {
+		return false
+	}
+	return len(d.members.View().Members) > 1 || time.Since(d.started) > aloneTime
+}
