--- a/internal/standin/metastore/http.go
+++ b/internal/standin/metastore/http.go
@@ -46,6 +46,8 @@
 	case fault.Reset:
 		panic(http.ErrAbortHandler)
 	case fault.Silent:
+		// The server sees that a client has gone once it has read the request.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	case fault.LoseAnswer:
 		next.ServeHTTP(&lostAnswer{}, r)
