Enforce the sizes that callers may send, bound retries by the ratio of the settings

The limits of a workspace given as a whole were carried and not enforced: 413 and 431 now, before anything is sent. retries.ratio bounds what routes add to the budget of a service, by half of the ratio, since calls made by a retried run count too. Tests: the whole path sends a body at and one past the limit; the budget of several daemons together as a property; the order of a gate's queue.

--- a/cmd/mulberrybank/platform_test.go
+++ b/cmd/mulberrybank/platform_test.go
@@ -119,7 +119,7 @@
 		"listen_addrs.outbound": m.at(outboundPort), "listen_addrs.inbound": m.at(inboundPort),
 		"listen_addrs.ready": m.at(readyPort), "listen_addrs.control": m.at(beatPort),
 		"port_range.0": strconv.Itoa(firstPort), "port_range.1": strconv.Itoa(secondPort),
-		"cloud_platform.address": f.address, "bounds.budget_slack": "40", "limits.memory_mb": "284",
+		"cloud_platform.address": f.address, "bounds.budget_slack": "40", "bounds.retry_budget_ratio": "0.2", "limits.memory_mb": "284",
 	}
 	return placePattern.ReplaceAllStringFunc(string(template), func(place string) string {
 		value, ok := values[strings.Trim(place, "{}")]
@@ -163,6 +163,7 @@
 			map[string]any{"name": "huts", "max_conns": 100},
 			map[string]any{"name": "ledger", "max_conns": 100},
 		},
+		"limits":                    map[string]any{"max_header_bytes": 4096, "max_body_bytes": 1000},
 		"a field that nobody knows": true,
 	})
 	assert.NilError(f.t, err)
@@ -281,6 +282,10 @@
 	got, err := f.ask(first, http.MethodGet, "/unknown/", "")
 	assert.NilError(t, err)
 	assert.Equal(t, got.status, http.StatusNotFound)
+	got, err = f.ask(first, http.MethodPost, "/charge/9", strings.Repeat("x", 1001))
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusRequestEntityTooLarge)
+	f.mustAsk(first, http.MethodPost, "/charge/9", strings.Repeat("x", 1000))
 
 	f.configure("ledger")
 	for _, m := range f.machines {
--- a/internal/call/gate_test.go
+++ b/internal/call/gate_test.go
@@ -174,3 +174,39 @@
 		assert.Equal(t, time.Since(began), time.Duration(0))
 	})
 }
+
+// The most urgent waiter gets the next slot, whatever came first, and a full
+// queue gives up its least urgent waiter for a more urgent request.
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const queue, patience = 2, time.Second
+		g := call.NewGate()
+		deadline := time.Now().Add(time.Minute)
+		assert.NilError(t, g.EnterAs(t.Context(), "huts", 0, deadline, 1, queue, patience))
+		var tasks conc.WaitGroup
+		ended := make(chan string, 8)
+		wait := func(priority int) {
+			tasks.Go(func() {
+				err := g.EnterAs(t.Context(), "huts", priority, deadline, 1, queue, patience)
+				ended <- fmt.Sprintf("%d refused=%t", priority, err != nil)
+				if err == nil {
+					time.Sleep(10 * time.Millisecond)
+					g.Leave(10 * time.Millisecond)
+				}
+			})
+			synctest.Wait()
+		}
+		wait(2)
+		wait(1)
+		wait(0) // The queue is full: priority 2 has to go.
+		wait(2) // It is still full, and nobody in it is less urgent.
+		g.Leave(10 * time.Millisecond)
+		tasks.Wait()
+		close(ended)
+		var order []string
+		for each := range ended {
+			order = append(order, each)
+		}
+		assert.DeepEqual(t, order, []string{"2 refused=true", "2 refused=true", "0 refused=false", "1 refused=false"})
+	})
+}
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -52,6 +52,10 @@
 	defer func() { s.counters.durations.Update(s.now().Sub(began).Seconds()) }()
 	deadline := began.Add(in.timeLeft())
 	_ = http.NewResponseController(w).SetReadDeadline(deadline.Add(writeGrace))
+	if failure := s.limitRequest(w, r, in); failure != nil {
+		s.refuseCaller(w, in.ID, failure, refuse)
+		return
+	}
 	body, err := readBody(r)
 	if err != nil {
 		s.refuseCaller(w, in.ID, s.fail(NotRun, StepRequest, http.StatusBadRequest, err), refuse)
--- /dev/null
+++ b/internal/call/limits.go
@@ -0,0 +1,59 @@
+package call
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+)
+
+// Errors of requests beyond the limits of their workspace.
+var (
+	errBodyTooLong   = errors.New("the body is longer than the workspace allows")
+	errHeaderTooLong = errors.New("the headers are longer than the workspace allows")
+)
+
+// headerOverhead is what each line of a header costs besides its name and value.
+const headerOverhead = len(": \r\n")
+
+// limitRequest refuses a request beyond the limits of the workspace of its route,
+// and bounds the rest of a body whose length is not known yet.
+func (s *Server) limitRequest(w http.ResponseWriter, r *http.Request, in Inbound) *Error {
+	limits := limitsOfRoute(in)
+	if limits == nil {
+		return nil
+	}
+	if limits.HeaderBytes > 0 && headerBytes(r.Header) > limits.HeaderBytes {
+		return s.fail(NotRun, StepRequest, http.StatusRequestHeaderFieldsTooLarge, errHeaderTooLong)
+	}
+	if limits.BodyBytes <= 0 {
+		return nil
+	}
+	if r.ContentLength > limits.BodyBytes {
+		return s.fail(NotRun, StepRequest, http.StatusRequestEntityTooLarge, errBodyTooLong)
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+	return nil
+}
+
+// limitsOfRoute returns the limits of the workspace of a route, nil for none.
+func limitsOfRoute(in Inbound) *publish.Limits {
+	name, _, _ := strings.Cut(in.Route.Name, "/")
+	workspace := in.Config.Workspaces[name]
+	if workspace == nil {
+		return nil
+	}
+	return workspace.Limits
+}
+
+// headerBytes returns the size of headers on the wire.
+func headerBytes(header http.Header) int64 {
+	size := 0
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(value) + headerOverhead
+		}
+	}
+	return int64(size)
+}
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -68,6 +68,9 @@
 	// RetrySlack is how many retries of one service all daemons together may
 	// save up, 0 for a fixed number on each.
 	RetrySlack float64
+	// RetryRatio bounds the share of its calls that the retries of one service
+	// may be over all daemons, 0 for the routes' own shares.
+	RetryRatio float64
 	// TargetConnections, PeerConnections and MaxCalls are bounds; 0 means
 	// the default.
 	TargetConnections int
@@ -114,7 +117,7 @@
 		patiences: newPatiences(),
 		keys:      options.Keys,
 		router:    options.Router,
-		budgets:   route.NewBudgets(options.RetrySlack, options.Directory),
+		budgets:   route.NewBudgets(options.RetrySlack, options.RetryRatio, options.Directory),
 		events:    options.Events,
 		clock:     options.Clock,
 		log:       logging.Part(options.Logger, "call"),
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -125,6 +125,7 @@
 		Target:      targetAddress{d.members},
 		Dialect:     d.dialect(),
 		RetrySlack:  d.settings.Retries.Slack,
+		RetryRatio:  d.settings.Retries.Ratio,
 		Keys:        keys{d.keeper},
 		Router:      d.router,
 		Events:      d.events,
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -12,6 +12,9 @@
 	budgetBurst = 10
 	// budgetStart is how many retries a service has before its first call.
 	budgetStart = 3
+	// ratioMargin is the part of the ratio that is used: calls that a target
+	// makes again while it runs a retry count as retries too.
+	ratioMargin = 0.5
 )
 
 // Budgets holds the retry budget of each service: retries are a share of calls,
@@ -19,7 +22,10 @@
 type Budgets struct {
 	// slack is how many retries all daemons together may save up for one
 	// service, 0 for budgetBurst on each.
-	slack     float64
+	slack float64
+	// ratio bounds the share of its calls that the retries of a service may be
+	// over all daemons, 0 for the routes' own shares.
+	ratio     float64
 	directory membership.Directory
 
 	mu     sync.Mutex
@@ -27,16 +33,21 @@
 }
 
 // NewBudgets returns budgets of services that have seen no calls. With a slack
-// each living daemon of the directory saves up an equal part of it.
-func NewBudgets(slack float64, directory membership.Directory) *Budgets {
-	return &Budgets{slack: slack, directory: directory, tokens: make(map[string]float64)}
+// each living daemon of the directory saves up an equal part of it; with a ratio
+// no route adds more than ratioMargin of it.
+func NewBudgets(slack, ratio float64, directory membership.Directory) *Budgets {
+	return &Budgets{slack: slack, ratio: ratio, directory: directory, tokens: make(map[string]float64)}
 }
 
 // Deposit counts one call of a route to a service.
 func (b *Budgets) Deposit(route *publish.Route, service *publish.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tokens := b.of(service.Name) + min(max(route.RetryBudget, 0), 1)
+	share := min(max(route.RetryBudget, 0), 1)
+	if b.ratio > 0 {
+		share = min(share, ratioMargin*b.ratio)
+	}
+	tokens := b.of(service.Name) + share
 	b.tokens[service.Name] = min(tokens, b.burst())
 }
 
--- a/internal/route/budget_test.go
+++ b/internal/route/budget_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 )
@@ -18,7 +19,7 @@
 		share := rapid.Float64Range(0, 1).Draw(t, "share")
 		one := &publish.Route{Name: "huts/lookups", RetryBudget: share}
 		service := &publish.Service{Name: "huts/registry"}
-		budgets := route.NewBudgets(0, nil)
+		budgets := route.NewBudgets(0, 0, nil)
 		calls, retries := 0, 0
 		for _, call := range rapid.SliceOf(rapid.Bool()).Draw(t, "calls") {
 			if call {
@@ -54,3 +55,44 @@
 	assert.Equal(t, attempts(2, depth), 4)
 	assert.Equal(t, attempts(4, depth), 10)
 }
+
+// crowd is a directory of so many living hosts.
+type crowd int
+
+func (c crowd) Changed() <-chan struct{} { return nil }
+
+func (c crowd) View() *membership.View {
+	view := &membership.View{Members: map[string]membership.Member{}}
+	for i := range int(c) {
+		host := string(rune('a' + i))
+		view.Members[host] = membership.Member{Host: host, State: membership.Alive}
+	}
+	return view
+}
+
+// Over any run of calls through several daemons, their retries together stay
+// within the slack and the ratio.
+func TestBudgetIsSharedByAllDaemons(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 8).Draw(t, "hosts")
+		slack := rapid.Float64Range(1, 40).Draw(t, "slack")
+		ratio := rapid.Float64Range(0.01, 0.5).Draw(t, "ratio")
+		one := &publish.Route{Name: "huts/lookups", RetryBudget: rapid.Float64Range(0, 1).Draw(t, "share")}
+		service := &publish.Service{Name: "huts/registry"}
+		var budgets []*route.Budgets
+		for range hosts {
+			budgets = append(budgets, route.NewBudgets(slack, ratio, crowd(hosts)))
+		}
+		calls, retries := 0, 0
+		for _, step := range rapid.SliceOf(rapid.IntRange(0, 2*hosts-1)).Draw(t, "steps") {
+			at := budgets[step/2]
+			if step%2 == 0 {
+				calls++
+				at.Deposit(one, service)
+			} else if at.Withdraw(one, service) {
+				retries++
+			}
+			assert.Assert(t, float64(retries) <= slack+ratio*float64(calls)+1e-9)
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -87,6 +87,9 @@
 	// Slack is how many retries of one service all daemons together may save
 	// up, 0 for a fixed number on each daemon.
 	Slack float64 `json:"slack" default:"0" min:"0" max:"1000000"`
+	// Ratio bounds the share of its calls that the retries of one service may be
+	// over all daemons, 0 for the routes' own shares.
+	Ratio float64 `json:"ratio" default:"0" min:"0" max:"1"`
 }
 
 // Values of Settings.Pace.
