--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -63,7 +63,7 @@
 	}
 	tasks.Go(d.members.Run)
 	tasks.Go(d.distributeAboveFloor)
-	if d.settings.Keys == settings.SwitchOn {
+	if d.settings.Keys != settings.SwitchOff {
 		tasks.Go(d.proposer.Run)
 	}
 	if d.secure != nil {
