--- a/internal/call/gate.go
+++ b/internal/call/gate.go
@@ -32,7 +32,7 @@
 	workspace string
 	// priority is the rank of the request, 0 the highest.
 	priority int
-	// late says that the objective has passed.
+	// late says that half of the objective had passed when the call came.
 	late     bool
 	deadline time.Time
 	// objective is the time within which an answer has its full value, 0 when
--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -19,7 +19,7 @@
 	// headerObjective carries the objective of the caller's route, such as
 	// "400ms".
 	headerObjective = "Mulberry-Objective"
-	// headerLate is "1" when the objective has passed.
+	// headerLate is "1" when half of the objective had passed as the call came.
 	headerLate = "Mulberry-Late"
 	// headerFreeSlot is "1" when the request does not wait for a slot.
 	headerFreeSlot = "Mulberry-Free-Slot"
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -101,8 +101,8 @@
 	return allowed
 }
 
-// isLate reports whether the objective of a call has passed already, because its
-// caller came back after refusals.
+// isLate reports whether half of the objective of a call has passed already,
+// because its caller came back after refusals.
 func (s *Server) isLate(in Inbound) bool {
 	waited := s.patiences.waited(in.Route.Name, in.Left)
 	return in.Route.Objective > 0 && waited >= in.Route.Objective/2
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -32,7 +32,7 @@
 	// objective is the time within which an answer has its full value, 0 when
 	// none is given.
 	objective time.Duration
-	// late says that the objective has passed.
+	// late says that half of the objective had passed when the call came.
 	late bool
 	// freeSlotOnly says that the request does not wait for a slot.
 	freeSlotOnly bool
--- a/internal/distribute/state.go
+++ b/internal/distribute/state.go
@@ -44,16 +44,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.align()
-	for _, record := range records {
-		short, err := s.enforcer.ApplyOne(record)
-		if err != nil {
-			return err
-		}
+	folded, err := s.enforcer.ApplyShort(records)
+	for _, record := range folded {
 		if record.Offset == s.tail.end+1 {
-			s.tail.add(short)
+			s.tail.add(record)
 		}
 	}
-	return nil
+	return err
 }
 
 // align starts the tail again where the fold was moved past it.
--- a/internal/enforce/enforce.go
+++ b/internal/enforce/enforce.go
@@ -138,26 +138,22 @@
 	return e.floor
 }
 
-// ApplyOne folds the next record and returns it in the form that is passed on
-// to daemons at the offset before it. Errors are those of Apply.
-func (e *Enforcer) ApplyOne(record platform.Record) (platform.Record, error) {
-	err := e.Apply([]platform.Record{record})
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if err != nil {
-		return record, err
-	}
-	return e.fold.Shorten(record), nil
-}
-
 // Apply folds records in order. Records at or below the offset are skipped;
 // a gap before a record that does not stand alone is a GapError and nothing
 // after it is folded.
 func (e *Enforcer) Apply(records []platform.Record) error {
+	_, err := e.ApplyShort(records)
+	return err
+}
+
+// ApplyShort is Apply that also returns the records folded, each in the form
+// that is passed on to daemons at the offset before it. Those folded before an
+// error are returned with it.
+func (e *Enforcer) ApplyShort(records []platform.Record) ([]platform.Record, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	before := e.fold.Offset()
-	err := e.applyAll(records)
+	folded, err := e.applyAll(records)
 	released := e.stopped != nil && e.hold > 0
 	if released {
 		e.hold = 0
@@ -165,26 +161,27 @@
 	if e.fold.Offset() > before || released && before > 0 {
 		e.swap()
 	}
-	return err
+	return folded, err
 }
 
-func (e *Enforcer) applyAll(records []platform.Record) error {
+func (e *Enforcer) applyAll(records []platform.Record) (folded []platform.Record, err error) {
 	for _, record := range records {
 		if e.stopped != nil {
-			return e.stopped
+			return folded, e.stopped
 		}
 		have := e.fold.Offset()
 		if record.Offset <= have {
 			continue
 		}
 		if record.Offset != have+1 && !e.fold.StandsAlone(record) {
-			return &GapError{Have: have, Got: record.Offset}
+			return folded, &GapError{Have: have, Got: record.Offset}
 		}
 		if err := e.applyOne(record); err != nil {
-			return err
+			return folded, err
 		}
+		folded = append(folded, e.fold.Shorten(record))
 	}
-	return nil
+	return folded, nil
 }
 
 func (e *Enforcer) applyOne(record platform.Record) error {
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
@@ -132,9 +134,9 @@
 	server := &http.Server{Handler: u}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
+	var beats conc.WaitGroup
+	defer beats.Wait()
+	beats.Go(func() {
 		for ctx.Err() == nil {
 			u.mu.Lock()
 			silent := u.silent
@@ -145,9 +147,8 @@
 			}
 			wait.For(ctx, heartbeatInterval)
 		}
-	}()
+	})
 	_ = server.Serve(u.listener)
-	<-done
 }
 
 // Drain reports that the upstream leaves. It returns once that is acknowledged.
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait lets a task stand still for a time.
+// Package wait lets tasks stand still for a time or until an event.
 package wait
 
 import (
