Dial few hosts of the log at a start, near ones first

Cause: a starting daemon read up to 64 hosts from the log and dialled all of them, and each first contact compared whole tables.

Ruled out: distribution (0.45 MB between regions), calls (26 spilled).

Now a record on the log is the host's entry with its zone; a daemon dials two hosts of its zone and one of each other zone of the region, and twice as many every quarter of a second while none answers. A bridge looks again every 30 s and dials one unknown host of each zone, so that parts that never met join.

--- a/internal/membership/choice.go
+++ b/internal/membership/choice.go
@@ -134,14 +134,12 @@
 	if connected && !isBridge {
 		return
 	}
-	known := make(map[string]bool)
+	addresses := m.seeds()
 	if connected {
-		for _, r := range m.table.rows {
-			known[r.controlAddress] = true
-		}
+		addresses = m.strangers()
 	}
-	for _, address := range m.seeds() {
-		if _, ok := wanted[address]; !ok && !known[address] {
+	for _, address := range addresses {
+		if _, ok := wanted[address]; !ok {
 			wanted[address] = wantedPeer{address: address, role: seedRole}
 		}
 	}
--- a/internal/membership/floor.go
+++ b/internal/membership/floor.go
@@ -61,6 +61,8 @@
 // seedPeers returns the seeds as peers.
 func (m *Membership) seedPeers() []wantedPeer {
 	var peers []wantedPeer
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, address := range m.seeds() {
 		if address != m.options.Self.ControlAddress {
 			peers = append(peers, wantedPeer{address: address, role: seedRole})
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -48,8 +48,11 @@
 	floors   map[string]uint64
 	lost     map[string]lostPeer
 	watches  map[string]*zoneWatch
-	// rolled holds the control addresses of hosts that the log names.
-	rolled     []string
+	// rolled holds the hosts that the log names by zone, rollShare is how many of
+	// the own zone are dialled as seeds, rollReads counts the readings.
+	rolled     map[string][]Member
+	rollShare  int
+	rollReads  int
 	neighbours map[string]*neighbour
 	// listed holds the hosts that are unreachable by the word of their zones.
 	listed map[string]bool
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -34,6 +34,7 @@
 type daemon struct {
 	*Membership
 	identity peer.Identity
+	traffic  *peer.Traffic
 	stop     context.CancelFunc
 	tasks    conc.WaitGroup
 	// open counts the accepted connections that are not closed.
@@ -57,7 +58,7 @@
 	options.Self = Member{Host: id.Host, Zone: id.Zone, Region: id.Region, ControlAddress: id.Host, CallsAddress: id.Host}
 	traffic := peer.NewTraffic()
 	options.Dialer = peer.NewDialer(id, traffic, m.net.dialFrom(id))
-	d := &daemon{Membership: New(options), identity: id}
+	d := &daemon{Membership: New(options), identity: id, traffic: traffic}
 	log := logging.Part(logrus.New(), "peer")
 	server := peer.NewServer(id, traffic, log)
 	if err := d.Register(server.Mux()); err != nil {
--- a/internal/membership/rollcall.go
+++ b/internal/membership/rollcall.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
@@ -14,13 +18,23 @@
 	rollRetry = 500 * time.Millisecond
 	// rollInterval is the time between looks at the log while nobody answers.
 	rollInterval = 2 * time.Second
+	// rollCheck is the time between looks at the log of a bridge, which brings
+	// parts of the mesh together that never met.
+	rollCheck = 30 * time.Second
 	// rollTimeout bounds one call to the log.
 	rollTimeout = 2 * time.Second
 	// rollEraseTimeout bounds the last call of a host that stops, which must not
 	// prolong the stop while the log is silent.
 	rollEraseTimeout = 300 * time.Millisecond
-	// maxRollSeeds bounds the hosts of the log that are tried as seeds.
-	maxRollSeeds = 64
+	// rollWiden is the mean time after which twice as many hosts of the log are
+	// dialled while none answers.
+	rollWiden = 250 * time.Millisecond
+	// firstRollShare is how many hosts of the own zone are dialled first,
+	// nearRollDivisor and farRollDivisor divide it for the other zones of the
+	// region and for those of other regions.
+	firstRollShare  = 2
+	nearRollDivisor = 2
+	farRollDivisor  = 4
 )
 
 // keepRoll is the task that writes this host's record to the log and learns of
@@ -30,6 +44,7 @@
 		return
 	}
 	written := false
+	checked := time.Now()
 	for ctx.Err() == nil {
 		interval := rollInterval
 		if !written {
@@ -40,11 +55,14 @@
 				interval = rollRetry
 			}
 		}
-		if !m.hasPeers() {
+		due := m.isBridge() && time.Since(checked) >= rollCheck
+		if due || !m.hasPeers() {
+			checked = time.Now()
 			if err := m.readRoll(ctx); err != nil {
 				m.log.WithError(err).Warn("hosts were not read from the log")
 				interval = rollRetry
 			}
+			m.widenRoll(ctx)
 		}
 		if !wait.For(ctx, jitter(interval)) {
 			return
@@ -52,13 +70,43 @@
 	}
 }
 
-// writeRoll puts this host's control address under its name.
+// widenRoll dials a few hosts of the log, and twice as many after a while for
+// as long as none answers.
+func (m *Membership) widenRoll(ctx context.Context) {
+	for share := firstRollShare; ; share *= 2 {
+		m.mu.Lock()
+		m.rollShare = share
+		whole := share/farRollDivisor >= longest(m.rolled)
+		m.mu.Unlock()
+		m.askReconsider()
+		if whole || !wait.For(ctx, jitter(rollWiden)) || m.hasPeers() {
+			return
+		}
+	}
+}
+
+// longest returns the size of the largest group.
+func longest(zones map[string][]Member) int {
+	size := 0
+	for _, hosts := range zones {
+		size = max(size, len(hosts))
+	}
+	return size
+}
+
+// writeRoll puts this host's entry under its name.
 func (m *Membership) writeRoll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, rollTimeout)
 	defer cancel()
-	self := m.options.Self
-	if err := m.options.Hosts.Put(ctx, platform.HostStream, self.Host, []byte(self.ControlAddress)); err != nil {
-		return fmt.Errorf("write host %s: %w", self.Host, err)
+	m.mu.Lock()
+	message := encodeEntry(m.self(), time.Now())
+	m.mu.Unlock()
+	payload, err := proto.Marshal(message)
+	if err != nil {
+		return fmt.Errorf("encode host %s: %w", message.GetHost(), err)
+	}
+	if err := m.options.Hosts.Put(ctx, platform.HostStream, message.GetHost(), payload); err != nil {
+		return fmt.Errorf("write host %s: %w", message.GetHost(), err)
 	}
 	return nil
 }
@@ -75,7 +123,7 @@
 	}
 }
 
-// readRoll takes the hosts of the log as seeds, the newest first.
+// readRoll takes the hosts of the log as seeds.
 func (m *Membership) readRoll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, rollTimeout)
 	defer cancel()
@@ -83,20 +131,39 @@
 	if err != nil {
 		return fmt.Errorf("read hosts: %w", err)
 	}
-	var seeds []string
-	for i := len(records) - 1; i >= 0 && len(seeds) < maxRollSeeds; i-- {
-		address := string(records[i].Payload)
-		if records[i].Key != m.options.Self.Host && address != "" {
-			seeds = append(seeds, address)
+	var hosts []Member
+	for _, record := range records {
+		var message Entry
+		if err := proto.Unmarshal(record.Payload, &message); err != nil {
+			m.log.WithError(err).Warnf("record of host %s cannot be read", record.Key)
+			continue
+		}
+		e, _ := decodeEntry(&message)
+		if e.host != m.options.Self.Host && e.controlAddress != "" {
+			hosts = append(hosts, Member{Host: e.host, Zone: e.zone, Region: e.region, ControlAddress: e.controlAddress})
 		}
 	}
 	m.mu.Lock()
-	m.rolled = seeds
-	m.mu.Unlock()
-	m.askReconsider()
+	defer m.mu.Unlock()
+	m.rollReads++
+	m.rolled = m.groupByZone(hosts)
 	return nil
 }
 
+// groupByZone divides hosts by zone. In each zone they stand in an order that
+// differs from daemon to daemon and from one reading to the next, so that not all
+// dial the same ones and hosts that are gone hide no others.
+func (m *Membership) groupByZone(hosts []Member) map[string][]Member {
+	ordered := byHash(hosts, func(h Member) string {
+		return fmt.Sprintf("%s/%d/%s", m.options.Self.Host, m.rollReads, h.Host)
+	})
+	zones := make(map[string][]Member)
+	for _, host := range ordered {
+		zones[host.Zone] = append(zones[host.Zone], host)
+	}
+	return zones
+}
+
 // hasPeers reports whether any peer answers.
 func (m *Membership) hasPeers() bool {
 	m.mu.Lock()
@@ -109,8 +176,53 @@
 	return false
 }
 
+// isBridge reports whether this daemon connects its zone to others.
+func (m *Membership) isBridge() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := livingZones(m.table.rows, m.listed).of(m.options.Self)
+	_, found := bridgeRank(m.options.Self.Host, own.members)
+	return found
+}
+
 // seeds returns the control addresses to begin with: those of the settings and
-// those of the log.
+// some hosts of the log, more of near zones than of far ones.
 func (m *Membership) seeds() []string {
-	return append(m.options.Seeds[:len(m.options.Seeds):len(m.options.Seeds)], m.rolled...)
+	addresses := slices.Clone(m.options.Seeds)
+	for _, hosts := range m.rolled {
+		share := m.rollShare / m.rollDivisor(hosts[0])
+		for _, host := range hosts[:min(share, len(hosts))] {
+			addresses = append(addresses, host.ControlAddress)
+		}
+	}
+	return addresses
+}
+
+func (m *Membership) rollDivisor(host Member) int {
+	switch m.scopeOf(host) {
+	case peer.WithinZone:
+		return 1
+	case peer.BetweenZones:
+		return nearRollDivisor
+	default:
+		return farRollDivisor
+	}
+}
+
+// strangers returns the control addresses of the settings, and of one host of
+// each zone of the log, that no entry names.
+func (m *Membership) strangers() []string {
+	known := make(map[string]bool)
+	for _, r := range m.table.rows {
+		known[r.controlAddress] = true
+	}
+	isKnown := func(address string) bool { return known[address] }
+	addresses := slices.DeleteFunc(slices.Clone(m.options.Seeds), isKnown)
+	for _, hosts := range m.rolled {
+		i := slices.IndexFunc(hosts, func(h Member) bool { return !isKnown(h.ControlAddress) })
+		if i >= 0 {
+			addresses = append(addresses, hosts[i].ControlAddress)
+		}
+	}
+	return addresses
 }
--- /dev/null
+++ b/internal/membership/rollcall_test.go
@@ -0,0 +1,125 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+)
+
+// hostLog keeps the newest record of each host in memory.
+type hostLog struct {
+	platform.KeyedLog
+	delay time.Duration
+
+	mu      sync.Mutex
+	calls   int
+	records []platform.KeyedRecord
+}
+
+func (l *hostLog) Put(_ context.Context, _, key string, payload []byte) error {
+	time.Sleep(l.delay)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	l.records = append(l.records, platform.KeyedRecord{Key: key, Record: platform.Record{Payload: payload}})
+	return nil
+}
+
+func (l *hostLog) Newest(context.Context, string) ([]platform.KeyedRecord, uint64, error) {
+	time.Sleep(l.delay)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	return append([]platform.KeyedRecord(nil), l.records...), uint64(len(l.records)), nil
+}
+
+// startOnLog starts daemons that find each other on the log alone.
+func (m *mesh) startOnLog(log *hostLog, zones, perZone int) {
+	for number := range perZone {
+		for zone := range zones {
+			region := fmt.Sprintf("region-%d", zone%3)
+			id := peer.Identity{Host: hostName(region, zone, number), Zone: fmt.Sprintf("zone-%d", zone), Region: region, Incarnation: 1}
+			m.startWith(Options{Identity: id, Hosts: log})
+		}
+	}
+}
+
+// sentFar returns the bytes that all daemons sent to other regions.
+func (m *mesh) sentFar() uint64 {
+	total := uint64(0)
+	for _, d := range m.daemons {
+		for class, bytes := range d.traffic.Snapshot() {
+			if class.Scope == peer.BetweenRegions {
+				total += bytes.Sent
+			}
+		}
+	}
+	return total
+}
+
+// TestStartOnTheLogIsCheap starts 78 daemons at once that find each other on the
+// log, and one more later. None spends more than its share of control bytes on
+// other regions, and each calls the log twice unless nobody answers.
+func TestStartOnTheLogIsCheap(t *testing.T) {
+	const (
+		zones, perZone = 6, 13
+		count          = zones * perZone
+		// bytesPerSecond is the target for all control traffic of a daemon.
+		bytesPerSecond = 5_000
+		span           = 10 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		log := &hostLog{delay: 4 * time.Millisecond}
+		began := time.Now()
+		m.startOnLog(log, zones, perZone)
+		took := m.settle(span, "complete", knowsAll(count))
+		time.Sleep(span - time.Since(began))
+		far := m.sentFar()
+		t.Logf("complete after %s, %d bytes to other regions, %d calls", took, far, log.calls)
+		assert.Assert(t, far < count*bytesPerSecond*uint64(span/time.Second)/4, "%d bytes", far)
+		assert.Assert(t, log.calls <= 3*count, "%d calls", log.calls)
+
+		id := peer.Identity{Host: "late", Zone: "zone-1", Region: "region-1", Incarnation: 1}
+		late := m.startWith(Options{Identity: id, Hosts: log})
+		m.settle(span, "complete with a late one", knowsAll(count+1))
+		time.Sleep(span)
+		sent := uint64(0)
+		for class, bytes := range late.traffic.Snapshot() {
+			if class.Scope == peer.BetweenRegions {
+				sent += bytes.Sent + bytes.Received
+			}
+		}
+		assert.Assert(t, sent < bytesPerSecond*uint64(span/time.Second), "%d bytes of the late one", sent)
+	})
+}
+
+// TestGoneHostsOnTheLogHideNone starts daemons whose log names many hosts that
+// are gone for each that lives.
+func TestGoneHostsOnTheLogHideNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		log := &hostLog{}
+		for i := range 60 {
+			gone := New(Options{
+				Self:     Member{Host: fmt.Sprintf("gone-%d", i), Zone: fmt.Sprintf("zone-%d", i%3), Region: "region-0", ControlAddress: fmt.Sprintf("gone-%d", i)},
+				Identity: peer.Identity{Host: fmt.Sprintf("gone-%d", i), Zone: fmt.Sprintf("zone-%d", i%3), Region: "region-0"},
+				Hosts:    log,
+			})
+			assert.NilError(t, gone.writeRoll(t.Context()))
+		}
+		m.startOnLog(log, 3, 2)
+		took := m.settle(10*time.Second, "complete", knowsAll(6))
+		t.Logf("complete after %s", took)
+	})
+}
