Prefer the target that takes less time for a call's rank

Cause: targets of a service differ in speed by more than two, and some turn slow for seconds. Choices knew load only: two targets of equal load were equal, so a slow one got its full share until its slots were full.

The gate now tells with each answer how long a request of the call's rank holds a slot. The router compares these times by their harmonic mean, which a few slow targets hardly move, and weighs them with the load; a target far slower than others counts as more loaded when others further away are looked at. Reports fade, so that a target that was slow is tried again. A request that fails at once is no sign of speed and is not counted.

Ruled out: the sum over targets in place of the harmonic mean; one target ten times slower hid behind it (TestSlowTargetOfTheZoneIsLeft failed so). TestFasterTargetGetsMoreCalls, TestFastFailuresAreNoPace fail without it.

--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
@@ -141,7 +142,7 @@
 
 func (s *Server) attemptHere(ctx context.Context, q *request, member membership.Member) (*answer, *Error) {
 	result, failure := s.serveTarget(ctx, q)
-	load := s.gate.load()
+	load := s.gate.loadFor(q.priority)
 	if failure != nil {
 		s.router.Done(s.self.Host, route.Result{Verdict: verdictOf(failure), Priority: q.priority, Position: member.Position, Load: &load})
 		return nil, failure
@@ -244,6 +245,8 @@
 	if err != nil {
 		return nil
 	}
+	// An answer without a time, or with one that cannot be read, tells none.
+	load.Took, _ = time.ParseDuration(header.Get(headerTook))
 	return &load
 }
 
--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -30,7 +30,13 @@
 }
 
 // Leave frees a slot.
-func (g *Gate) Leave(held time.Duration) { g.gate.leave(0, held) }
+func (g *Gate) Leave(held time.Duration) { g.LeaveAs(held, true) }
+
+// LeaveAs frees a slot after a request that was answered or failed.
+func (g *Gate) LeaveAs(held time.Duration, answered bool) { g.gate.leave(0, held, answered) }
+
+// Took returns how long a request holds a slot.
+func (g *Gate) Took() time.Duration { return g.gate.loadFor(0).Took }
 
 // Load returns how many requests hold slots and how many wait.
 func (g *Gate) Load() (busy, queued int) {
--- a/internal/call/gate.go
+++ b/internal/call/gate.go
@@ -235,13 +235,16 @@
 	return entry.err
 }
 
-// leave frees a slot that was held for a time.
-func (g *gate) leave(priority int, held time.Duration) {
+// leave frees a slot that was held for a time. The time of a request that failed
+// counts only if it was long: a target that fails at once is not a fast one.
+func (g *gate) leave(priority int, held time.Duration, answered bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.busy--
-	g.serviceTime = moved(g.serviceTime, held)
-	g.rankTimes[priority] = moved(g.rankTimes[priority], held)
+	if answered || held > g.timeOf(priority) {
+		g.serviceTime = moved(g.serviceTime, held)
+		g.rankTimes[priority] = moved(g.rankTimes[priority], held)
+	}
 	g.grant()
 }
 
@@ -276,9 +279,18 @@
 	return entry
 }
 
-// load is what the gate reports with answers.
+// load is what the gate reports with answers, not to a call of any rank.
 func (g *gate) load() route.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return route.Load{Busy: g.busy, Slots: g.limits.slots, Queued: g.queued}
 }
+
+// loadFor is what the gate reports with answers to a call of a rank.
+func (g *gate) loadFor(priority int) route.Load {
+	load := g.load()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	load.Took = g.rankTimes[priority]
+	return load
+}
--- a/internal/call/gate_test.go
+++ b/internal/call/gate_test.go
@@ -210,3 +210,20 @@
 		assert.DeepEqual(t, order, []string{"2 refused=true", "2 refused=true", "0 refused=false", "1 refused=false"})
 	})
 }
+
+// TestFastFailuresAreNoPace lets requests fail at once: the time that a request
+// takes at the target stays that of the answered ones.
+func TestFastFailuresAreNoPace(t *testing.T) {
+	g := call.NewGate()
+	for range 50 {
+		g.LeaveAs(300*time.Millisecond, true)
+	}
+	for range 50 {
+		g.LeaveAs(time.Millisecond, false)
+	}
+	assert.Assert(t, g.Took() > 250*time.Millisecond)
+	for range 50 {
+		g.LeaveAs(3*time.Second, false)
+	}
+	assert.Assert(t, g.Took() > time.Second)
+}
--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -23,6 +23,13 @@
 	headerLate = "Mulberry-Late"
 	// headerFreeSlot is "1" when the request does not wait for a slot.
 	headerFreeSlot = "Mulberry-Free-Slot"
+	// headerTook carries the mean time that a request of the call's rank holds a
+	// slot of the answering daemon's target, such as "250ms".
+	headerTook = "Mulberry-Took"
+	// noRank stands for the rank of a request that could not be read.
+	noRank = -1
+	// tookResolution is the resolution of headerTook.
+	tookResolution = time.Millisecond
 	// defaultDeadline bounds calls of routes that name none.
 	defaultDeadline = 30 * time.Second
 	// writeGrace is how long after a call's deadline its connection may still
@@ -191,7 +198,7 @@
 	s.observeClock(r.Header)
 	q, failure := s.parsePeer(w, r)
 	if failure != nil {
-		s.answerPeer(w, r.Header.Get(HeaderCall), failure)
+		s.answerPeer(w, r.Header.Get(HeaderCall), noRank, failure)
 		return
 	}
 	defer bound(w, q.deadline, q.body)()
@@ -201,10 +208,10 @@
 	if failure != nil {
 		s.logRefused(q, failure)
 		q.body.stop(w)
-		s.answerPeer(w, q.id, failure)
+		s.answerPeer(w, q.id, q.priority, failure)
 		return
 	}
-	s.setReports(w.Header(), q.id)
+	s.setReports(w.Header(), q.id, q.priority)
 	q.body.duplex(w)
 	if err := result.relay(w); err != nil {
 		s.counters.cut.Inc()
@@ -212,16 +219,20 @@
 	}
 }
 
-func (s *Server) answerPeer(w http.ResponseWriter, id string, failure *Error) {
-	s.setReports(w.Header(), id)
+func (s *Server) answerPeer(w http.ResponseWriter, id string, priority int, failure *Error) {
+	s.setReports(w.Header(), id, priority)
 	writeError(w, id, failure)
 }
 
 // setReports adds what each answer between daemons carries.
-func (s *Server) setReports(header http.Header, id string) {
+func (s *Server) setReports(header http.Header, id string, priority int) {
 	header.Set(HeaderCall, id)
 	header.Set(HeaderPeer, s.self.Host)
-	header.Set(HeaderLoad, s.gate.load().String())
+	load := s.gate.loadFor(priority)
+	header.Set(HeaderLoad, load.String())
+	if load.Took > 0 {
+		header.Set(headerTook, load.Took.Round(tookResolution).String())
+	}
 	if s.clock != nil {
 		header.Set(HeaderClock, s.clock.Now().String())
 	}
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -52,7 +52,8 @@
 	}
 	s.counters.admitted.Inc()
 	began := s.now()
-	leave := sync.OnceFunc(func() { s.gate.leave(q.priority, s.now().Sub(began)) })
+	answered := false
+	leave := sync.OnceFunc(func() { s.gate.leave(q.priority, s.now().Sub(began), answered) })
 	sent := TargetRequest{ID: q.id, Instance: instance}
 	response, handed, err := s.exchange(ctx, s.targets, address, q, s.ranEvent(q), s.prepare(&sent))
 	if err != nil {
@@ -63,7 +64,10 @@
 		leave()
 		return nil, failure, failure.Outcome != NotRun
 	}
-	result, err := newAnswer(response, func(bool) { leave() })
+	result, err := newAnswer(response, func(whole bool) {
+		answered = whole && response.StatusCode < http.StatusInternalServerError
+		leave()
+	})
 	if err != nil {
 		return nil, s.fail(Unknown, StepAnswer, statusOf(ctx, err), err), true
 	}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -38,11 +38,11 @@
 		r.counters.remote.Inc()
 		return r.better(far), false, true
 	}
-	if len(far) == 0 || near.score < farScore {
+	if len(far) == 0 || near.burden() < farScore {
 		return near, false, true
 	}
 	other := r.better(far)
-	if other.score < spillScore {
+	if other.burden() < spillScore {
 		r.counters.spilled.Inc()
 		return other, true, true
 	}
@@ -60,12 +60,12 @@
 		return r.better(region), true
 	}
 	near := r.better(zone)
-	if len(region) == 0 || near.score < spillScore {
+	if len(region) == 0 || near.burden() < spillScore {
 		r.counters.local.Inc()
 		return near, true
 	}
 	other := r.better(region)
-	if other.score+spillMargin < near.score {
+	if other.burden()+spillMargin < near.burden() {
 		r.counters.spilled.Inc()
 		return other, true
 	}
@@ -100,11 +100,11 @@
 	return zone, region, far
 }
 
-// better returns the less loaded of two random choices.
+// better returns the one of two random choices that costs less.
 func (r *Router) better(candidates []candidate) candidate {
 	first := r.sample(candidates)
 	second := r.sample(candidates)
-	if candidates[second].score < candidates[first].score {
+	if candidates[second].cheaper(candidates[first]) {
 		return candidates[second]
 	}
 	return candidates[first]
--- a/internal/route/evidence.go
+++ b/internal/route/evidence.go
@@ -85,6 +85,7 @@
 	now := r.now()
 	if result.Load != nil {
 		known.report(*result.Load, now)
+		known.reportTook(result.Priority, result.Load.Took, now)
 	}
 	known.outstanding = max(known.outstanding-1, 0)
 	known.noteFull(result, now)
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -24,6 +24,9 @@
 	Slots int
 	// Queued is how many wait for a slot.
 	Queued int
+	// Took is the mean time that a request of the call's rank holds a slot, 0
+	// when none is known. It is not part of the text form.
+	Took time.Duration
 }
 
 // String formats the load as "busy/slots/queued".
@@ -70,6 +73,9 @@
 	fullUntil time.Time
 	fullRank  int
 	fulls     int
+	// took holds, by rank, what the target's daemon reported last of the time
+	// that a request holds a slot.
+	took map[int]tookReport
 }
 
 // load estimates the requests at the target. What others put there fades with
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -132,6 +132,7 @@
 		r.counters.noTarget.Inc()
 		return candidate{}, false, ErrNoTarget
 	}
+	r.setPaces(healthy, want.Priority, now)
 	picked, freeSlotOnly, ok := r.choose(r.withoutEjected(healthy))
 	if !ok {
 		r.counters.allFull.Inc()
@@ -142,8 +143,10 @@
 
 // candidate is a target that may take a call, with its weighed load.
 type candidate struct {
-	member  membership.Member
-	score   float64
+	member membership.Member
+	score  float64
+	// pace is the time that the target takes relative to others.
+	pace    float64
 	share   float64
 	ejected bool
 	// full is set when the target has just refused a call of the rank.
