Tell callers what share of its requests a target fails, and go elsewhere

A daemon ejected a target only when it failed half of that daemon's own calls, and each of 80 daemons sees few.

The daemon beside a target sees every ending, so it reports the share that failed of late with each answer. A target that fails 15 of 100 more than the best is passed over; calls that may not be repeated stay away three times as long. When all fail alike nothing moves.

Ruled out: a lower share for ejections by own evidence; with 3 calls a second for each target it takes seconds in each daemon, and one unlucky call ejects. TestReportedFailuresMoveCalls fails without it.

--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -87,7 +87,7 @@
 	if s.inflight.isDraining() {
 		exclude = with(exclude, s.self.Host)
 	}
-	want := route.Want{Service: c.request.service, Exclude: exclude, Priority: c.request.priority}
+	want := route.Want{Service: c.request.service, Exclude: exclude, Priority: c.request.priority, Repeatable: c.route.Idempotent}
 	choice, err := s.router.Choose(want)
 	if err != nil {
 		return route.Choice{}, s.fail(NotRun, StepPick, http.StatusServiceUnavailable, err)
@@ -247,6 +247,7 @@
 	}
 	// An answer without a time, or with one that cannot be read, tells none.
 	load.Took, _ = time.ParseDuration(header.Get(headerTook))
+	load.Failing, _ = strconv.ParseFloat(header.Get(headerFailing), 64)
 	return &load
 }
 
--- a/internal/call/gate.go
+++ b/internal/call/gate.go
@@ -79,6 +79,8 @@
 	rankTimes   map[int]time.Duration
 	// waits holds, by rank, what a place in the queue has cost of late.
 	waits map[int]*placeWait
+	// tally counts how requests ended at the target.
+	tally route.Tally
 }
 
 func newGate(now func() time.Time) *gate {
@@ -235,6 +237,13 @@
 	return entry.err
 }
 
+// ended counts how a request ended at the target.
+func (g *gate) ended(failed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tally.Add(failed, g.now())
+}
+
 // leave frees a slot that was held for a time. The time of a request that failed
 // counts only if it was long: a target that fails at once is not a fast one.
 func (g *gate) leave(priority int, held time.Duration, answered bool) {
@@ -292,5 +301,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	load.Took = g.rankTimes[priority]
+	load.Failing = g.tally.Failing(g.now())
 	return load
 }
--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -26,6 +27,9 @@
 	// headerTook carries the mean time that a request of the call's rank holds a
 	// slot of the answering daemon's target, such as "250ms".
 	headerTook = "Mulberry-Took"
+	// headerFailing carries the share of requests, from 0 to 1, that the answering
+	// daemon's target failed of late, left out when it is 0.
+	headerFailing = "Mulberry-Failing"
 	// noRank stands for the rank of a request that could not be read.
 	noRank = -1
 	// tookResolution is the resolution of headerTook.
@@ -233,6 +237,9 @@
 	if load.Took > 0 {
 		header.Set(headerTook, load.Took.Round(tookResolution).String())
 	}
+	if load.Failing > 0 {
+		header.Set(headerFailing, strconv.FormatFloat(load.Failing, 'f', 2, 64))
+	}
 	if s.clock != nil {
 		header.Set(HeaderClock, s.clock.Now().String())
 	}
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -57,15 +58,18 @@
 	sent := TargetRequest{ID: q.id, Instance: instance}
 	response, handed, err := s.exchange(ctx, s.targets, address, q, s.ranEvent(q), s.prepare(&sent))
 	if err != nil {
+		s.gate.ended(!callerGone(ctx))
 		leave()
 		return nil, s.fail(outcomeOf(handed), StepTarget, statusOf(ctx, err), err), handed
 	}
 	if failure := s.judge(sent, response); failure != nil {
+		s.gate.ended(true)
 		leave()
 		return nil, failure, failure.Outcome != NotRun
 	}
 	result, err := newAnswer(response, func(whole bool) {
 		answered = whole && response.StatusCode < http.StatusInternalServerError
+		s.gate.ended(!answered && !callerGone(ctx))
 		leave()
 	})
 	if err != nil {
@@ -74,6 +78,11 @@
 	return result, nil, true
 }
 
+// callerGone reports whether a call ended because nobody waits for it any more.
+func callerGone(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
 // prepare returns what puts the headers of the target's dialect in place of
 // the mesh's own, nil when there is no dialect.
 func (s *Server) prepare(sent *TargetRequest) func(http.Header, time.Duration) {
--- a/internal/route/evidence.go
+++ b/internal/route/evidence.go
@@ -86,6 +86,7 @@
 	if result.Load != nil {
 		known.report(*result.Load, now)
 		known.reportTook(result.Priority, result.Load.Took, now)
+		known.failing = failingReport{share: result.Load.Failing, at: now}
 	}
 	known.outstanding = max(known.outstanding-1, 0)
 	known.noteFull(result, now)
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -27,6 +27,9 @@
 	// Took is the mean time that a request of the call's rank holds a slot, 0
 	// when none is known. It is not part of the text form.
 	Took time.Duration
+	// Failing is the share of requests, from 0 to 1, that the target failed of
+	// late. It is not part of the text form.
+	Failing float64
 }
 
 // String formats the load as "busy/slots/queued".
@@ -76,6 +79,9 @@
 	// took holds, by rank, what the target's daemon reported last of the time
 	// that a request holds a slot.
 	took map[int]tookReport
+	// failing is the share of requests that the target failed, as its daemon
+	// reported.
+	failing failingReport
 }
 
 // load estimates the requests at the target. What others put there fades with
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -85,6 +85,8 @@
 	Exclude map[string]bool
 	// Priority is the rank of the call, 0 the highest.
 	Priority int
+	// Repeatable says that the call may run on another target after a failure.
+	Repeatable bool
 }
 
 // Choice is the target for the next attempt of a call.
@@ -133,6 +135,7 @@
 		return candidate{}, false, ErrNoTarget
 	}
 	r.setPaces(healthy, want.Priority, now)
+	markFailing(healthy)
 	picked, freeSlotOnly, ok := r.choose(r.withoutEjected(healthy))
 	if !ok {
 		r.counters.allFull.Inc()
@@ -146,8 +149,10 @@
 	member membership.Member
 	score  float64
 	// pace is the time that the target takes relative to others.
-	pace    float64
-	share   float64
+	pace  float64
+	share float64
+	// failing is the share of requests that the target failed of late.
+	failing float64
 	ejected bool
 	// full is set when the target has just refused a call of the rank.
 	full bool
@@ -198,6 +203,7 @@
 		member:  member,
 		score:   known.load(now) / (slots * share),
 		share:   share,
+		failing: known.failing.present(now, want.Repeatable),
 		ejected: now.Before(known.ejectedUntil),
 		full:    known.full(want.Priority, now),
 	}
