Play random faults against daemon processes and check what callers see

'mulberrybank soak' runs real daemon processes beside stand-ins of the store, the targets and the callers. Proxies before each daemon and its way to the store delay, reset, cut one way and silence; signals pause, stop, kill and reload; the store refuses, is silent, slow, loses answers, forgets; targets leave, lose, cut, double and shed. Eleven rules are checked while it runs, from what callers and targets saw. A seed gives the plan again (--plan prints it).

Daemons tell others another address than they listen on where something stands between them (settings 'advertise'), which the proxies need.

TestSoakFindsPlantedFaults breaks five promises between callers and daemons: a request run twice, a false refusal, a cut answer passed as whole, an old version enforced, a request to a target that has left. Each is found.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -22,6 +22,7 @@
 	Daemon   *daemonCommand   `arg:"subcommand:daemon" help:"run the daemon of this host"`
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"show the system at work in one process"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"call a mesh at a constant rate and show the latencies"`
+	Soak     *soakCommand     `arg:"subcommand:soak" help:"play random faults against daemon processes and check what callers see"`
 	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in of the log or of a target"`
 	Validate *validateCommand `arg:"subcommand:validate" help:"check a workspace directory without a daemon"`
 	Publish  *publishCommand  `arg:"subcommand:publish" help:"publish a workspace directory"`
--- /dev/null
+++ b/internal/cli/soak.go
@@ -0,0 +1,112 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/mulberrybank/mulberrybank/internal/soak"
+)
+
+// soakCommand plays one seed after the other.
+type soakCommand struct {
+	Seed     uint64        `arg:"--seed" help:"first seed; a random one when left out"`
+	Seeds    int           `arg:"--seeds" default:"1" help:"how many seeds to play, one after the other from the first"`
+	Jobs     int           `arg:"--jobs" default:"1" help:"how many seeds to play at once"`
+	For      time.Duration `arg:"--for" default:"20s" help:"how long faults are injected for each seed"`
+	Machines int           `arg:"--machines" default:"6" help:"daemon processes for each seed, at most 200"`
+	Callers  int           `arg:"--callers" default:"3" help:"callers of each machine"`
+	Logs     string        `arg:"--logs" placeholder:"DIR" help:"folder for the logs of seeds that fail"`
+	Plan     bool          `arg:"--plan" help:"only print the plan of the first seed"`
+	JSON     bool          `arg:"--json" help:"print one report a line as JSON"`
+}
+
+// maxSoakMachines is the largest fleet of one seed: each has an address of its own.
+const maxSoakMachines = 200
+
+func (*soakCommand) example() string {
+	return "mulberrybank soak --seed 7 --seeds 50 --jobs 3 --logs /tmp"
+}
+
+func (c *soakCommand) run(ctx context.Context, env *env) error {
+	if c.Machines < 4 || c.Machines > maxSoakMachines {
+		return &usageError{fmt.Sprintf("--machines: %d is not between 4 and %d", c.Machines, maxSoakMachines)}
+	}
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64N(1 << 32)
+	}
+	if c.Plan {
+		for _, step := range soak.NewPlan(c.Seed, c.For, c.Machines).Steps {
+			fmt.Fprintln(env.stdout, step)
+		}
+		return nil
+	}
+	binary, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("find the program: %w", err)
+	}
+	out := &soakOutput{out: env.stdout, asJSON: c.JSON}
+	tasks := pool.New().WithMaxGoroutines(max(c.Jobs, 1)).WithErrors()
+	for i := range c.Seeds {
+		tasks.Go(func() error { return c.play(ctx, binary, c.Seed+uint64(i), out) })
+	}
+	if err := tasks.Wait(); err != nil {
+		return err
+	}
+	if out.failed > 0 {
+		fmt.Fprintf(env.stdout, "%d of %d seeds failed\n", out.failed, c.Seeds)
+		return errRefused
+	}
+	return nil
+}
+
+func (c *soakCommand) play(ctx context.Context, binary string, seed uint64, out *soakOutput) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	options := soak.Options{
+		Binary: binary, Seed: seed, Length: c.For, Machines: c.Machines, Callers: c.Callers, Dir: c.Logs,
+	}
+	if c.Seeds == 1 && !c.JSON {
+		options.Progress = func(text string) { fmt.Fprintln(out.out, text) }
+	}
+	report, err := soak.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	return out.write(report)
+}
+
+// soakOutput prints the reports of seeds that are played at once.
+type soakOutput struct {
+	mu     sync.Mutex
+	out    io.Writer
+	asJSON bool
+	failed int
+}
+
+func (o *soakOutput) write(report *soak.Report) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(report.Violations) > 0 {
+		o.failed++
+	}
+	if o.asJSON {
+		return json.NewEncoder(o.out).Encode(report)
+	}
+	fmt.Fprintf(o.out, "seed %d: %d steps, %+v, %d violations\n", report.Plan.Seed, len(report.Plan.Steps), report.Counts, len(report.Violations))
+	for _, violation := range report.Violations {
+		fmt.Fprintf(o.out, "  %s\n", violation)
+	}
+	if report.Logs != "" {
+		fmt.Fprintf(o.out, "  logs in %s\n", report.Logs)
+	}
+	return nil
+}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -56,8 +57,8 @@
 			Host:           d.identity.Host,
 			Zone:           d.identity.Zone,
 			Region:         d.identity.Region,
-			ControlAddress: d.settings.Listen.Control,
-			CallsAddress:   d.settings.Listen.Calls,
+			ControlAddress: cmp.Or(d.settings.Advertise.Control, d.settings.Listen.Control),
+			CallsAddress:   cmp.Or(d.settings.Advertise.Calls, d.settings.Listen.Calls),
 		},
 		Identity:       d.identity,
 		Dialer:         dialer,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,8 @@
 	Zone   string `json:"zone" required:"true" form:"name"`
 	Region string `json:"region" required:"true" form:"name"`
 	Listen Listen `json:"listen"`
+	// Advertise is where other daemons reach this one, if not where it listens.
+	Advertise Advertise `json:"advertise"`
 	// Platform is how the log is reached.
 	Platform Platform `json:"platform"`
 	// Peers are control addresses of a few other daemons, at best of several zones.
@@ -61,6 +63,13 @@
 	Ready string `json:"ready" form:"address or nothing"`
 }
 
+// Advertise holds addresses that other daemons are told, each "IP:port" or empty
+// for that of Listen. They differ where something stands between the daemons.
+type Advertise struct {
+	Calls   string `json:"calls" form:"address or nothing"`
+	Control string `json:"control" form:"address or nothing"`
+}
+
 // Platform is how the log service is reached.
 type Platform struct {
 	// Address is the base URL of the log.
--- /dev/null
+++ b/internal/standin/upstream/configuration.go
@@ -0,0 +1,51 @@
+package upstream
+
+import "encoding/json"
+
+// Route is a route of the operator's configuration.
+type Route struct {
+	Name       string `json:"name"`
+	Host       string `json:"host"`
+	PathPrefix string `json:"path_prefix"`
+	Idempotent bool   `json:"-"`
+	Service    string `json:"service"`
+	// Timeout and Objective are in seconds.
+	Timeout   float64 `json:"timeout_s"`
+	Objective float64 `json:"target_latency_s"`
+	Priority  int     `json:"priority"`
+	Attempts  int     `json:"max_attempts"`
+	Kind      string  `json:"route_kind"`
+}
+
+// Configuration is what the operator writes.
+type Configuration struct {
+	Version  int
+	Routes   []Route
+	Services []string
+	// Connections bounds the connections to one upstream of each service.
+	Connections int
+}
+
+// Encode returns the configuration as the operator writes it.
+func (c Configuration) Encode() ([]byte, error) {
+	type service struct {
+		Name     string `json:"name"`
+		MaxConns int    `json:"max_conns"`
+	}
+	wire := struct {
+		Version  int       `json:"version"`
+		Routes   []Route   `json:"routes"`
+		Services []service `json:"services"`
+	}{Version: c.Version}
+	for _, route := range c.Routes {
+		route.Kind = "non_idempotent"
+		if route.Idempotent {
+			route.Kind = "idempotent"
+		}
+		wire.Routes = append(wire.Routes, route)
+	}
+	for _, name := range c.Services {
+		wire.Services = append(wire.Services, service{Name: name, MaxConns: c.Connections})
+	}
+	return json.Marshal(wire)
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -25,6 +25,8 @@
 	headerInstance    = "Target-Instance"
 	headerSignature   = "Response-Signature"
 	headerNotExecuted = "Not-Executed"
+	headerCaller      = "Caller-Service"
+	headerDeadline    = "Deadline-Ms"
 )
 
 // heartbeatInterval is the time between two heartbeats, heartbeatTimeout bounds one.
@@ -60,6 +62,12 @@
 	Body   string
 }
 
+// Caller returns the service that a run names as its caller.
+func (r Run) Caller() string { return r.Header.Get(headerCaller) }
+
+// AnswerTo returns the body of the answer to a request.
+func AnswerTo(id, body string) string { return "answer to " + id + " " + body }
+
 // Options of an upstream.
 type Options struct {
 	ID      string
@@ -71,6 +79,8 @@
 	Born int64
 	// Listen is where it serves, "127.0.0.1:0" when empty.
 	Listen string
+	// OnRun is told of each request that begins to run, nil for nobody.
+	OnRun func(Run)
 }
 
 // Upstream is one running upstream.
@@ -115,7 +125,8 @@
 	u.behaviour = behaviour
 }
 
-// Runs returns the requests that were run, in the order of their begin.
+// Runs returns the requests that were run, in the order of their begin, unless
+// Options.OnRun takes them.
 func (u *Upstream) Runs() []Run {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -241,13 +252,18 @@
 		return u.behaviour, false
 	}
 	u.busy++
-	u.runs = append(u.runs, Run{ID: r.Header.Get(headerID), Header: r.Header.Clone(), Path: r.RequestURI, Body: body})
+	run := Run{ID: r.Header.Get(headerID), Header: r.Header.Clone(), Path: r.RequestURI, Body: body}
+	if u.options.OnRun != nil {
+		u.options.OnRun(run)
+		return u.behaviour, true
+	}
+	u.runs = append(u.runs, run)
 	return u.behaviour, true
 }
 
 func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, behaviour Behaviour, body []byte) {
 	id := r.Header.Get(headerID)
-	text := append([]byte("answer to "+id+" "), body...)
+	text := []byte(AnswerTo(id, string(body)))
 	status := behaviour.Status
 	if status == 0 {
 		status = http.StatusOK
