Take hangups until a stop has ended

Played again with logs, the daemon of tamale-yard-1 ended 1.35 s after SIGTERM without a line; SIGHUP had come in the meantime. The task that takes hangups ended with the context that SIGTERM cancels, and an untaken SIGHUP ends a process.

Ruled out: the stop itself (no line of it, its bounds are 2.7 and 5 s), memory. Now they are taken from the first moment of the process until the stop has ended. TestHangupDuringAStopEndsNothing fails without it.

--- a/cmd/mulberrybank/platform_test.go
+++ b/cmd/mulberrybank/platform_test.go
@@ -436,3 +436,30 @@
 		}
 	}
 }
+
+// TestHangupDuringAStopEndsNothing sends SIGHUP to a daemon that is stopping: it
+// finishes what it took and ends in order.
+func TestHangupDuringAStopEndsNothing(t *testing.T) {
+	f := startFleet(t)
+	third := f.machines[2]
+	f.await("side-3 serves", func() bool {
+		got, err := f.ask(third, http.MethodGet, "/lookup/1", "")
+		return err == nil && got.status == http.StatusOK
+	})
+	third.upstream.Behave(upstream.Behaviour{Delay: 500 * time.Millisecond})
+	before := len(third.upstream.Runs())
+	var tasks conc.WaitGroup
+	asked := make(chan reply, 1)
+	tasks.Go(func() {
+		got, _ := f.ask(third, http.MethodGet, "/lookup/2", "")
+		asked <- got
+	})
+	f.await("the request runs", func() bool { return len(third.upstream.Runs()) > before })
+	assert.NilError(t, third.daemon.Process.Signal(syscall.SIGTERM))
+	f.await("side-3 is not ready", func() bool { return !f.ready(third) })
+	assert.NilError(t, third.daemon.Process.Signal(syscall.SIGHUP))
+	got := <-asked
+	tasks.Wait()
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.NilError(t, third.daemon.Wait())
+}
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -28,6 +28,11 @@
 }
 
 func (c *daemonCommand) run(ctx context.Context, env *env) error {
+	// Hangups are taken from the first moment to the end of a stop: one that is
+	// not taken ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	overrides, err := parseOverrides(c.Set)
 	if err != nil {
 		return err
@@ -55,11 +60,11 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	reloads, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	defer cancel()
-	tasks.Go(func() { c.reloadOnHangup(ctx, process, overrides, logger) })
+	tasks.Go(func() { c.reloadOnHangup(reloads, hangups, process, overrides, logger) })
 	return process.Run(ctx)
 }
 
@@ -74,10 +79,7 @@
 }
 
 // reloadOnHangup reads the settings again at each SIGHUP until ctx ends.
-func (c *daemonCommand) reloadOnHangup(ctx context.Context, process *daemon.Daemon, overrides []settings.Override, logger *logrus.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func (c *daemonCommand) reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, process *daemon.Daemon, overrides []settings.Override, logger *logrus.Logger) {
 	for {
 		select {
 		case <-hangups:
