Wait for another host before the log is read at a start

A start now waits until another host is known, half a second at most, and then takes its place in the tree. The soak also finds a stop that does not end in order.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -83,10 +83,30 @@
 		// A daemon that knows few hosts of its zone takes itself for a reader
 		// of the log; peers that answered tell of the others.
 		wait.For(ctx, membersDelay)
+	} else {
+		d.awaitMembers(ctx)
 	}
 	return d.distributor.Run(ctx)
 }
 
+// awaitMembers waits until another host is known, from which configuration may
+// come, so that a start of many does not make each of them read the log.
+func (d *Daemon) awaitMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, membersDelay)
+	defer cancel()
+	for {
+		changed := d.members.Changed()
+		if len(d.members.View().Members) > 1 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // stop ends the daemon's work in order within the stop timeout.
 func (d *Daemon) stop() {
 	d.log.Infof("host %s stops", d.identity.Host)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -69,8 +69,9 @@
 	process *exec.Cmd
 	// ended is closed when the process has ended.
 	ended chan struct{}
-	// asked says that the end of the process was asked for.
-	asked bool
+	// asked says that the end of the process was asked for, killed that it was
+	// asked for with SIGKILL.
+	asked, killed bool
 	// incarnation counts the processes.
 	incarnation int
 	target      *upstream.Upstream
@@ -199,7 +200,7 @@
 	}
 	ended := make(chan struct{})
 	m.mu.Lock()
-	m.process, m.ended, m.asked = process, ended, false
+	m.process, m.ended, m.asked, m.killed = process, ended, false, false
 	m.incarnation++
 	m.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { _ = process.Process.Kill() })
@@ -209,10 +210,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.process = nil
-	if m.asked {
+	switch {
+	case m.killed, m.asked && err == nil:
 		return nil
+	case m.asked:
+		return fmt.Errorf("a stop did not end in order: %w", err)
+	default:
+		return fmt.Errorf("the daemon ended by itself: %w", err)
 	}
-	return fmt.Errorf("the daemon ended by itself: %w", err)
 }
 
 // signal sends a signal to the running process. last says that it is to end.
@@ -223,6 +228,7 @@
 		return
 	}
 	m.asked = m.asked || last
+	m.killed = m.killed || signal == syscall.SIGKILL
 	_ = m.process.Process.Signal(signal)
 }
 
