Tell a call's story from logs, serve metrics on an address of their own

'mulberrybank story' puts the lines of several daemons about one call in the order of its hops by the numbers of its attempts.

--- a/internal/call/decisions.go
+++ b/internal/call/decisions.go
@@ -1,6 +1,8 @@
 package call
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrybank/mulberrybank/internal/membership"
@@ -59,3 +61,36 @@
 		"cause":    failure.Err,
 	}).Debug("request refused")
 }
+
+// logAnswered tells of a call that was answered by a target.
+func (s *Server) logAnswered(c *outbound, result *answer, took time.Duration) {
+	if !s.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	s.log.WithFields(logrus.Fields{
+		"call":     c.request.id,
+		"service":  c.request.service.Name,
+		"route":    c.route.Name,
+		"version":  c.request.config.Version,
+		"host":     result.host,
+		"attempts": result.attempt,
+		"status":   result.status,
+		"took":     took,
+	}).Debug("call answered")
+}
+
+// logRan tells how the own target ended a request, with status 0 when it gave no
+// answer.
+func (s *Server) logRan(q *request, instance string, status int, took time.Duration) {
+	if !s.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	s.log.WithFields(logrus.Fields{
+		"call":     q.id,
+		"attempt":  q.attempt,
+		"priority": q.priority,
+		"instance": instance,
+		"status":   status,
+		"took":     took,
+	}).Debug("request ran")
+}
--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -60,6 +60,7 @@
 
 // answerCaller carries the call and writes its answer or error.
 func (s *Server) answerCaller(ctx context.Context, w http.ResponseWriter, c *outbound, refuse Refuser) {
+	began := s.now()
 	result, failure := s.carry(ctx, c)
 	if failure != nil {
 		c.trace.failed(failure)
@@ -75,6 +76,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.trace.answered(result)
+	s.logAnswered(c, result, s.now().Sub(began))
 	s.counters.answered.Inc()
 }
 
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -57,6 +57,7 @@
 	leave := sync.OnceFunc(func() { s.gate.leave(q.priority, s.now().Sub(began), answered) })
 	sent := TargetRequest{ID: q.id, Instance: instance}
 	response, handed, err := s.exchange(ctx, s.targets, address, q, s.ranEvent(q), s.prepare(&sent))
+	s.logRan(q, instance, statusOrNone(response), s.now().Sub(began))
 	if err != nil {
 		s.gate.ended(!callerGone(ctx))
 		leave()
@@ -83,6 +84,14 @@
 	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded)
 }
 
+// statusOrNone returns the status of a response, 0 for none.
+func statusOrNone(response *http.Response) int {
+	if response == nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
 // prepare returns what puts the headers of the target's dialect in place of
 // the mesh's own, nil when there is no dialect.
 func (s *Server) prepare(sent *TargetRequest) func(http.Header, time.Duration) {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,6 +33,7 @@
 	Rollback *rollbackCommand `arg:"subcommand:rollback" help:"publish the content of an old version again"`
 	Drain    *drainCommand    `arg:"subcommand:drain" help:"take a target out of service, or put it back"`
 	Token    *tokenCommand    `arg:"subcommand:token" help:"make an access token"`
+	Story    *storyCommand    `arg:"subcommand:story" help:"tell from logs what happened to one call"`
 	Timeline *timelineCommand `arg:"subcommand:timeline" help:"show or check the events of many processes"`
 }
 
--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -42,3 +42,13 @@
 	}
 	return d.adapter.Dialect()
 }
+
+// metricsHandler serves the metrics of this process in the Prometheus text format.
+func (d *Daemon) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		d.metrics.WritePrometheus(w)
+	})
+	return mux
+}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -25,8 +25,9 @@
 	control net.Listener
 	admin   net.Listener
 	target  net.Listener
-	// ready is nil when nobody asks.
-	ready net.Listener
+	// ready and metrics are nil when nobody asks.
+	ready   net.Listener
+	metrics net.Listener
 }
 
 // open listens on every address and writes the ports chosen by the system
@@ -43,6 +44,7 @@
 		{"admin", &listen.Admin, &l.admin},
 		{"target", &listen.Target, &l.target},
 		{"ready", &listen.Ready, &l.ready},
+		{"metrics", &listen.Metrics, &l.metrics},
 	}
 	for _, port := range ports {
 		if *port.address == "" {
@@ -61,7 +63,7 @@
 
 // close closes every open listener.
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.calls, l.control, l.admin, l.target, l.ready} {
+	for _, listener := range []net.Listener{l.callers, l.calls, l.control, l.admin, l.target, l.ready, l.metrics} {
 		if listener != nil {
 			_ = listener.Close()
 		}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -61,6 +61,9 @@
 	if d.listen.ready != nil {
 		tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listen.ready, d.readyHandler()) })
 	}
+	if d.listen.metrics != nil {
+		tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listen.metrics, d.metricsHandler()) })
+	}
 	tasks.Go(d.members.Run)
 	tasks.Go(d.distributeAboveFloor)
 	if d.settings.Keys != settings.SwitchOff {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,6 +61,8 @@
 	Target string `json:"target" required:"true" form:"address"`
 	// Ready answers whether this daemon takes callers, empty for nowhere.
 	Ready string `json:"ready" form:"address or nothing"`
+	// Metrics serves the metrics alone, empty for nowhere.
+	Metrics string `json:"metrics" form:"address or nothing"`
 }
 
 // Advertise holds addresses that other daemons are told, each "IP:port" or empty
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,69 @@
+package story_test
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/story"
+)
+
+// logs are lines of three daemons whose clocks differ by minutes.
+var logs = map[string]string{
+	"side-1": `time="2026-12-04T10:00:02Z" level=info msg="call: attempt failed" again=true attempt=1 call=abc cause="queue is full" entry=2 host=side-2 left=1 outcome=not-run part=call refusals=1 step=admit
+time="2026-12-04T10:00:02Z" level=info msg="call: attempt failed" again=true attempt=1 call=abcd cause="queue is full" host=side-2 outcome=not-run step=admit
+time="2026-12-04T10:00:02Z" level=info msg="call: attempt failed" again=false attempt=2 call=abc cause="read tcp: reset by \"peer\"" host=side-3 left=1 outcome=unknown step=target
+time="2026-12-04T10:00:03Z" level=info msg="call: call failed" call=abc cause="read tcp: reset by \"peer\"" outcome=unknown peer=side-3 status=502 step=target
+a line of something else about abc
+`,
+	"side-2": `time="2026-12-04T10:07:00Z" level=debug msg="call: request refused" attempt=1 busy=6 call=abc cause="queue is full" queued=6 slots=6 step=admit` + "\n",
+	"side-3": `time="2026-12-04T09:55:00Z" level=debug msg="call: request ran" attempt=2 call=abc instance=i-9 status=0 took=12ms` + "\n",
+}
+
+func TestStoryIsInTheOrderOfHops(t *testing.T) {
+	var lines []story.Line
+	for name, text := range logs {
+		found, err := story.Read(strings.NewReader(text), name, "abc")
+		assert.NilError(t, err)
+		lines = append(lines, found...)
+	}
+	rand.New(rand.NewPCG(1, 1)).Shuffle(len(lines), func(i, j int) { lines[i], lines[j] = lines[j], lines[i] })
+	story.Sort(lines)
+	var told []string
+	for _, line := range lines {
+		told = append(told, line.Describe())
+	}
+	assert.DeepEqual(t, told, []string{
+		"attempt 1: side-2 refuses it at admit: queue is full (6 of 6 slots busy, 6 queued)",
+		"attempt 1: side-1 sent it to side-2: not-run at admit: queue is full; another follows",
+		"attempt 2: side-3 hands it to i-9, status 0 after 12ms",
+		`attempt 2: side-1 sent it to side-3: unknown at target: read tcp: reset by "peer"; none follows`,
+		`end: side-1 answers 502, unknown: read tcp: reset by "peer" at target of side-3`,
+	})
+}
+
+// TestMixedLinesNameTheirDaemon reads one file in which each line begins with a
+// time and the name of its daemon.
+func TestMixedLinesNameTheirDaemon(t *testing.T) {
+	text := `  19.3502 side-7 ` + logs["side-2"]
+	lines, err := story.Read(strings.NewReader(text), "all", "abc")
+	assert.NilError(t, err)
+	assert.Equal(t, len(lines), 1)
+	assert.Equal(t, lines[0].Source, "side-7")
+}
+
+// FuzzRead reads anything.
+func FuzzRead(f *testing.F) {
+	f.Add(logs["side-1"], "abc")
+	f.Add(`time="x call=`, "x")
+	f.Fuzz(func(t *testing.T, text, call string) {
+		lines, err := story.Read(strings.NewReader(text), "n", call)
+		assert.Assert(t, err == nil || lines == nil)
+		story.Sort(lines)
+		for _, line := range lines {
+			assert.Assert(t, line.Describe() != "")
+		}
+	})
+}
