Let no connection to the target rest once it forgot one

A target may drop idle connections without notice; the next request on one is reset and, if it may not be repeated, ends unknown. The reset is not counted as a failure of the target.

Ruled out: a short limit at all times, which costs a new connection for most calls.

--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -157,10 +157,10 @@
 // attemptThere hands an attempt to the daemon of another host.
 func (s *Server) attemptThere(ctx context.Context, q *request, member membership.Member) (*answer, *Error) {
 	q.header = s.hopHeader(q)
-	response, handed, err := s.exchange(ctx, s.peers, member.CallsAddress, q, func() {}, nil)
+	response, failed, err := s.exchange(ctx, s.peers, member.CallsAddress, q, func() {}, nil)
 	if err != nil {
 		failure := &Error{
-			Outcome: outcomeOf(handed),
+			Outcome: outcomeOf(failed.handed),
 			Step:    StepPeer,
 			Peer:    member.Host,
 			Status:  statusOf(ctx, err),
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -100,7 +100,7 @@
 	gate     *gate
 	inflight *inflight
 	shares   *shares
-	targets  *http.Transport
+	targets  *targetLink
 	peers    *http.Transport
 }
 
@@ -127,7 +127,7 @@
 		gate:      newGate(options.Now),
 		inflight:  newInflight(),
 		shares:    newShares(options.MaxCalls),
-		targets:   newTransport(options.Dial, options.TargetConnections),
+		targets:   newTargetLink(options.Dial, options.TargetConnections, options.Now),
 		peers:     newTransport(options.DialPeers, options.PeerConnections),
 	}
 }
@@ -193,7 +193,7 @@
 
 // Close closes idle connections.
 func (s *Server) Close() {
-	s.targets.CloseIdleConnections()
+	s.targets.close()
 	s.peers.CloseIdleConnections()
 }
 
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
@@ -56,12 +58,12 @@
 	answered := false
 	leave := sync.OnceFunc(func() { s.gate.leave(q.priority, s.now().Sub(began), answered) })
 	sent := TargetRequest{ID: q.id, Instance: instance}
-	response, handed, err := s.exchange(ctx, s.targets, address, q, s.ranEvent(q), s.prepare(&sent))
+	response, failed, err := s.exchange(ctx, s.targets.transport(), address, q, s.ranEvent(q), s.prepare(&sent))
 	s.logRan(q, instance, statusOrNone(response), s.now().Sub(began))
 	if err != nil {
-		s.gate.ended(!callerGone(ctx))
+		s.noteFailedSend(ctx, q, failed)
 		leave()
-		return nil, s.fail(outcomeOf(handed), StepTarget, statusOf(ctx, err), err), handed
+		return nil, s.fail(outcomeOf(failed.handed), StepTarget, statusOf(ctx, err), err), failed.handed
 	}
 	if failure := s.judge(sent, response); failure != nil {
 		s.gate.ended(true)
@@ -79,6 +81,16 @@
 	return result, nil, true
 }
 
+// noteFailedSend judges the target by a request that got no response. A target
+// that forgets connections that rest is not at fault otherwise.
+func (s *Server) noteFailedSend(ctx context.Context, q *request, failed failedSend) {
+	if ctx.Err() == nil && failed.handed && s.targets.failed(failed.rested, failed.used) {
+		s.log.WithFields(logrus.Fields{"call": q.id, "rested": failed.rested, "used": failed.used}).Info("target forgot a connection")
+		return
+	}
+	s.gate.ended(!callerGone(ctx))
+}
+
 // callerGone reports whether a call ended because nobody waits for it any more.
 func callerGone(ctx context.Context) bool {
 	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded)
@@ -143,26 +155,35 @@
 	})
 }
 
-// exchange sends an attempt to an address and returns the response. On an
-// error it reports whether a byte of the request may have been handed on.
-func (s *Server) exchange(ctx context.Context, transport *http.Transport, address string, q *request, onWrite func(), prepare func(http.Header, time.Duration)) (*http.Response, bool, error) {
+// failedSend is what is known of a request that got no response.
+type failedSend struct {
+	// handed says that a byte of the request may have been handed on.
+	handed bool
+	// rested is how long its connection had been idle before, used how long it
+	// was in use.
+	rested, used time.Duration
+}
+
+// exchange sends an attempt to an address and returns the response, or with an
+// error what is known of the request.
+func (s *Server) exchange(ctx context.Context, transport *http.Transport, address string, q *request, onWrite func(), prepare func(http.Header, time.Duration)) (*http.Response, failedSend, error) {
 	left := max(q.deadline.Sub(s.now()), time.Nanosecond)
+	watch := &handover{}
 	out, err := q.outgoing(ctx, address, left)
 	if err != nil {
-		return nil, false, err
+		return nil, failedSend{}, err
 	}
 	if prepare != nil {
 		prepare(out.Header, left)
 	}
-	watch := &handover{}
 	response, err := transport.RoundTrip(out.WithContext(watch.trace(ctx, onWrite)))
 	if err == nil {
 		response.Body = &watchedBody{ReadCloser: response.Body, watch: watch}
-		return response, true, nil
+		return response, failedSend{}, nil
 	}
-	if watch.happened() {
+	failed := watch.failed()
+	if failed.handed {
 		onWrite()
-		return nil, true, err
 	}
-	return nil, false, err
+	return nil, failed, err
 }
--- a/internal/call/transport.go
+++ b/internal/call/transport.go
@@ -123,6 +123,10 @@
 	conns   []*trackedConn
 	starts  []uint64
 	unknown bool
+	// rested is how long the last connection had been idle, used when it was
+	// taken into use.
+	rested time.Duration
+	used   time.Time
 }
 
 // trace returns a context under which a request is watched. onWrite is called
@@ -137,6 +141,7 @@
 func (h *handover) gotConn(info httptrace.GotConnInfo) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.rested, h.used = info.IdleTime, time.Now()
 	conn, ok := info.Conn.(*trackedConn)
 	if !ok {
 		h.unknown = true
@@ -146,6 +151,14 @@
 	h.starts = append(h.starts, conn.position())
 }
 
+// failed returns what is known of the request after it got no response.
+func (h *handover) failed() failedSend {
+	handed := h.happened()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return failedSend{handed: handed, rested: h.rested, used: time.Since(h.used)}
+}
+
 // happened reports whether a byte of the request may have been handed on.
 // After it returned false none will be.
 func (h *handover) happened() bool {
