Refuse requests that are meant for the host before at an address

A request between daemons now names the host it is meant for, and any other host refuses it, truly not run, so that the caller goes elsewhere. An entry that names an address of a later one is out of reach at once.

Ruled out: crossed answers on a connection (the ids were right), garbled ones (the faults at that time were over). TestHostThatTookOverAnAddressRefuses and TestHeirOfAnAddressTakesItsPlace fail without it.

--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -157,6 +157,7 @@
 // attemptThere hands an attempt to the daemon of another host.
 func (s *Server) attemptThere(ctx context.Context, q *request, member membership.Member) (*answer, *Error) {
 	q.header = s.hopHeader(q)
+	q.header.Set(HeaderTo, member.Host)
 	response, failed, err := s.exchange(ctx, s.peers, member.CallsAddress, q, func() {}, nil)
 	if err != nil {
 		failure := &Error{
@@ -196,11 +197,11 @@
 }
 
 // crossed returns an error for an answer that is not one to the request, or
-// not of the host it was sent to. Such an answer, a refusal too, says nothing
-// of the request.
+// not of the host it was sent to. Such an answer says nothing of the request,
+// unless another host at the address refused it for that reason.
 func crossed(q *request, host string, response *http.Response) *Error {
 	id, peer := response.Header.Get(HeaderCall), response.Header.Get(HeaderPeer)
-	if id == q.id && peer == host {
+	if id == q.id && (peer == host || response.Header.Get(HeaderStep) == StepHost) {
 		return nil
 	}
 	_ = response.Body.Close()
@@ -254,7 +255,8 @@
 // verdictOf says what a failed attempt shows of its host. Limits and drains
 // are no fault, nor is a caller that went away.
 func verdictOf(failure *Error) route.Verdict {
-	if failure.Step == StepDrain || failure.Step == StepConfiguration {
+	switch failure.Step {
+	case StepDrain, StepConfiguration, StepHost:
 		return route.Leaving
 	}
 	if errors.Is(failure.Err, syscall.ECONNREFUSED) {
--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -259,6 +260,9 @@
 
 // parsePeer reads an attempt that another daemon sent. Errors are not-run.
 func (s *Server) parsePeer(w http.ResponseWriter, r *http.Request) (*request, *Error) {
+	if to := r.Header.Get(HeaderTo); to != "" && to != s.self.Host {
+		return nil, s.fail(NotRun, StepHost, http.StatusServiceUnavailable, fmt.Errorf("%w: %s", errOtherHost, to))
+	}
 	table := s.tables.Table()
 	if table == nil {
 		return nil, s.fail(NotRun, StepConfiguration, http.StatusServiceUnavailable, errNoConfiguration)
--- a/internal/call/outcome.go
+++ b/internal/call/outcome.go
@@ -28,6 +28,8 @@
 	HeaderCall = "Mulberry-Call"
 	// HeaderAttempt numbers the attempts of a call from 1.
 	HeaderAttempt = "Mulberry-Attempt"
+	// HeaderTo names the host that a request between daemons is meant for.
+	HeaderTo = "Mulberry-To"
 	// HeaderService names the service between daemons.
 	HeaderService = "Mulberry-Service"
 	// HeaderVersion is the configuration version a call began under.
--- a/internal/call/refusal_test.go
+++ b/internal/call/refusal_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/once"
 )
 
@@ -38,3 +39,27 @@
 		}
 	}
 }
+
+// TestHostThatTookOverAnAddressRefuses sends calls to a host whose address another
+// one has taken over: none runs there by mistake, and each is answered elsewhere,
+// also those that may not be repeated.
+func TestHostThatTookOverAnAddressRefuses(t *testing.T) {
+	const calls = 20
+	m := newMesh(t, 3, config(nil), nil)
+	caller, gone, heir := m.nodes[0], m.nodes[1], m.nodes[2]
+	caller.member.TargetState = membership.Draining
+	gone.member.CallsAddress = heir.member.CallsAddress
+	m.share()
+	for range calls {
+		got := caller.get(t, lookups+"/heaters")
+		assert.Equal(t, got.status, http.StatusOK)
+	}
+	assert.Equal(t, len(gone.target.Records()), 0)
+	assert.Equal(t, len(heir.target.Records()), calls)
+
+	caller.only(gone)
+	got := caller.get(t, lookups+"/heaters")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.outcome(), string(call.NotRun))
+	assert.Equal(t, got.step(), call.StepHost)
+}
--- a/internal/call/steps.go
+++ b/internal/call/steps.go
@@ -20,6 +20,9 @@
 	StepHome = "home"
 	// StepKey fails when the home refuses a key.
 	StepKey = "key"
+	// StepHost fails when a request is meant for another host, whose address this
+	// one has taken over.
+	StepHost = "host"
 	// StepAdmit fails when limits allow no more.
 	StepAdmit = "admit"
 	// StepDrain fails when the target or its daemon is leaving.
@@ -48,6 +51,7 @@
 	errDraining        = errors.New("target takes no new calls")
 	errStopping        = errors.New("this daemon stops")
 	errNoTargetHere    = errors.New("no such target on this host")
+	errOtherHost       = errors.New("the request is meant for another host")
 	errCrossed         = errors.New("answer belongs to another request")
 	errShed            = errors.New("target did not run the request")
 	errTooManyCalls    = errors.New("too many calls in progress")
--- a/internal/membership/age.go
+++ b/internal/membership/age.go
@@ -115,12 +115,16 @@
 	m.silent = silentZones(own.Zone, own.Region, zones, m.table.rows)
 	m.overridden = false
 	members := make(map[string]Member, len(m.table.rows))
+	holders := addressHolders(m.table.rows)
 	for host, r := range m.table.rows {
 		member := r.member()
 		member.InForce = m.floors[host]
 		if host != own.Host {
 			m.describeContact(&member, now)
 		}
+		if holders[r.callsAddress] > r.position.Incarnation {
+			member.Reach = Unreachable
+		}
 		m.noteGone(r, member, now)
 		members[host] = member
 	}
@@ -129,6 +133,19 @@
 	m.view.set(view)
 }
 
+// addressHolders returns the newest incarnation that names each address for
+// calls. A machine that takes over an address takes the place of the one before,
+// whose entry still names it.
+func addressHolders(rows map[string]*row) map[string]uint64 {
+	holders := make(map[string]uint64, len(rows))
+	for _, r := range rows {
+		if r.callsAddress != "" && r.state != Left {
+			holders[r.callsAddress] = max(holders[r.callsAddress], r.position.Incarnation)
+		}
+	}
+	return holders
+}
+
 // describeContact sets what this daemon knows of its contact with a member.
 func (m *Membership) describeContact(member *Member, now time.Time) {
 	lost, isLost := m.lost[member.Host]
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -9,6 +9,8 @@
 	gocmp "github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/mulberrybank/mulberrybank/internal/peer"
 )
 
 // drawHistory draws the entries that one host writes over its life, in order.
@@ -239,3 +241,20 @@
 		}
 	})
 }
+
+// TestHeirOfAnAddressTakesItsPlace has a host name an address that the entry of
+// an earlier one still names.
+func TestHeirOfAnAddressTakesItsPlace(t *testing.T) {
+	id := peer.Identity{Host: "self", Zone: "z", Region: "r", Incarnation: 1}
+	m := New(Options{Self: Member{Host: "self", Zone: "z", Region: "r"}, Identity: id, Dialer: peer.NewDialer(id, peer.NewTraffic(), nil)})
+	entryOf := func(host string, incarnation uint64) *Entry {
+		return &Entry{Host: host, Zone: "z", Region: "r", Incarnation: incarnation, Counter: 1, CallsAddress: "10.0.0.7:1", ControlAddress: "10.0.0.7:2"}
+	}
+	m.take([]*Entry{entryOf("gone", 5)}, "gone")
+	m.take([]*Entry{entryOf("heir", 9)}, "heir")
+	m.mu.Lock()
+	m.publishLocked(time.Now())
+	m.mu.Unlock()
+	assert.Equal(t, m.View().Members["gone"].Reach, Unreachable)
+	assert.Equal(t, m.View().Members["heir"].Reach, Reachable)
+}
