--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -71,9 +71,15 @@
 // memoryShare is the part of the memory at which the collector works harder.
 const memoryShare = 0.8
 
-// limitMemory makes the collector keep the process below its memory, in bytes.
+// collectorPercent is how much the heap may grow between two collections. Heaps
+// are small, so that more collections cost less than the memory between them.
+const collectorPercent = 25
+
+// limitMemory makes the collector keep the process small, and below its memory in
+// bytes.
 func limitMemory(memory uint64) {
 	if memory > 0 {
+		debug.SetGCPercent(collectorPercent)
 		debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
 	}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 	"github.com/mulberrybank/mulberrybank/internal/wait"
@@ -66,6 +68,7 @@
 	}
 	tasks.Go(d.members.Run)
 	tasks.Go(d.distributeAboveFloor)
+	tasks.Go(d.logVersions)
 	if d.settings.Keys != settings.SwitchOff {
 		tasks.Go(d.proposer.Run)
 	}
@@ -92,6 +95,24 @@
 	return d.distributor.Run(ctx)
 }
 
+// logVersions writes a line for each version that comes into force.
+func (d *Daemon) logVersions(ctx context.Context) error {
+	logged := publish.Version(0)
+	for {
+		changed := d.enforcer.Changed()
+		if version := d.Version(); version != logged {
+			logged = version
+			offset, _ := d.enforcer.Position()
+			d.log.WithFields(logrus.Fields{"version": version, "offset": offset, "source": d.distributor.Source()}).Info("version is in force")
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // awaitMembers waits until another host is known, from which configuration may
 // come, so that a start of many does not make each of them read the log.
 func (d *Daemon) awaitMembers(ctx context.Context) {
--- a/internal/distribute/distribute.go
+++ b/internal/distribute/distribute.go
@@ -118,7 +118,7 @@
 		reads:          newReadLimiter(),
 		catchUps:       newCatchUpLimiter(),
 		snapshotPolicy: options.Snapshots.withDefaults(),
-		platform:       &platformContact{events: options.Events},
+		platform:       &platformContact{events: options.Events, log: logging.Part(options.Logger, trafficKind)},
 		state:          newState(options.Self.Host, options.Enforcer, options.Clock),
 		hints:          newHints(options.Clock),
 		followers:      newFollowers(options.Clock),
--- a/internal/distribute/read.go
+++ b/internal/distribute/read.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
 	"github.com/mulberrybank/mulberrybank/internal/platform"
@@ -134,12 +135,14 @@
 // platformContact tells when the log is lost and found again.
 type platformContact struct {
 	events timeline.Recorder
+	log    *logrus.Entry
 	out    bool
 }
 
 func (p *platformContact) lost(err error) {
 	if !p.out && !errors.Is(err, context.Canceled) {
 		p.out = true
+		p.log.WithError(err).Warn("the log is lost")
 		p.events.Record(timeline.Event{Kind: timeline.PlatformLost, Detail: err.Error()})
 	}
 }
@@ -147,6 +150,7 @@
 func (p *platformContact) found() {
 	if p.out {
 		p.out = false
+		p.log.Info("the log is back")
 		p.events.Record(timeline.Event{Kind: timeline.PlatformFound})
 	}
 }
--- a/internal/distribute/upstream.go
+++ b/internal/distribute/upstream.go
@@ -173,3 +173,12 @@
 func (e *shedError) Error() string {
 	return fmt.Sprintf("the peer sheds requests for %s", e.retryAfter)
 }
+
+// Source names where this daemon gets its records from: the host it follows, or
+// the log.
+func (d *Distributor) Source() string {
+	if path := d.state.path(); len(path) > 1 {
+		return path[1]
+	}
+	return logSource.String()
+}
