Keep a part of the retries for the most urgent calls of a service

A quarter of what a daemon may save up is spent by the most urgent rank alone. TestUrgentRetriesAreNotSpentByOthers fails without it. Also a test over three daemons that urgent calls are answered as often as others under overload.

--- /dev/null
+++ b/internal/call/order_test.go
@@ -0,0 +1,58 @@
+package call_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/settings"
+	"github.com/mulberrybank/mulberrybank/internal/standin/target"
+)
+
+// TestUrgentCallsAreServedFirstOverDaemons floods three targets through three
+// daemons with calls of two ranks, far more than they can do in time. The urgent
+// ones are answered at least as often.
+func TestUrgentCallsAreServedFirstOverDaemons(t *testing.T) {
+	const (
+		callers  = 20
+		calls    = 6
+		work     = 40 * time.Millisecond
+		urgent   = "railway/urgent"
+		leastOff = 10
+	)
+	pages := config(func(service *publish.Service, route *publish.Route) {
+		service.QueueTimeout = time.Second
+		route.Deadline, route.Objective, route.Priority = time.Second, 400*time.Millisecond, 2
+	})
+	first := *pages.Routes[lookups]
+	first.Name, first.Priority = urgent, 0
+	pages.Routes[urgent] = &first
+	m := newMesh(t, 3, pages, nil)
+	for _, n := range m.nodes {
+		n.behave(target.Behaviour{State: target.StateReady, Delay: settings.Duration(work)})
+	}
+	var answered [2]atomic.Int64
+	var tasks conc.WaitGroup
+	for _, n := range m.nodes {
+		for i := range 2 * callers {
+			kind := i % 2
+			tasks.Go(func() {
+				for range calls {
+					if got := n.get(t, []string{urgent, lookups}[kind]+"/heaters"); got.status == http.StatusOK {
+						answered[kind].Add(1)
+					}
+				}
+			})
+		}
+	}
+	tasks.Wait()
+	served, usual := answered[0].Load(), answered[1].Load()
+	t.Logf("%d urgent and %d usual of %d each", served, usual, 3*callers*calls)
+	assert.Assert(t, served > 0 && usual < 3*callers*calls, "not an overload")
+	assert.Assert(t, served+leastOff >= usual, "%d urgent, %d usual", served, usual)
+}
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -15,6 +15,9 @@
 	// ratioMargin is the part of the ratio that is used: calls that a target
 	// makes again while it runs a retry count as retries too.
 	ratioMargin = 0.5
+	// urgentReserve is the part of what may be saved up that only the calls of the
+	// most urgent rank of a service spend.
+	urgentReserve = 0.25
 )
 
 // Budgets holds the retry budget of each service: retries are a share of calls,
@@ -30,13 +33,15 @@
 
 	mu     sync.Mutex
 	tokens map[string]float64
+	// urgent holds the most urgent rank of the calls of each service.
+	urgent map[string]int
 }
 
 // NewBudgets returns budgets of services that have seen no calls. With a slack
 // each living daemon of the directory saves up an equal part of it; with a ratio
 // no route adds more than ratioMargin of it.
 func NewBudgets(slack, ratio float64, directory membership.Directory) *Budgets {
-	return &Budgets{slack: slack, ratio: ratio, directory: directory, tokens: make(map[string]float64)}
+	return &Budgets{slack: slack, ratio: ratio, directory: directory, tokens: make(map[string]float64), urgent: make(map[string]int)}
 }
 
 // Deposit counts one call of a route to a service.
@@ -47,6 +52,9 @@
 	if b.ratio > 0 {
 		share = min(share, ratioMargin*b.ratio)
 	}
+	if known, found := b.urgent[service.Name]; !found || route.Priority < known {
+		b.urgent[service.Name] = route.Priority
+	}
 	tokens := b.of(service.Name) + share
 	b.tokens[service.Name] = min(tokens, b.burst())
 }
@@ -56,7 +64,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	tokens := b.of(service.Name)
-	if route.RetryBudget <= 0 || tokens < 1 {
+	least := 1.0
+	if route.Priority > b.urgent[service.Name] {
+		least += urgentReserve * b.burst()
+	}
+	if route.RetryBudget <= 0 || tokens < least {
 		return false
 	}
 	b.tokens[service.Name] = tokens - 1
--- a/internal/route/budget_test.go
+++ b/internal/route/budget_test.go
@@ -96,3 +96,25 @@
 		}
 	})
 }
+
+// TestUrgentRetriesAreNotSpentByOthers lets calls of a less urgent rank retry as
+// often as they may: what is left serves the most urgent ones.
+func TestUrgentRetriesAreNotSpentByOthers(t *testing.T) {
+	service := &publish.Service{Name: "huts/registry"}
+	charge := &publish.Route{Name: "huts/charges", RetryBudget: 0.2, Priority: 0}
+	lookup := &publish.Route{Name: "huts/lookups", RetryBudget: 0.2, Priority: 2}
+	budgets := route.NewBudgets(20, 0.2, crowd(2))
+	for range 1000 {
+		budgets.Deposit(charge, service)
+		budgets.Deposit(lookup, service)
+	}
+	count := func(one *publish.Route) (granted int) {
+		for budgets.Withdraw(one, service) {
+			granted++
+		}
+		return granted
+	}
+	assert.Equal(t, count(lookup), 7)
+	assert.Equal(t, count(lookup), 0)
+	assert.Equal(t, count(charge), 3)
+}
