Compare three targets for a choice, leave the zone only when it is full

At a first start of all, daemons wait for the others before they read the log (settings 'first_start', from the platform's 'bootstrap'); at any other start they do not: after a loss of everything each tenth of a second without configuration is a tenth of a second without service.

--- a/cmd/mulberrybank/platform_test.go
+++ b/cmd/mulberrybank/platform_test.go
@@ -110,6 +110,13 @@
 // placePattern matches a place of the template.
 var placePattern = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
 
+// sectionPattern and invertedPattern match what the template has for a first
+// start and for any other.
+var (
+	sectionPattern  = regexp.MustCompile(`\{\{#bootstrap\}\}.*?\{\{/bootstrap\}\}`)
+	invertedPattern = regexp.MustCompile(`\{\{\^bootstrap\}\}(.*?)\{\{/bootstrap\}\}`)
+)
+
 // render fills in the template that is deployed.
 func (f *fleet) render(m *machine) string {
 	template, err := os.ReadFile("../../deploy/settings.json")
@@ -121,6 +128,9 @@
 		"port_range.0": strconv.Itoa(firstPort), "port_range.1": strconv.Itoa(secondPort),
 		"cloud_platform.address": f.address, "bounds.budget_slack": "40", "bounds.retry_budget_ratio": "0.2", "limits.memory_mb": "284",
 	}
+	// A daemon of these tests never starts together with all others.
+	template = sectionPattern.ReplaceAll(template, nil)
+	template = invertedPattern.ReplaceAll(template, []byte("$1"))
 	return placePattern.ReplaceAllStringFunc(string(template), func(place string) string {
 		value, ok := values[strings.Trim(place, "{}")]
 		assert.Assert(f.t, ok, "the test does not know %s", place)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -20,6 +20,8 @@
 	floorTimeout = 2 * time.Second
 	// membersDelay is how long a start waits for its peers' word of the others.
 	membersDelay = 500 * time.Millisecond
+	// firstMembersTimeout bounds the wait for other hosts at the first start of all.
+	firstMembersTimeout = time.Second
 	// leaveTime is how long before the end of its linger a stopping daemon tells
 	// the others that its target takes no new calls.
 	leaveTime = 700 * time.Millisecond
@@ -89,7 +91,8 @@
 		// A daemon that knows few hosts of its zone takes itself for a reader
 		// of the log; peers that answered tell of the others.
 		wait.For(ctx, membersDelay)
-	} else {
+	}
+	if d.settings.FirstStart == settings.SwitchOn {
 		d.awaitMembers(ctx)
 	}
 	return d.distributor.Run(ctx)
@@ -113,14 +116,15 @@
 	}
 }
 
-// awaitMembers waits until another host is known, from which configuration may
-// come, so that a start of many does not make each of them read the log.
+// awaitMembers waits until another host is known and has told of the others, so
+// that a first start of many does not make each of them read the log.
 func (d *Daemon) awaitMembers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, membersDelay)
+	ctx, cancel := context.WithTimeout(ctx, firstMembersTimeout)
 	defer cancel()
 	for {
 		changed := d.members.Changed()
 		if len(d.members.View().Members) > 1 {
+			wait.For(ctx, membersDelay)
 			return
 		}
 		select {
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -10,7 +10,7 @@
 const (
 	// spillScore is the score of the better local choice at which targets of
 	// other zones are looked at.
-	spillScore = 0.8
+	spillScore = 1.0
 	// spillMargin is how much lower a remote score must be.
 	spillMargin = 0.2
 	// farScore is the score of the better near choice at which targets of other
@@ -20,6 +20,8 @@
 	spareScore = 0.5
 	// minStartShare is the share of a target that has just started.
 	minStartShare = 0.1
+	// choiceSamples is how many random targets are compared for a choice.
+	choiceSamples = 3
 	// coldSamples bounds the tries to find a choice other than a cold target.
 	coldSamples = 4
 )
@@ -100,14 +102,15 @@
 	return zone, region, far
 }
 
-// better returns the one of two random choices that costs less.
+// better returns the one of a few random choices that costs least.
 func (r *Router) better(candidates []candidate) candidate {
-	first := r.sample(candidates)
-	second := r.sample(candidates)
-	if candidates[second].cheaper(candidates[first]) {
-		return candidates[second]
+	best := candidates[r.sample(candidates)]
+	for range choiceSamples - 1 {
+		if other := candidates[r.sample(candidates)]; other.cheaper(best) {
+			best = other
+		}
 	}
-	return candidates[first]
+	return best
 }
 
 // sample returns a random index. Cold targets come up by their share.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,9 @@
 	Adapter string  `json:"adapter" default:"none" form:"adapter"`
 	Target  Target  `json:"target"`
 	Retries Retries `json:"retries"`
+	// FirstStart says that all daemons start for the first time, with time to learn
+	// of each other before calls come.
+	FirstStart string `json:"first_start" default:"off" form:"switch"`
 	// Pace is how soon a silent source of configuration is left.
 	Pace string `json:"pace" default:"calm" form:"pace"`
 	// Keys says whether calls with keys are served. Off, no grants are written.
