--- a/internal/call/carry.go
+++ b/internal/call/carry.go
@@ -158,7 +158,9 @@
 func (s *Server) attemptThere(ctx context.Context, q *request, member membership.Member) (*answer, *Error) {
 	q.header = s.hopHeader(q)
 	q.header.Set(HeaderTo, member.Host)
+	began := s.now()
 	response, failed, err := s.exchange(ctx, s.peers, member.CallsAddress, q, func() {}, nil)
+	s.counters.peer.Update(s.now().Sub(began).Seconds())
 	if err != nil {
 		failure := &Error{
 			Outcome: outcomeOf(failed.handed),
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -49,7 +49,7 @@
 		return
 	}
 	began := s.now()
-	defer func() { s.counters.durations.Update(s.now().Sub(began).Seconds()) }()
+	defer func() { s.counters.took(in.Route.Priority, s.now().Sub(began)) }()
 	deadline := began.Add(in.timeLeft())
 	_ = http.NewResponseController(w).SetReadDeadline(deadline.Add(writeGrace))
 	if failure := s.limitRequest(w, r, in); failure != nil {
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -49,16 +49,15 @@
 	if address == "" {
 		return nil, s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errNoTargetHere), false
 	}
-	if err := s.gate.enter(ctx, q.ticket(), q.limits(self)); err != nil {
-		s.counters.refused.Inc()
-		return nil, s.fail(NotRun, StepAdmit, http.StatusServiceUnavailable, err), false
+	if failure := s.admit(ctx, q, self); failure != nil {
+		return nil, failure, false
 	}
-	s.counters.admitted.Inc()
 	began := s.now()
 	answered := false
 	leave := sync.OnceFunc(func() { s.gate.leave(q.priority, s.now().Sub(began), answered) })
 	sent := TargetRequest{ID: q.id, Instance: instance}
 	response, failed, err := s.exchange(ctx, s.targets.transport(), address, q, s.ranEvent(q), s.prepare(&sent))
+	s.counters.target.Update(s.now().Sub(began).Seconds())
 	s.logRan(q, instance, statusOrNone(response), s.now().Sub(began))
 	if err != nil {
 		s.noteFailedSend(ctx, q, failed)
@@ -155,6 +154,19 @@
 	})
 }
 
+// admit waits for a slot of the own target. The gate must be left after a nil error.
+func (s *Server) admit(ctx context.Context, q *request, self membership.Member) *Error {
+	began := s.now()
+	err := s.gate.enter(ctx, q.ticket(), q.limits(self))
+	s.counters.queue.Update(s.now().Sub(began).Seconds())
+	if err != nil {
+		s.counters.refused.Inc()
+		return s.fail(NotRun, StepAdmit, http.StatusServiceUnavailable, err)
+	}
+	s.counters.admitted.Inc()
+	return nil
+}
+
 // failedSend is what is known of a request that got no response.
 type failedSend struct {
 	// handed says that a byte of the request may have been handed on.
