--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,14 +6,11 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/mulberrybank/mulberrybank/internal/standin/metastore"
 	"github.com/mulberrybank/mulberrybank/internal/standin/upstream"
 	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
@@ -23,13 +20,6 @@
 	startBound = 20 * time.Second
 	// recoveryBound is how long after the last fault all may take to serve again.
 	recoveryBound = 15 * time.Second
-	// calmTime is how long after an unplanned fault a lost request is not counted.
-	calmTime = 3 * time.Second
-	// slowWork is how long a slow target works on a request.
-	slowWork = 300 * time.Millisecond
-	// linkDelay and storeDelay are added to what passes a slow link or store.
-	linkDelay  = 100 * time.Millisecond
-	storeDelay = 400 * time.Millisecond
 )
 
 // Options of a run.
@@ -159,204 +149,6 @@
 	return m.listen["callers"]
 }
 
-// playSteps plays all steps at their times, each as a task.
-func (r *run) playSteps() {
-	began := time.Now()
-	var steps conc.WaitGroup
-	for _, step := range r.plan.Steps {
-		if !wait.For(r.ctx, time.Until(began.Add(step.At))) {
-			break
-		}
-		if r.options.Progress != nil {
-			r.options.Progress(step.String())
-		}
-		steps.Go(func() { r.playStep(step) })
-	}
-	steps.Wait()
-}
-
-func (r *run) playStep(step Step) {
-	if !slices.Contains(planned, step.Kind) && !slices.Contains(storeKinds, step.Kind) {
-		r.noteHarm(1)
-		defer r.noteHarm(-1)
-	}
-	m := r.fleet.machines[step.Machine]
-	switch step.Kind {
-	case Kill:
-		m.signal(syscall.SIGKILL, true)
-	case KillAll:
-		for _, each := range r.fleet.machines {
-			each.signal(syscall.SIGKILL, true)
-		}
-	case Pause:
-		m.signal(syscall.SIGSTOP, false)
-		wait.For(r.ctx, step.For)
-		m.signal(syscall.SIGCONT, false)
-	case Stop:
-		m.stop(r.ctx)
-	case Reload:
-		m.signal(syscall.SIGHUP, false)
-	case Publish:
-		if err := r.publish(); err != nil {
-			r.book.violate(Behind, "", "publish: %v", err)
-		}
-	case Replace:
-		m.replace(r.ctx)
-	case Delay, Reset, OneWay, Silence, StoreCut:
-		r.harmLinks(m, step)
-	case StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets:
-		r.harmStore(step)
-	default:
-		r.harmTarget(m, step)
-	}
-}
-
-func (r *run) harmLinks(m *machine, step Step) {
-	switch step.Kind {
-	case Delay:
-		m.calls.setDelay(linkDelay)
-		m.control.setDelay(linkDelay)
-		wait.For(r.ctx, step.For)
-		m.calls.setDelay(0)
-		m.control.setDelay(0)
-	case Reset:
-		m.calls.reset()
-		m.control.reset()
-		m.storeLink.reset()
-	case OneWay:
-		m.calls.setMute(true)
-		m.control.setMute(true)
-		wait.For(r.ctx, step.For)
-		m.calls.setMute(false)
-		m.control.setMute(false)
-	case Silence:
-		m.calls.silence()
-		m.control.silence()
-		m.storeLink.silence()
-	case StoreCut:
-		m.storeLink.setMute(true)
-		wait.For(r.ctx, step.For)
-		m.storeLink.setMute(false)
-	}
-}
-
-func (r *run) harmStore(step Step) {
-	store := r.fleet.store
-	if step.Kind == StoreForgets {
-		store.Forget(metastore.OperatorTopic)
-		return
-	}
-	fault := metastore.Fault{}
-	switch step.Kind {
-	case StoreDown:
-		fault.Status = http.StatusServiceUnavailable
-	case StoreSilent:
-		fault.Silent = true
-	case StoreSlow:
-		fault.Delay = storeDelay
-	}
-	calls := 0
-	store.SetFault(func(string, string) metastore.Fault {
-		calls++
-		if step.Kind == StoreLoses {
-			return metastore.Fault{LoseAnswer: calls%2 == 0}
-		}
-		return fault
-	})
-	wait.For(r.ctx, step.For)
-	store.SetFault(nil)
-}
-
-func (r *run) harmTarget(m *machine, step Step) {
-	behaviour := usual
-	switch step.Kind {
-	case Grey:
-		behaviour.LoseAnswer = true
-	case Cut:
-		behaviour.CutAnswer = true
-	case Extra:
-		behaviour.Extra = true
-	case Shed:
-		behaviour.Shed = true
-	case Slow:
-		behaviour.Delay = slowWork
-	}
-	m.behave(r.ctx, behaviour, step.For)
-}
-
-// noteHarm counts an unplanned fault that begins or ends.
-func (r *run) noteHarm(change int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.harm += change
-	r.healed = time.Now()
-}
-
-// calmSince reports whether no unplanned fault was under way from a while before
-// a time until now.
-func (r *run) calmSince(began time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.harm == 0 && began.Sub(r.healed) >= calmTime
-}
-
-// publish writes the next version of the configuration: it adds a route and
-// moves another between the services.
-func (r *run) publish() error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.version++
-	value, err := configurationAt(r.version).Encode()
-	if err != nil {
-		return err
-	}
-	r.fleet.store.Configure(value)
-	return nil
-}
-
-// versionStep is the distance between the numbers of two versions.
-const versionStep = 3
-
-func configurationAt(version int) upstream.Configuration {
-	moved := services[version%len(services)]
-	config := upstream.Configuration{Version: version * versionStep, Services: services, Connections: 100}
-	add := func(prefix, service string, idempotent bool, priority int) {
-		config.Routes = append(config.Routes, upstream.Route{
-			Name: fmt.Sprintf("r-%d", len(config.Routes)), Host: host, PathPrefix: prefix, Idempotent: idempotent,
-			Service: service, Timeout: 2, Objective: 0.4, Priority: priority, Attempts: 3,
-		})
-	}
-	add("/lookup/", "huts", true, 2)
-	add("/charge/", "ledger", false, 0)
-	add("/assign/", "huts", false, 1)
-	add("/moved/", moved, true, 2)
-	for each := range version {
-		add(versionPrefix(each+1), "huts", true, 2)
-	}
-	return config
-}
-
-// published returns the newest version.
-func (r *run) published() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.version
-}
-
-// noteVersion notes the version in force on a machine.
-func (r *run) noteVersion(m *machine, version int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.versions[m] = version
-}
-
-// current reports whether a machine has the newest version in force.
-func (r *run) current(m *machine) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.versions[m] == r.version
-}
-
 // serves reports whether a machine is ready and has each kind of request answered.
 func (r *run) serves(m *machine) bool {
 	if !m.ready() {
