Lift the bound on reads once a request's body is whole

The daemon had been paused for 1.4 s in a request; the bound on reads of that request passed meanwhile, the server's watch on the connection ended with a timeout, and the server cancels the whole connection for it: each later request began cancelled. Callers that keep connections get no answer after any pause of the machine. The same held between daemons.

The bound is set only while a body is read. A connection whose caller is taken for gone is closed with the answer, and the answer is a 502 or 503, not a 499.

--- a/internal/call/body.go
+++ b/internal/call/body.go
@@ -50,6 +50,24 @@
 	return &body{whole: whole, length: r.ContentLength}, nil
 }
 
+// readBodyUntil is readBody with a bound on the reading of the body. The bound is
+// lifted once the whole body is there: the server goes on reading to see whether
+// the caller leaves, and if the bound ended that, after a pause of the process,
+// each later request on the connection would begin cancelled.
+func readBodyUntil(w http.ResponseWriter, r *http.Request, deadline time.Time) (*body, error) {
+	if r.ContentLength == 0 {
+		return readBody(r)
+	}
+	control := http.NewResponseController(w)
+	// A connection that takes no bound is read without one.
+	_ = control.SetReadDeadline(deadline.Add(writeGrace))
+	read, err := readBody(r)
+	if err == nil && read.stream == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return read, err
+}
+
 // repeatable reports whether the body can be sent from its start.
 func (b *body) repeatable() bool { return b.stream == nil || !b.touched.Load() }
 
--- a/internal/call/http.go
+++ b/internal/call/http.go
@@ -64,7 +64,8 @@
 		c.trace.failed(failure)
 		s.countFailure(failure)
 		c.request.body.stop(w)
-		refuse(w, c.request.id, failure)
+		closeWhenGone(ctx, w)
+		refuse(w, c.request.id, failure.told())
 		return
 	}
 	c.request.body.duplex(w)
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -51,12 +51,11 @@
 	began := s.now()
 	defer func() { s.counters.took(in.Route.Priority, s.now().Sub(began)) }()
 	deadline := began.Add(in.timeLeft())
-	_ = http.NewResponseController(w).SetReadDeadline(deadline.Add(writeGrace))
 	if failure := s.limitRequest(w, r, in); failure != nil {
 		s.refuseCaller(w, in.ID, failure, refuse)
 		return
 	}
-	body, err := readBody(r)
+	body, err := readBodyUntil(w, r, deadline)
 	if err != nil {
 		s.refuseCaller(w, in.ID, s.fail(NotRun, StepRequest, http.StatusBadRequest, err), refuse)
 		return
@@ -82,6 +81,14 @@
 	refuse(w, id, failure)
 }
 
+// closeWhenGone makes the server close a connection on which no further request
+// could be served, because the server takes its caller for gone.
+func closeWhenGone(ctx context.Context, w http.ResponseWriter) {
+	if callerGone(ctx) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // closeWhenStopping asks a caller to open its next connection elsewhere.
 func (s *Server) closeWhenStopping(w http.ResponseWriter) {
 	if s.inflight.isClosing() {
--- a/internal/call/peer.go
+++ b/internal/call/peer.go
@@ -27,7 +27,8 @@
 	if failure != nil {
 		s.logRefused(q, failure)
 		q.body.stop(w)
-		s.answerPeer(w, q.id, q.priority, failure)
+		closeWhenGone(ctx, w)
+		s.answerPeer(w, q.id, q.priority, failure.told())
 		return
 	}
 	s.setReports(w.Header(), q.id, q.priority)
@@ -90,8 +91,7 @@
 	q.service = service
 	q.config = table.Config
 	q.deadline = s.now().Add(left)
-	_ = http.NewResponseController(w).SetReadDeadline(q.deadline.Add(writeGrace))
-	q.body, err = readBody(r)
+	q.body, err = readBodyUntil(w, r, q.deadline)
 	if err != nil {
 		return nil, s.fail(NotRun, StepRequest, http.StatusBadRequest, err)
 	}
--- a/internal/call/steps.go
+++ b/internal/call/steps.go
@@ -40,6 +40,17 @@
 // statusCallerGone is for logs: the caller is no longer there to see it.
 const statusCallerGone = 499
 
+// told returns the error as it is told to whoever asked. A caller that was taken
+// for gone may still be there.
+func (e *Error) told() *Error {
+	if e.Status != statusCallerGone {
+		return e
+	}
+	told := *e
+	told.Status = http.StatusBadGateway
+	return &told
+}
+
 // Errors that are not those of a library.
 var (
 	errNoConfiguration = errors.New("no configuration is in force")
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -156,7 +156,9 @@
 // whether the answer tells.
 func (c *caller) probe(version int) (inForce, told bool) {
 	kind := requestKind{method: http.MethodGet, path: versionPrefix(version), idempotent: true, services: services}
-	got, ok := c.send(c.newRequest(kind))
+	request := c.newRequest(kind)
+	request.mayBeUnknown = true
+	got, ok := c.send(request)
 	switch {
 	case !ok:
 		return false, false
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -21,6 +21,8 @@
 	Refused Rule = "refused"
 	// Mixed: an answer belongs to its request and is whole.
 	Mixed Rule = "mixed"
+	// Denied: a request that every version allows is not called wrong.
+	Denied Rule = "denied"
 	// Unasked: only what callers sent is run, unchanged.
 	Unasked Rule = "unasked"
 	// Routed: a request runs at a service of its route.
@@ -66,6 +68,8 @@
 	services []string
 	// idempotent requests may run more than once.
 	idempotent bool
+	// mayBeUnknown is set where no version in force need have the route.
+	mayBeUnknown bool
 	at         time.Time
 	runs       int
 	refused    bool
@@ -185,6 +189,9 @@
 		}
 	default:
 		l.counts.Failed++
+		if got.Status < http.StatusInternalServerError && !request.mayBeUnknown {
+			l.violateLocked(Denied, request.id, "status %d", got.Status)
+		}
 	}
 }
 
