--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -70,9 +70,9 @@
 	idempotent bool
 	// mayBeUnknown is set where no version in force need have the route.
 	mayBeUnknown bool
-	at         time.Time
-	runs       int
-	refused    bool
+	at           time.Time
+	runs         int
+	refused      bool
 }
 
 // ledger holds what callers and targets saw, and checks it as it comes.
