--- a/internal/cli/page_test.go
+++ b/internal/cli/page_test.go
@@ -57,7 +57,7 @@
 }
 
 func TestExamplesParse(t *testing.T) {
-	for _, name := range []string{"daemon", "demo", "validate", "publish", "status", "members", "history", "diff", "rollback", "drain", "token", "timeline"} {
+	for _, name := range []string{"daemon", "demo", "validate", "publish", "status", "members", "history", "diff", "rollback", "drain", "token", "timeline", "soak", "story"} {
 		all := &commands{}
 		parser, err := arg.NewParser(arg.Config{Program: program, Out: io.Discard}, all)
 		assert.NilError(t, err)
