--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// spillScore is the score of the better local choice at which targets of
-	// other zones are looked at.
+	// spillScore is the burden of the local choice at which targets of other zones
+	// are looked at, and below which a target of another region has a free slot.
 	spillScore = 1.0
-	// spillMargin is how much lower a remote score must be.
+	// spillMargin is how much lower a remote burden must be.
 	spillMargin = 0.2
-	// farScore is the score of the better near choice at which targets of other
-	// regions are looked at: calls would have to wait for a slot.
+	// farScore is the burden of the near choice at which targets of other regions
+	// are looked at: calls would have to wait for a slot.
 	farScore = 1.0
 	// spareScore is the score below which a target has slots to spare.
 	spareScore = 0.5
@@ -51,8 +51,8 @@
 	return near, false, true
 }
 
-// nearest takes the better of two random targets of the own zone, or of two of
-// the region when the zone is loaded and they are clearly less so.
+// nearest takes a target of the own zone, or of the region when the zone is loaded
+// and the region clearly less so.
 func (r *Router) nearest(zone, region []candidate) (candidate, bool) {
 	if len(zone) == 0 && len(region) == 0 {
 		return candidate{}, false
