--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -71,9 +71,10 @@
 // memoryShare is the part of the memory at which the collector works harder.
 const memoryShare = 0.8
 
-// collectorPercent is how much the heap may grow between two collections. Heaps
-// are small, so that more collections cost less than the memory between them.
-const collectorPercent = 25
+// collectorPercent is how much the heap may grow between two collections: less
+// than usual, since hosts lend little memory, and not so little that collections
+// delay calls.
+const collectorPercent = 50
 
 // limitMemory makes the collector keep the process small, and below its memory in
 // bytes.
