--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -118,37 +118,39 @@
 }
 
 // watch follows the version in force on one machine, by routes that each version
-// adds. No process may refuse a route of a version that it had in force.
+// adds.
 func (c *caller) watch(ctx context.Context) {
 	defer c.drop()
-	incarnation, known := 0, 0
+	var seen sighting
 	for wait.For(ctx, probeInterval) {
 		present := c.machine.present()
-		if present == 0 || present != incarnation {
-			incarnation, known = present, 0
+		if present == 0 || present != seen.incarnation {
+			seen = sighting{incarnation: present}
 			c.drop()
 			continue
 		}
-		next := min(known+1, c.run.published())
-		if next == 0 {
-			continue
-		}
-		inForce, told := c.probe(next)
-		if !told || c.machine.present() != incarnation {
-			continue
-		}
-		switch {
-		case inForce:
-			known = max(known, next)
-		case next <= known:
-			c.run.book.violate(Back, "", "%s had version %d in force and refuses its route", c.machine.name, next)
-		}
-		if known > 1 && next > known {
-			if again, told := c.probe(known); told && !again && c.machine.present() == incarnation {
-				c.run.book.violate(Back, "", "%s had version %d in force and refuses its route", c.machine.name, known)
-			}
+		c.look(&seen)
+		c.run.noteVersion(c.machine, seen.version)
+	}
+}
+
+// sighting is the highest version that one process of a daemon had in force.
+type sighting struct{ incarnation, version int }
+
+// look asks for the version after the highest one seen, and for that one again. No
+// process may refuse a route of a version that it had in force.
+func (c *caller) look(seen *sighting) {
+	if next := seen.version + 1; next <= c.run.published() {
+		if inForce, told := c.probe(next); told && inForce && c.machine.present() == seen.incarnation {
+			seen.version = next
 		}
-		c.run.noteVersion(c.machine, known)
+	}
+	if seen.version == 0 {
+		return
+	}
+	inForce, told := c.probe(seen.version)
+	if told && !inForce && c.machine.present() == seen.incarnation {
+		c.run.book.violate(Back, "", "%s had version %d in force and refuses its route", c.machine.name, seen.version)
 	}
 }
 
