--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -70,7 +70,9 @@
 	healed time.Time
 	// versions holds the version in force on each machine.
 	versions map[*machine]int
-	between  map[*machine]string
+	// between holds the addresses that callers use in place of their daemons'. It
+	// is written before the first caller starts.
+	between map[*machine]string
 }
 
 // Run plays the plan of a seed. The error says that it could not be played.
@@ -124,13 +126,10 @@
 }
 
 func (r *run) startCallers(ctx context.Context, tasks *conc.WaitGroup) {
+	if r.options.Between != nil {
+		r.placeBetween(ctx)
+	}
 	for i, m := range r.fleet.machines {
-		if r.options.Between != nil {
-			m.mu.Lock()
-			target := m.target.Address()
-			m.mu.Unlock()
-			r.between[m] = r.options.Between(ctx, m.name, m.listen["callers"], target)
-		}
 		for j := range r.options.Callers {
 			name := fmt.Sprintf("%d-%d", i, j)
 			c := &caller{run: r, machine: m, name: name, random: rand.New(rand.NewPCG(r.options.Seed, uint64(i*1000+j)))}
@@ -141,6 +140,17 @@
 	}
 }
 
+// placeBetween has the callers of each machine use another address than that of
+// its daemon.
+func (r *run) placeBetween(ctx context.Context) {
+	for _, m := range r.fleet.machines {
+		m.mu.Lock()
+		target := m.target.Address()
+		m.mu.Unlock()
+		r.between[m] = r.options.Between(ctx, m.name, m.listen["callers"], target)
+	}
+}
+
 // callerAddress is where callers of a machine send their requests.
 func (r *run) callerAddress(m *machine) string {
 	if address := r.between[m]; address != "" {
