Test: a long call in a stop leaves later calls unanswered (fails)

With a call in progress that outlasts the stop, the stopping daemon goes on taking calls and passing them on until its stop timeout, and then closes their connections.

--- a/cmd/mulberrybank/platform_test.go
+++ b/cmd/mulberrybank/platform_test.go
@@ -35,6 +35,10 @@
 	fleetAdminPort   = 7416
 )
 
+// longCallTimeout is the timeout of the route /history/, above the time of a
+// graceful stop.
+const longCallTimeout = 25 * time.Second
+
 // platformHost is a host on the users' platform: a daemon process and its upstream.
 type platformHost struct {
 	name     string
@@ -164,12 +168,15 @@
 			"timeout_s": 2, "target_latency_s": 0.4, "priority": 1, "max_attempts": 2,
 		}
 	}
+	longRoute := route("history", "/history/", "idempotent", "ledger")
+	longRoute["timeout_s"] = longCallTimeout.Seconds()
 	value, err := json.Marshal(map[string]any{
 		"version": f.version,
 		"routes": []any{
 			route("lookup", "/lookup/", "idempotent", lookup),
 			route("nested", "/lookup/ledger/", "idempotent", "ledger"),
 			route("charge", "/charge/", "non_idempotent", "ledger"),
+			longRoute,
 		},
 		"services": []any{
 			map[string]any{"name": "huts", "max_conns": 100},
--- /dev/null
+++ b/cmd/mulberrybank/stop_test.go
@@ -0,0 +1,119 @@
+package main_test
+
+import (
+	"fmt"
+	"net/http"
+	"os/exec"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/standin/upstream"
+)
+
+const (
+	// longRun is the execution time of a request that outlasts a graceful stop.
+	longRun = 10 * time.Second
+	// shortRun is the execution time of the other requests.
+	shortRun = 400 * time.Millisecond
+	// lateCallers is the number of callers that send requests to a stopping daemon.
+	lateCallers = 4
+)
+
+// daemonExit returns a channel that is closed when a daemon process has exited.
+func daemonExit(daemon *exec.Cmd) <-chan struct{} {
+	exited := make(chan struct{})
+	go func() {
+		defer close(exited)
+		_ = daemon.Wait()
+	}()
+	return exited
+}
+
+// isClosed reports whether a channel is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// do sends one request through a host on a new connection.
+func (h *platformHost) do(id, method, path string, timeout time.Duration) (upstream.Response, error) {
+	conn, err := upstream.DialDaemon(h.addr(outboundPort), callTimeout)
+	if err != nil {
+		return upstream.Response{}, err
+	}
+	defer conn.Close()
+	return conn.Do(upstream.Request{ID: id, Method: method, Host: "huts.example", Path: path, Timeout: timeout}, timeout)
+}
+
+// startLongCall sends a request that outlasts a graceful stop and returns a
+// function that waits for its response. Other requests run for shortRun.
+func (f *fleet) startLongCall(h *platformHost) (await func() (upstream.Response, error)) {
+	f.await("all services are reachable from "+h.name, func() bool {
+		a, errA := f.send(h, http.MethodGet, "/lookup/1", "")
+		b, errB := f.send(h, http.MethodGet, "/history/1", "")
+		return errA == nil && errB == nil && a.status == http.StatusOK && b.status == http.StatusOK
+	})
+	f.setDelay(longRun)
+	var response upstream.Response
+	var err error
+	var task conc.WaitGroup
+	const id = "long-call"
+	task.Go(func() { response, err = h.do(id, http.MethodGet, "/history/2", longCallTimeout) })
+	f.await("the long request is running", func() bool {
+		runs, _ := f.findRuns(id)
+		return len(runs) == 1
+	})
+	f.setDelay(shortRun)
+	return func() (upstream.Response, error) {
+		task.Wait()
+		return response, err
+	}
+}
+
+func (f *fleet) setDelay(delay time.Duration) {
+	for _, h := range f.hosts {
+		h.upstream.SetBehaviour(upstream.Behaviour{Delay: delay})
+	}
+}
+
+func TestLongCallDoesNotLeaveLaterCallsUnansweredInStop(t *testing.T) {
+	f := startFleet(t)
+	third := f.hosts[2]
+	awaitLong := f.startLongCall(third)
+	exited := daemonExit(third.daemon)
+	assert.NilError(t, third.daemon.Process.Signal(syscall.SIGTERM))
+	var callers conc.WaitGroup
+	var mu sync.Mutex
+	unanswered := make(map[string]error)
+	for caller := range lateCallers {
+		callers.Go(func() {
+			for count := 0; !isClosed(exited); count++ {
+				id := fmt.Sprintf("late-%d-%d", caller, count)
+				if _, err := third.do(id, http.MethodGet, "/lookup/3", callTimeout); err != nil {
+					mu.Lock()
+					unanswered[id] = err
+					mu.Unlock()
+				}
+				time.Sleep(pollInterval)
+			}
+		})
+	}
+	callers.Wait()
+	_, _ = awaitLong()
+	for id, err := range unanswered {
+		runs, _ := f.findRuns(id)
+		assert.Check(t, len(runs) == 0, "request %s ran and got no response: %v", id, err)
+	}
+	if t.Failed() {
+		f.dumpLogs()
+	}
+}
