A stop refuses callers by schedule, not after its drain

Cause: announcing the leave, the drain, the linger and the shutdown ran one after the other under one timeout. The drain waits for calls that began before it, and on deployments with deadlines of 10 and 25 s it waits long. Only after it were callers refused, and the calls taken meanwhile had no time left to finish.

Why it works: the phases begin at times that are set when the stop begins. Callers are refused from the end of the linger on, whatever is in progress, so that each call that is taken has the rest of the stop timeout. The announcement runs beside and has a limit of its own.

--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -169,18 +169,11 @@
 // PeerHandler serves the requests of other daemons to the target of this host.
 func (s *Server) PeerHandler() http.Handler { return http.HandlerFunc(s.servePeer) }
 
-// Drain makes the server refuse new requests for its target as not run, and
-// returns once the calls that began before have ended. Later calls of callers are
-// forwarded to other hosts. The error says how many calls were in progress when
-// ctx ended.
-func (s *Server) Drain(ctx context.Context) error {
-	s.log.Info("drain started")
-	if err := s.inflight.drain(ctx); err != nil {
-		s.log.WithError(err).Warn("drain ended with calls in progress")
-		return err
-	}
-	s.log.Info("drain completed")
-	return nil
+// Drain makes the server refuse new requests for its target as not run. Calls in
+// progress go on, and later calls of callers are forwarded to other hosts.
+func (s *Server) Drain() {
+	s.inflight.drain()
+	s.log.WithField("in_progress", s.inflight.inProgress()).Info("drain started")
 }
 
 // DisableKeepAlives makes the server ask callers to open a new connection for
@@ -189,7 +182,17 @@
 
 // Shutdown makes the server refuse all further calls as not run, and returns once
 // none is in progress. The error says how many were in progress when ctx ended.
-func (s *Server) Shutdown(ctx context.Context) error { return s.inflight.shutdown(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.log.WithField("in_progress", s.inflight.inProgress()).Info("shutdown started, further calls are refused")
+	if err := s.inflight.shutdown(ctx); err != nil {
+		return err
+	}
+	s.log.Info("shutdown completed, no call is in progress")
+	return nil
+}
+
+// InProgress returns the number of calls in progress.
+func (s *Server) InProgress() int { return s.inflight.inProgress() }
 
 // Load returns the current load of the local target.
 func (s *Server) Load() route.Load { return s.admission.load() }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -25,9 +25,6 @@
 	// firstStartTimeout limits the wait for other hosts when all daemons start for
 	// the first time.
 	firstStartTimeout = time.Second
-	// leaveLeadTime is how long before the end of the linger period a stopping
-	// daemon announces that its target accepts no new calls.
-	leaveLeadTime = 700 * time.Millisecond
 	// eventSampleRatio is the share of calls whose events are kept, besides those
 	// that fail, are retried or carry a key.
 	eventSampleRatio = 0.01
@@ -140,32 +137,3 @@
 		}
 	}
 }
-
-// stop stops the daemon gracefully within the stop timeout.
-func (d *Daemon) stop() {
-	d.log.Infof("stopping daemon on host %s", d.identity.Host)
-	start := time.Now()
-	d.stopping.Store(true)
-	d.events.Record(timeline.Event{Kind: timeline.Stopping})
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.StopTimeout))
-	defer cancel()
-	// Callers are asked to open new connections and so move to other daemons. The
-	// target keeps accepting calls until shortly before the end of the linger period.
-	d.calls.DisableKeepAlives()
-	linger := time.Duration(d.settings.StopLinger)
-	wait.For(ctx, linger-leaveLeadTime)
-	if err := d.members.BeginLeave(ctx); err != nil {
-		d.log.WithError(err).Warn("could not announce the stop to all peers")
-	}
-	if err := d.calls.Drain(ctx); err != nil {
-		d.log.WithError(err).Warn("stop timeout during the drain, calls are still in progress")
-	}
-	wait.For(ctx, time.Until(start.Add(linger)))
-	if err := d.calls.Shutdown(ctx); err != nil {
-		d.log.WithError(err).Warn("stop timeout during the shutdown, calls in progress are aborted")
-	}
-	if err := d.members.FinishLeave(ctx); err != nil {
-		d.log.WithError(err).Debug("could not announce the end of the process to all peers")
-	}
-	d.events.Record(timeline.Event{Kind: timeline.Stopped})
-}
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/mulberrybank/mulberrybank/internal/timeline"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
+)
+
+const (
+	// leaveLeadTime is how long before the end of the linger period a stopping
+	// daemon announces that its target accepts no new calls.
+	leaveLeadTime = 700 * time.Millisecond
+	// leaveTimeout limits how long a stopping daemon waits for its peers to
+	// acknowledge that it is leaving.
+	leaveTimeout = 700 * time.Millisecond
+)
+
+// stopSchedule holds the times at which the phases of a graceful stop begin. A
+// phase that takes long does not delay the next one.
+type stopSchedule struct {
+	// drain is when the target stops accepting new requests.
+	drain time.Time
+	// refuse is when new calls of callers are refused.
+	refuse time.Time
+	// finish is when the calls that are still in progress are aborted.
+	finish time.Time
+}
+
+// newStopSchedule returns the schedule of a stop that begins at start.
+func newStopSchedule(start time.Time, linger, timeout time.Duration) stopSchedule {
+	linger = min(linger, timeout)
+	return stopSchedule{
+		drain:  start.Add(max(linger-leaveLeadTime, 0)),
+		refuse: start.Add(linger),
+		finish: start.Add(timeout),
+	}
+}
+
+// stop stops the daemon gracefully within the stop timeout.
+func (d *Daemon) stop() {
+	d.log.Infof("stopping daemon on host %s", d.identity.Host)
+	schedule := newStopSchedule(time.Now(), time.Duration(d.settings.StopLinger), time.Duration(d.settings.StopTimeout))
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.finish)
+	defer cancel()
+	d.stopping.Store(true)
+	d.events.Record(timeline.Event{Kind: timeline.Stopping})
+	// Callers are asked to open new connections and so move to other daemons. The
+	// target keeps accepting calls until shortly before the end of the linger period.
+	d.calls.DisableKeepAlives()
+	wait.For(ctx, time.Until(schedule.drain))
+	d.calls.Drain()
+	var announcement conc.WaitGroup
+	announcement.Go(func() { d.announceLeave(ctx) })
+	wait.For(ctx, time.Until(schedule.refuse))
+	if err := d.calls.Shutdown(ctx); err != nil {
+		d.log.WithError(err).Warn("stop timeout, calls in progress are aborted")
+	}
+	announcement.Wait()
+	if err := d.members.FinishLeave(ctx); err != nil {
+		d.log.WithError(err).Debug("could not announce the end of the process to all peers")
+	}
+	d.events.Record(timeline.Event{Kind: timeline.Stopped})
+}
+
+// announceLeave tells the peers that this daemon takes no new work.
+func (d *Daemon) announceLeave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := d.members.BeginLeave(ctx); err != nil {
+		d.log.WithError(err).Warn("could not announce the stop to all peers")
+	}
+}
