Calls that outlast a stop get a response before the connections close

What callers saw: a call still in progress at the stop timeout ended with a closed connection, also one that waited in a queue and had not run. A caller that may not repeat a request could not tell the two apart.

Cause: after the stop timeout the servers closed their connections under the handlers. The same could cut a response that was being written at the end of an orderly stop, since a call counts as ended before its response is flushed.

Change: calls in progress end with the cause errStopTimeout, so that each handler writes its error: 503 where the request certainly did not run, else 502. The servers then shut down instead of closing at once, for at most 100 ms.

--- a/cmd/mulberrybank/stop_test.go
+++ b/cmd/mulberrybank/stop_test.go
@@ -108,7 +108,9 @@
 		})
 	}
 	callers.Wait()
-	_, _ = awaitLong()
+	long, err := awaitLong()
+	assert.Check(t, err, "the long call gets no response")
+	assert.Check(t, long.Status == http.StatusBadGateway, "the long call gets status %d", long.Status)
 	for id, err := range unanswered {
 		runs, _ := f.findRuns(id)
 		assert.Check(t, len(runs) == 0, "request %s ran and got no response: %v", id, err)
--- a/internal/call/inflight.go
+++ b/internal/call/inflight.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 )
 
 // inflight counts the calls in progress and holds the phase of a graceful stop.
@@ -18,10 +19,28 @@
 	// as no call is in progress after that.
 	shuttingDown bool
 	idle         chan struct{}
+	// aborted ends when the calls in progress are aborted.
+	aborted context.Context
+	abort   context.CancelFunc
 }
 
 func newInflight() *inflight {
-	return &inflight{idle: make(chan struct{})}
+	f := &inflight{idle: make(chan struct{})}
+	f.aborted, f.abort = context.WithCancel(context.Background())
+	return f
+}
+
+// callContext returns the context of a call, which ends at its deadline or, with
+// the cause errStopTimeout, when the calls in progress are aborted.
+func (f *inflight) callContext(parent context.Context, deadline time.Time) (ctx context.Context, cancel func()) {
+	ctx, cancelCause := context.WithCancelCause(parent)
+	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
+	stop := context.AfterFunc(f.aborted, func() { cancelCause(errStopTimeout) })
+	return ctx, func() {
+		stop()
+		cancelDeadline()
+		cancelCause(nil)
+	}
 }
 
 // begin counts a call and returns the function that ends it.
--- a/internal/call/peer.go
+++ b/internal/call/peer.go
@@ -1,7 +1,6 @@
 package call
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -21,7 +20,7 @@
 		return
 	}
 	defer setConnDeadlines(w, q.deadline, q.body)()
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := s.inflight.callContext(r.Context(), q.deadline)
 	defer cancel()
 	result, failure := s.serveTarget(ctx, q)
 	if failure != nil {
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -191,6 +191,14 @@
 	return nil
 }
 
+// Abort ends the calls in progress with an error and returns once their responses
+// have been written. The error says how many were in progress when ctx ended.
+func (s *Server) Abort(ctx context.Context) error {
+	s.log.WithField("in_progress", s.inflight.inProgress()).Warn("calls in progress are aborted")
+	s.inflight.abort()
+	return s.inflight.shutdown(ctx)
+}
+
 // InProgress returns the number of calls in progress.
 func (s *Server) InProgress() int { return s.inflight.inProgress() }
 
--- a/internal/call/steps.go
+++ b/internal/call/steps.go
@@ -64,6 +64,7 @@
 	errHomeUnknown        = errors.New("address of the key's home is unknown")
 	errDraining           = errors.New("target accepts no new requests")
 	errStopping           = errors.New("daemon is shutting down")
+	errStopTimeout        = errors.New("daemon shuts down before the call has ended")
 	errNoLocalTarget      = errors.New("service has no target on this host")
 	errWrongHost          = errors.New("request is meant for another host")
 	errResponseMismatched = errors.New("response belongs to another request")
@@ -76,6 +77,8 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
 		return http.StatusGatewayTimeout
+	case errors.Is(context.Cause(ctx), errStopTimeout):
+		return http.StatusBadGateway
 	case ctx.Err() != nil:
 		return statusClientClosedRequest
 	default:
--- /dev/null
+++ b/internal/call/stop_test.go
@@ -0,0 +1,63 @@
+package call_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/standin/target"
+)
+
+// expired returns a context that has ended.
+func expired(t *testing.T) context.Context {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	return ctx
+}
+
+// TestAbortedCallsGetResponses aborts a running and a queued call of a caller, and a
+// running one of another daemon.
+func TestAbortedCallsGetResponses(t *testing.T) {
+	one := func(service *publish.Service, route *publish.Route) {
+		withoutRetries(service, route)
+		service.Slots = 1
+		service.QueueTimeout = route.Deadline
+	}
+	for _, remote := range []bool{false, true} {
+		m := newMesh(t, 2, config(one), nil)
+		stopping, from := m.nodes[0], m.nodes[0]
+		if remote {
+			from = m.nodes[1]
+		}
+		from.routeOnlyTo(stopping)
+		stopping.setBehaviour(target.Behaviour{Hang: true})
+		results := make(chan result, 2)
+		var tasks conc.WaitGroup
+		send := func() {
+			got, err := from.do(t, t.Context(), http.MethodGet, lookups, nil)
+			assert.Check(t, err)
+			results <- got
+		}
+		tasks.Go(send)
+		eventually(t, "a call runs", func() bool { return stopping.server.Load().Busy == 1 })
+		tasks.Go(send)
+		eventually(t, "a call is queued", func() bool { return stopping.server.Load().Queued == 1 })
+		assert.ErrorContains(t, stopping.server.Shutdown(expired(t)), "2 calls in progress")
+		assert.NilError(t, stopping.server.Abort(t.Context()))
+		tasks.Wait()
+		statuses := make(map[string]int)
+		for range 2 {
+			got := <-results
+			statuses[got.outcome()] = got.status
+		}
+		assert.DeepEqual(t, statuses, map[string]int{
+			string(call.Unknown): http.StatusBadGateway,
+			string(call.NotRun):  http.StatusServiceUnavailable,
+		})
+	}
+}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -16,6 +16,9 @@
 	readHeaderTimeout = 5 * time.Second
 	// idleTimeout is how long an HTTP connection without requests stays open.
 	idleTimeout = 2 * time.Minute
+	// closeTimeout limits how long responses may still be written when the server
+	// closes.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // listeners holds the open TCP listeners of one daemon.
@@ -71,18 +74,33 @@
 }
 
 // serveHTTP serves HTTP on a listener until ctx is cancelled, then closes the
-// listener and its connections.
+// listener and its connections. Responses that are being written get closeTimeout.
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		closeHTTP(server)
+	})
 	err := server.Serve(listener)
+	if !stop() {
+		<-closed
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return fmt.Errorf("serve %s: %w", listener.Addr(), err)
 }
+
+// closeHTTP closes the listener and the connections of a server.
+func closeHTTP(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -17,6 +17,8 @@
 	// leaveTimeout limits how long a stopping daemon waits for its peers to
 	// acknowledge that it is leaving.
 	leaveTimeout = 700 * time.Millisecond
+	// abortTimeout limits how long aborted calls have to write their responses.
+	abortTimeout = 200 * time.Millisecond
 )
 
 // stopSchedule holds the times at which the phases of a graceful stop begin. A
@@ -57,7 +59,8 @@
 	announcement.Go(func() { d.announceLeave(ctx) })
 	wait.For(ctx, time.Until(schedule.refuse))
 	if err := d.calls.Shutdown(ctx); err != nil {
-		d.log.WithError(err).Warn("stop timeout, calls in progress are aborted")
+		d.log.WithError(err).Warn("stop timeout")
+		d.abortCalls()
 	}
 	announcement.Wait()
 	if err := d.members.FinishLeave(ctx); err != nil {
@@ -74,3 +77,12 @@
 		d.log.WithError(err).Warn("could not announce the stop to all peers")
 	}
 }
+
+// abortCalls ends the calls in progress, so that each caller still gets a response.
+func (d *Daemon) abortCalls() {
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	if err := d.calls.Abort(ctx); err != nil {
+		d.log.WithError(err).Warn("not every aborted call wrote its response")
+	}
+}
