A stop that times out still announces that the host has left

What operators saw: after a stop that used up its timeout the host's record stayed in the store, and its peers dialled a host that was gone until probes told them.

Cause: FinishLeave ran last under the one context of the stop, which had ended.

Change: it has a limit of its own, runs beside the end of aborted calls, and publishes that the host has left before it waits for the store.

Evidence: TestStopThatTimesOutDeletesHostRecord failed before ("the record of side-3 is still in the store") and passes now.

--- a/cmd/mulberrybank/stop_test.go
+++ b/cmd/mulberrybank/stop_test.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// hostsTopic is the topic of the store with one record for each host.
+	hostsTopic = "keyed.hosts"
 	// longRun is the execution time of a request that outlasts a graceful stop.
 	longRun = 10 * time.Second
 	// shortRun is the execution time of the other requests.
@@ -119,3 +121,14 @@
 		f.dumpLogs()
 	}
 }
+
+func TestStopThatTimesOutDeletesHostRecord(t *testing.T) {
+	f := startFleet(t)
+	third := f.hosts[2]
+	awaitLong := f.startLongCall(third)
+	f.await("side-3 is recorded in the store", func() bool { return f.store.Newest(hostsTopic, third.name) != nil })
+	assert.NilError(t, third.daemon.Process.Signal(syscall.SIGTERM))
+	<-daemonExit(third.daemon)
+	_, _ = awaitLong()
+	assert.Assert(t, f.store.Newest(hostsTopic, third.name) == nil, "the record of side-3 is still in the store")
+}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -19,6 +19,8 @@
 	leaveTimeout = 700 * time.Millisecond
 	// abortTimeout limits how long aborted calls have to write their responses.
 	abortTimeout = 200 * time.Millisecond
+	// finishLeaveTimeout limits how long a daemon announces that it has stopped.
+	finishLeaveTimeout = 400 * time.Millisecond
 )
 
 // stopSchedule holds the times at which the phases of a graceful stop begin. A
@@ -58,14 +60,15 @@
 	var announcement conc.WaitGroup
 	announcement.Go(func() { d.announceLeave(ctx) })
 	wait.For(ctx, time.Until(schedule.refuse))
-	if err := d.calls.Shutdown(ctx); err != nil {
-		d.log.WithError(err).Warn("stop timeout")
-		d.abortCalls()
-	}
+	err := d.calls.Shutdown(ctx)
 	announcement.Wait()
-	if err := d.members.FinishLeave(ctx); err != nil {
-		d.log.WithError(err).Debug("could not announce the end of the process to all peers")
+	var end conc.WaitGroup
+	if err != nil {
+		d.log.WithError(err).Warn("stop timeout")
+		end.Go(d.abortCalls)
 	}
+	end.Go(d.finishLeave)
+	end.Wait()
 	d.events.Record(timeline.Event{Kind: timeline.Stopped})
 }
 
@@ -86,3 +89,12 @@
 		d.log.WithError(err).Warn("not every aborted call wrote its response")
 	}
 }
+
+// finishLeave tells the peers that this daemon has stopped.
+func (d *Daemon) finishLeave() {
+	ctx, cancel := context.WithTimeout(context.Background(), finishLeaveTimeout)
+	defer cancel()
+	if err := d.members.FinishLeave(ctx); err != nil {
+		d.log.WithError(err).Debug("could not announce the end of the process to all peers")
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -165,21 +165,26 @@
 // BeginLeave publishes that this daemon takes no new work. It returns when all
 // connected neighbours have acknowledged this, or when ctx ends.
 func (m *Membership) BeginLeave(ctx context.Context) error {
-	return m.leave(ctx, Leaving)
+	m.publishLeave(Leaving)
+	return m.awaitLeaveAcknowledged(ctx)
 }
 
-// FinishLeave deletes this host's record in the host log and publishes that
-// this daemon has stopped. Call it last, while Run still runs.
+// FinishLeave publishes that this daemon has stopped and deletes this host's record
+// in the host log. Call it last, while Run still runs.
 func (m *Membership) FinishLeave(ctx context.Context) error {
+	m.publishLeave(Left)
 	m.deleteHostRecord(ctx)
-	return m.leave(ctx, Left)
+	return m.awaitLeaveAcknowledged(ctx)
 }
 
-func (m *Membership) leave(ctx context.Context, state State) error {
+func (m *Membership) publishLeave(state State) {
 	m.mu.Lock()
 	m.lease.drained = true
 	m.mu.Unlock()
 	m.updateSelf(func(e *entry) { e.state = max(e.state, state) })
+}
+
+func (m *Membership) awaitLeaveAcknowledged(ctx context.Context) error {
 	if err := m.awaitAcknowledged(ctx); err != nil {
 		return fmt.Errorf("announce leave to neighbours: %w", err)
 	}
