Tests for connections to peers that outlive a stop by 2 s

Callers could see a daemon killed at the end of the grace time: 5 s of stop plus up to 2 s of a handshake are more than the 6 s that the platform allows.

The cause: Server.handshake and Dialer.handshake in internal/peer wait for the Hello of the other side until dialTimeout and do not look at their context. Server.Serve, Membership.Run and Distributor.Run wait for their connections, and Daemon.Run waits for those after the stop.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -72,6 +72,53 @@
 	})
 }
 
+// stopSlack is what the grace time of 6s leaves after the stop timeout of 5s.
+const stopSlack = time.Second
+
+// TestSilentHandshakeDelaysNoStop guards against a daemon that is killed at the end
+// of the grace time, because a connection on which no Hello has come keeps its server
+// running.
+func TestSilentHandshakeDelaysNoStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := NewServer(Identity{Host: "server", Zone: "a"}, NewTrafficCounter(), logging.ForComponent(logging.Discard(), "peer"))
+		listener := &channelListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks conc.WaitGroup
+		tasks.Go(func() { _ = server.Serve(ctx, listener) })
+		silent, accepted := net.Pipe()
+		defer silent.Close()
+		listener.conns <- accepted
+		synctest.Wait()
+		start := time.Now()
+		cancel()
+		tasks.Wait()
+		took := time.Since(start)
+		assert.Assert(t, took < stopSlack, "the server ended %v after its context", took)
+	})
+}
+
+// TestSilentPeerDelaysNoCancelledDial guards against a daemon that is killed at the
+// end of the grace time, because a dial to a peer that sends no Hello ignores that its
+// context was cancelled.
+func TestSilentPeerDelaysNoCancelledDial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		local, remote := net.Pipe()
+		defer remote.Close()
+		dialer := NewDialer(Identity{Host: "client", Zone: "b"}, NewTrafficCounter(), func(context.Context, string, string) (net.Conn, error) { return local, nil })
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks conc.WaitGroup
+		tasks.Go(func() { _, _ = dialer.Dial(ctx, "test", "server") })
+		_, _, err := readHello(remote)
+		assert.NilError(t, err)
+		synctest.Wait()
+		start := time.Now()
+		cancel()
+		tasks.Wait()
+		took := time.Since(start)
+		assert.Assert(t, took < stopSlack, "the dial ended %v after its context", took)
+	})
+}
+
 func TestTrafficIsCountedByScope(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, dial := serve(t, newConnLimiter(2, 1, 3))
