--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -14,6 +14,9 @@
 	// leaveLeadTime is how long before the end of the linger period a stopping
 	// daemon announces that its target accepts no new calls.
 	leaveLeadTime = 700 * time.Millisecond
+	// exitFraction is the part of the stop timeout, as 1/exitFraction, that is kept
+	// for the end of the process after the calls in progress have been aborted.
+	exitFraction = 6
 	// leaveTimeout limits how long a stopping daemon waits for its peers to
 	// acknowledge that it is leaving.
 	leaveTimeout = 700 * time.Millisecond
@@ -34,13 +37,15 @@
 	finish time.Time
 }
 
-// newStopSchedule returns the schedule of a stop that begins at start.
+// newStopSchedule returns the schedule of a stop that begins at start and has to
+// have ended within timeout.
 func newStopSchedule(start time.Time, linger, timeout time.Duration) stopSchedule {
-	linger = min(linger, timeout)
+	finish := timeout - timeout/exitFraction
+	linger = min(linger, finish)
 	return stopSchedule{
 		drain:  start.Add(max(linger-leaveLeadTime, 0)),
 		refuse: start.Add(linger),
-		finish: start.Add(timeout),
+		finish: start.Add(finish),
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,7 +50,8 @@
 	// StopLinger is how long a stopping daemon still accepts calls, because callers
 	// need time to notice that it is no longer ready.
 	StopLinger Duration `json:"stop_linger" default:"0s" min:"0s" max:"10m"`
-	// StopTimeout limits the duration of a graceful stop.
+	// StopTimeout limits the duration of a graceful stop. Calls that are still in
+	// progress after five sixths of it are aborted.
 	StopTimeout Duration `json:"stop_timeout" default:"10s" min:"100ms" max:"10m"`
 }
 
