A queued request does not reach a target that has begun to drain

Cause: the state of the target was read before the wait only.

Change: it is read again after the wait; the request is refused as not run, which lets the next waiter be refused too.

--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -9,10 +9,18 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/standin/target"
 )
 
+// oneSlot lets one request run at a time and others wait for it.
+func oneSlot(service *publish.Service, route *publish.Route) {
+	withoutRetries(service, route)
+	service.Slots = 1
+	service.QueueTimeout = route.Deadline
+}
+
 // expired returns a context that has ended.
 func expired(t *testing.T) context.Context {
 	ctx, cancel := context.WithCancel(t.Context())
@@ -23,13 +31,8 @@
 // TestAbortedCallsGetResponses aborts a running and a queued call of a caller, and a
 // running one of another daemon.
 func TestAbortedCallsGetResponses(t *testing.T) {
-	one := func(service *publish.Service, route *publish.Route) {
-		withoutRetries(service, route)
-		service.Slots = 1
-		service.QueueTimeout = route.Deadline
-	}
 	for _, remote := range []bool{false, true} {
-		m := newMesh(t, 2, config(one), nil)
+		m := newMesh(t, 2, config(oneSlot), nil)
 		stopping, from := m.nodes[0], m.nodes[0]
 		if remote {
 			from = m.nodes[1]
@@ -61,3 +64,31 @@
 		})
 	}
 }
+
+func TestQueuedRequestDoesNotReachDrainingTarget(t *testing.T) {
+	m := newMesh(t, 1, config(oneSlot), nil)
+	n := m.nodes[0]
+	n.setBehaviour(target.Behaviour{Hang: true})
+	running, endRunning := context.WithCancel(t.Context())
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer endRunning()
+	tasks.Go(func() { _, _ = n.do(t, running, http.MethodGet, lookups, nil) })
+	eventually(t, "a call runs", func() bool { return n.server.Load().Busy == 1 })
+	queued := make(chan result, 1)
+	tasks.Go(func() {
+		got, err := n.do(t, t.Context(), http.MethodGet, lookups, nil)
+		assert.Check(t, err)
+		queued <- got
+	})
+	eventually(t, "a call is queued", func() bool { return n.server.Load().Queued == 1 })
+	n.setBehaviour(target.Behaviour{})
+	n.member.TargetState = membership.Draining
+	m.shareView()
+	endRunning()
+	got := <-queued
+	assert.Equal(t, got.outcome(), string(call.NotRun))
+	assert.Equal(t, got.step(), call.StepDrain)
+	assert.Equal(t, len(n.target.Runs()), 1)
+	eventually(t, "the slot is free", func() bool { return n.server.Load().Busy == 0 })
+}
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -56,6 +56,11 @@
 	start := s.now()
 	succeeded := false
 	release := sync.OnceFunc(func() { s.admission.release(q.priority, s.now().Sub(start), succeeded) })
+	// The target may have begun to drain while the request was queued.
+	if failure := s.targetError(q, s.directory.View().Self); failure != nil {
+		release()
+		return nil, failure, false
+	}
 	sent := TargetRequest{ID: q.id, Instance: instance}
 	response, failed, err := s.roundTrip(ctx, s.targetConns.current(), address, q, s.ranRecorder(q), s.headerRewriter(&sent))
 	s.counters.target.Update(s.now().Sub(start).Seconds())
