A keyed call that outlasts a stop gets a response too

Cause: a call with a key goes on without its caller's context, and so without the end of aborted calls; its caller got a closed connection at the end of the process.

A shutdown whose time ends as its last call does reports no error any more.

--- a/internal/call/inflight.go
+++ b/internal/call/inflight.go
@@ -118,6 +118,9 @@
 	case <-f.idle:
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("shutdown: %d calls in progress: %w", f.inProgress(), ctx.Err())
+		if count := f.inProgress(); count > 0 {
+			return fmt.Errorf("shutdown: %d calls in progress: %w", count, ctx.Err())
+		}
+		return nil
 	}
 }
--- a/internal/call/keyed.go
+++ b/internal/call/keyed.go
@@ -19,8 +19,8 @@
 var errResponseTooLong = errors.New("response is too long to be stored for its key")
 
 // runKeyed runs a call with a key or replays its stored response. Once the request
-// has been sent to the target, the call goes on until its deadline even if the
-// caller disconnects, so that a retry finds the response.
+// has been sent to the target, the call goes on until its deadline or the end of the
+// process even if the caller disconnects, so that a retry finds the response.
 func (s *Server) runKeyed(ctx context.Context, q *request, self membership.Member) (*targetResponse, *Error) {
 	s.counters.keyed.Inc()
 	if s.keys == nil {
@@ -34,7 +34,7 @@
 		s.counters.replayed.Inc()
 		return replayResponse(stored), nil
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
+	ctx, cancel := s.inflight.callContext(context.WithoutCancel(ctx), q.deadline)
 	defer cancel()
 	result, failure, mayHaveSent := s.runOnTarget(ctx, q, self)
 	if !mayHaveSent {
--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -65,6 +65,26 @@
 	}
 }
 
+func TestAbortedKeyedCallGetsResponse(t *testing.T) {
+	m := newMesh(t, 1, config(oneSlot), nil)
+	n := m.nodes[0]
+	n.setBehaviour(target.Behaviour{Hang: true})
+	results := make(chan result, 1)
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		got, err := n.do(t, t.Context(), http.MethodPost, orders, nil, call.HeaderKey, newKey(t))
+		assert.Check(t, err)
+		results <- got
+	})
+	eventually(t, "the call runs", func() bool { return n.server.Load().Busy == 1 })
+	assert.ErrorContains(t, n.server.Shutdown(expired(t)), "1 calls in progress")
+	assert.NilError(t, n.server.Abort(t.Context()))
+	tasks.Wait()
+	got := <-results
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, got.outcome(), string(call.Unknown))
+}
+
 func TestQueuedRequestDoesNotReachDrainingTarget(t *testing.T) {
 	m := newMesh(t, 1, config(oneSlot), nil)
 	n := m.nodes[0]
