--- a/internal/call/metrics.go
+++ b/internal/call/metrics.go
@@ -13,6 +13,7 @@
 	notRun     *metrics.Counter
 	unknown    *metrics.Counter
 	truncated  *metrics.Counter
+	aborted    *metrics.Counter
 	retries    *metrics.Counter
 	overBudget *metrics.Counter
 	hedges     *metrics.Counter
@@ -44,6 +45,7 @@
 		notRun:     set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="not-run"}`),
 		unknown:    set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="unknown"}`),
 		truncated:  set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="cut"}`),
+		aborted:    set.GetOrCreateCounter(`mulberrybank_calls_aborted_total`),
 		retries:    set.GetOrCreateCounter(`mulberrybank_call_retries_total`),
 		hedges:     set.GetOrCreateCounter(`mulberrybank_call_hedges_total`),
 		overBudget: set.GetOrCreateCounter(`mulberrybank_call_retries_over_budget_total`),
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -110,7 +110,7 @@
 // New returns a server for one daemon.
 func New(options Options) *Server {
 	options = options.withDefaults()
-	return &Server{
+	s := &Server{
 		self:            options.Self,
 		config:          options.Config,
 		directory:       options.Directory,
@@ -133,6 +133,8 @@
 		targetConns:     newTargetTransports(options.Dial, options.TargetConnections, options.Now),
 		peerConns:       newTransport(options.DialPeers, options.PeerConnections),
 	}
+	options.Metrics.NewGauge(`mulberrybank_calls_in_progress`, func() float64 { return float64(s.InProgress()) })
+	return s
 }
 
 func (o Options) withDefaults() Options {
@@ -194,7 +196,9 @@
 // Abort ends the calls in progress with an error and returns once their responses
 // have been written. The error says how many were in progress when ctx ended.
 func (s *Server) Abort(ctx context.Context) error {
-	s.log.WithField("in_progress", s.inflight.inProgress()).Warn("calls in progress are aborted")
+	count := s.inflight.inProgress()
+	s.log.WithField("in_progress", count).Warn("calls in progress are aborted")
+	s.counters.aborted.Add(count)
 	s.inflight.abort()
 	return s.inflight.shutdown(ctx)
 }
