Records of gone hosts keep a bridge from no live host

Operators saw a mesh that stays in parts after a start in which the store holds records of gone hosts (machines that were killed and replaced leave theirs for ever). Each part shows its own hosts as complete and healthy, and no view is marked stale. A daemon routes calls only to the hosts of its own part, so callers see the capacity of a part in place of the whole (this follows from the code and was not measured). The parts joined by luck, after one of the next reads of the log, 30 s apart.

Cause: a daemon stops dialling the hosts of the log once one peer answers, so a start ends in parts when early readers find few records. Joining the parts is the duty of the bridges, which dial one unknown host of each zone. That choice was the first unknown host of the list, whatever came of dialling it: a gone host is never known, so it was dialled again and again until the next read put another first. With ten stale records for each live one nearly every choice was a gone host.

Now the unknown host with the fewest failed dials is chosen, so a failure goes on to the next record and all of a zone are tried before one is repeated. Of two hosts that wrote their records, whichever read later knows the other's, so a part always holds records that lead to the other. The pause before a dial grows with the failures of that address from 0.1 to 5 s and is kept over reads. Still one host of a zone at a time: a live host that is dialled becomes known, so the cost of first contacts and the calls to the store stay as they were.

--- a/internal/membership/failure_detection.go
+++ b/internal/membership/failure_detection.go
@@ -82,6 +82,8 @@
 	switch {
 	case n.role == bridgeRole:
 		m.failOver(n)
+	case n.role == unknownRole:
+		m.recordFailedDial(n)
 	case n.role == zoneRole && m.shouldProbe(n, err):
 		m.confirmFailure(ctx, n)
 	}
--- a/internal/membership/log_discovery.go
+++ b/internal/membership/log_discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -151,9 +152,19 @@
 	defer m.mu.Unlock()
 	m.logReads++
 	m.hostsFromLog = m.groupByZone(hosts)
+	m.forgetFailedDials(hosts)
 	return nil
 }
 
+// forgetFailedDials drops the counts of hosts that the log does not hold any more.
+func (m *Membership) forgetFailedDials(hosts []Member) {
+	recorded := make(map[string]bool, len(hosts))
+	for _, host := range hosts {
+		recorded[host.ControlAddress] = true
+	}
+	maps.DeleteFunc(m.failedDials, func(address string, _ int) bool { return !recorded[address] })
+}
+
 // groupByZone groups hosts by zone. The order within a zone differs between
 // daemons and between reads, so that not all daemons dial the same hosts, and
 // gone hosts do not keep others from being dialled.
@@ -213,20 +224,60 @@
 	}
 }
 
-// unknownSeeds returns the control addresses that no entry names: all such
-// seeds of the settings, and one such host from the log for each zone.
-func (m *Membership) unknownSeeds() []string {
+// addUnknown adds the peers that no entry names: all such seeds of the
+// settings, and one such host from the log for each zone.
+func (m *Membership) addUnknown(desired map[string]desiredPeer) {
 	known := make(map[string]bool)
 	for _, r := range m.table.rows {
 		known[r.controlAddress] = true
 	}
-	isKnown := func(address string) bool { return known[address] }
-	addresses := slices.DeleteFunc(slices.Clone(m.options.Seeds), isKnown)
+	for _, address := range m.options.Seeds {
+		if !known[address] {
+			m.addAddress(desired, address, seedRole)
+		}
+	}
 	for _, hosts := range m.hostsFromLog {
-		i := slices.IndexFunc(hosts, func(h Member) bool { return !isKnown(h.ControlAddress) })
-		if i >= 0 {
-			addresses = append(addresses, hosts[i].ControlAddress)
+		if address, ok := m.leastFailed(hosts, known); ok {
+			m.addAddress(desired, address, unknownRole)
 		}
 	}
-	return addresses
+}
+
+// leastFailed returns the control address of the first host that is not known,
+// of those with the fewest failed dials. Records of gone hosts thus never keep
+// the other hosts of their zone from being dialled.
+func (m *Membership) leastFailed(hosts []Member, known map[string]bool) (address string, ok bool) {
+	fewest := 0
+	for _, host := range hosts {
+		failures := m.failedDials[host.ControlAddress]
+		if known[host.ControlAddress] || ok && failures >= fewest {
+			continue
+		}
+		address, fewest, ok = host.ControlAddress, failures, true
+	}
+	return address, ok
+}
+
+// recordFailedDial makes a bridge go on to another unknown host of the log.
+func (m *Membership) recordFailedDial(n *neighbour) {
+	m.mu.Lock()
+	m.failedDials[n.address]++
+	m.mu.Unlock()
+	m.requestSelection()
+}
+
+// unknownHostDelay returns how long to wait before an unknown host is dialled.
+// It grows with the number of failed dials, so that records of gone hosts cost
+// little once each of them was dialled.
+func (m *Membership) unknownHostDelay(address string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delay := firstDialSpread
+	for range m.failedDials[address] {
+		if delay >= maxRedialInterval {
+			return jitter(maxRedialInterval)
+		}
+		delay *= 2
+	}
+	return jitter(delay)
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -56,7 +56,10 @@
 	hostsFromLog map[string][]Member
 	dialLimit    int
 	logReads     int
-	neighbours   map[string]*neighbour
+	// failedDials counts, by control address, the failed dials to hosts from the
+	// log that no entry names.
+	failedDials map[string]int
+	neighbours  map[string]*neighbour
 	// reportedUnreachable holds the hosts that daemons of their zone report as
 	// unreachable, without this one.
 	reportedUnreachable map[string]bool
@@ -92,6 +95,7 @@
 		offsetFloors:      make(map[string]uint64),
 		failedPeers:       make(map[string]failedPeer),
 		zoneMonitors:      make(map[string]*zoneMonitor),
+		failedDials:       make(map[string]int),
 		neighbours:        make(map[string]*neighbour),
 	}
 	m.metrics = newMetrics(options.Metrics, m)
--- a/internal/membership/neighbour.go
+++ b/internal/membership/neighbour.go
@@ -49,7 +49,7 @@
 // desiredPeer is a daemon to which this one should keep a connection.
 type desiredPeer struct {
 	address string
-	// host is empty for a seed.
+	// host is empty if any host may answer, as for a seed.
 	host  string
 	scope peer.Scope
 	role  role
@@ -63,10 +63,16 @@
 	zoneRole role = iota
 	bridgeRole
 	seedRole
+	// unknownRole peers are hosts from the log that no entry names.
+	unknownRole
 	// goneRole peers left or became unreachable and may return.
 	goneRole
 )
 
+// isPermanent reports whether a peer in this role is dialled for as long as it
+// is a member, rather than to discover others.
+func (r role) isPermanent() bool { return r == zoneRole || r == bridgeRole }
+
 // neighbour is a peer that this daemon dials, with the state of its task.
 // connected and sendProgress are guarded by the mutex of Membership, the rest
 // belongs to the task.
@@ -150,7 +156,7 @@
 	if n.role == goneRole {
 		retry.MaxInterval = maxGoneRedialInterval
 	}
-	if !wait.For(ctx, jitter(firstDialSpread)) {
+	if !wait.For(ctx, m.firstDialDelay(n)) {
 		return
 	}
 	for ctx.Err() == nil {
@@ -174,6 +180,14 @@
 	}
 }
 
+// firstDialDelay returns how long the task of a neighbour waits before it dials.
+func (m *Membership) firstDialDelay(n *neighbour) time.Duration {
+	if n.role == unknownRole {
+		return m.unknownHostDelay(n.address)
+	}
+	return jitter(firstDialSpread)
+}
+
 // runConnection opens a connection and sends heartbeats until one fails. It
 // returns the number of heartbeats that were answered.
 func (m *Membership) runConnection(ctx context.Context, n *neighbour) (heartbeats int, err error) {
--- a/internal/membership/neighbour_selection.go
+++ b/internal/membership/neighbour_selection.go
@@ -127,24 +127,28 @@
 }
 
 // addSeeds adds the seeds while no other peer answers. A bridge always adds
-// the seeds that no entry names, so that parts of the mesh that never had
+// the peers that no entry names, so that parts of the mesh that never had
 // contact, or dropped each other's entries, merge.
 func (m *Membership) addSeeds(desired map[string]desiredPeer, isBridge bool) {
 	connected := false
 	for _, n := range m.neighbours {
-		connected = connected || n.connected && n.role != seedRole && n.role != goneRole
+		connected = connected || n.connected && n.role.isPermanent()
 	}
-	if connected && !isBridge {
-		return
-	}
-	addresses := m.seeds()
-	if connected {
-		addresses = m.unknownSeeds()
-	}
-	for _, address := range addresses {
-		if _, ok := desired[address]; !ok {
-			desired[address] = desiredPeer{address: address, role: seedRole}
+	switch {
+	case !connected:
+		for _, address := range m.seeds() {
+			m.addAddress(desired, address, seedRole)
 		}
+	case isBridge:
+		m.addUnknown(desired)
+	}
+}
+
+// addAddress adds a peer of which only the control address is known, unless it
+// was added before.
+func (m *Membership) addAddress(desired map[string]desiredPeer, address string, role role) {
+	if _, ok := desired[address]; !ok {
+		desired[address] = desiredPeer{address: address, role: role}
 	}
 }
 
--- a/internal/membership/neighbour_selection_test.go
+++ b/internal/membership/neighbour_selection_test.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"fmt"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -17,3 +19,39 @@
 	m.updateSelf(func(e *entry) { e.state = Left })
 	assert.Equal(t, len(m.desiredPeers()), 0)
 }
+
+// TestGoneHostOfLogIsNotDialledAgainBeforeOthers has a bridge dial the unknown
+// hosts of the log, none of which answers.
+func TestGoneHostOfLogIsNotDialledAgainBeforeOthers(t *testing.T) {
+	const recorded, rounds = 20, 3
+	m := newUnconnected("a")
+	m.neighbours["b"] = &neighbour{desiredPeer: desiredPeer{address: "b", host: "b", role: zoneRole}, connected: true}
+	var hosts []Member
+	for i := range recorded {
+		host := fmt.Sprintf("gone-%d", i)
+		hosts = append(hosts, Member{Host: host, Zone: "z", Region: "r", ControlAddress: host})
+	}
+	m.hostsFromLog = m.groupByZone(hosts)
+	for round := range rounds {
+		dialled := make(map[string]bool)
+		for range recorded {
+			desired := m.desiredPeers()
+			assert.Equal(t, len(desired), 1)
+			for address, spec := range desired {
+				assert.Equal(t, m.failedDials[address], round)
+				dialled[address] = true
+				m.handleFailure(t.Context(), &neighbour{desiredPeer: spec}, syscall.ECONNREFUSED)
+			}
+		}
+		assert.Equal(t, len(dialled), recorded)
+	}
+}
+
+// TestUnansweredDialsOfUnknownHostsSlowDown bounds what records of gone hosts
+// cost a bridge for as long as the log holds them.
+func TestUnansweredDialsOfUnknownHostsSlowDown(t *testing.T) {
+	m := newUnconnected("a")
+	assert.Assert(t, m.unknownHostDelay("gone") <= 2*firstDialSpread)
+	m.failedDials["gone"] = 1000
+	assert.Assert(t, m.unknownHostDelay("gone") >= maxRedialInterval/2)
+}
