Handshakes between daemons end with their context

An accepted connection whose other end sent no Hello held Serve, and with it the end of the process, for up to 2 s after its context had ended, and a dial to a daemon that does not respond held its task as long. A stop that uses its 5 s of a grace period of 6 s would end with SIGKILL.

Cause: both handshakes had a deadline on the connection but did not follow the context.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -4,14 +4,10 @@
 	"context"
 	"fmt"
 	"net"
-	"time"
 
 	"storj.io/drpc/drpcconn"
 )
 
-// dialTimeout limits how long a connection takes to open, including the handshake.
-const dialTimeout = 2 * time.Second
-
 // Conn is a connection to one daemon. It carries one RPC at a time.
 type Conn struct {
 	*drpcconn.Conn
@@ -47,7 +43,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	remote, err := d.handshake(ctx, raw, kind)
+	remote, _, err := handshake(ctx, raw, func(conn net.Conn) (Identity, string, error) {
+		return d.exchangeHello(conn, kind)
+	})
 	if err != nil {
 		_ = raw.Close()
 		return nil, fmt.Errorf("peer handshake with %s: %w", address, err)
@@ -57,22 +55,15 @@
 	return &Conn{Conn: drpcconn.New(counted), Peer: remote}, nil
 }
 
-// handshake exchanges Hello messages and returns the identity of the daemon that
-// responded.
-func (d *Dialer) handshake(ctx context.Context, raw net.Conn, kind string) (Identity, error) {
-	deadline, _ := ctx.Deadline()
-	if err := raw.SetDeadline(deadline); err != nil {
-		return Identity{}, err
-	}
-	if err := writeHello(raw, d.self, kind); err != nil {
-		return Identity{}, err
+// exchangeHello sends the Hello message of this daemon and returns what the daemon
+// that was dialled responds.
+func (d *Dialer) exchangeHello(conn net.Conn, kind string) (Identity, string, error) {
+	if err := writeHello(conn, d.self, kind); err != nil {
+		return Identity{}, "", err
 	}
-	remote, _, err := readHello(raw)
+	remote, kind, err := readHello(conn)
 	if err != nil {
-		return Identity{}, err
-	}
-	if err := verifyCertificateName(raw, remote); err != nil {
-		return Identity{}, err
+		return Identity{}, "", err
 	}
-	return remote, raw.SetDeadline(time.Time{})
+	return remote, kind, verifyCertificateName(conn, remote)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
@@ -65,7 +64,7 @@
 // serveConn serves one accepted connection until it ends.
 func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
 	defer raw.Close()
-	remote, kind, err := s.handshake(raw)
+	remote, kind, err := handshake(ctx, raw, s.exchangeHello)
 	if err != nil {
 		s.log.WithError(err).Debugf("peer handshake with %s failed", raw.RemoteAddr())
 		return
@@ -78,21 +77,14 @@
 	}
 }
 
-// handshake exchanges Hello messages with a daemon that connected and returns its
-// identity and the kind of the connection.
-func (s *Server) handshake(raw net.Conn) (Identity, string, error) {
-	if err := raw.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
-		return Identity{}, "", err
-	}
-	remote, kind, err := readHello(raw)
+// exchangeHello reads the Hello message of a daemon that connected and responds.
+func (s *Server) exchangeHello(conn net.Conn) (Identity, string, error) {
+	remote, kind, err := readHello(conn)
 	if err != nil {
 		return Identity{}, "", err
 	}
-	if err := verifyCertificateName(raw, remote); err != nil {
-		return Identity{}, "", err
-	}
-	if err := writeHello(raw, s.self, kind); err != nil {
+	if err := verifyCertificateName(conn, remote); err != nil {
 		return Identity{}, "", err
 	}
-	return remote, kind, raw.SetDeadline(time.Time{})
+	return remote, kind, writeHello(conn, s.self, kind)
 }
