A temporary error of Accept no longer ends the daemon

When the process had no free file descriptor for an accepted connection of a daemon, every task of the daemon was cancelled, calls in progress ended with an EOF, and the process ended by itself.

Cause: Serve returned each error of Accept but that of a closed listener, and the daemon cancels its other tasks with the first that fails.

Evidence: before the change TestTemporaryAcceptErrorsDoNotEndServe: accept_test.go:62: assertion failed: isClosed(returned) is true: Serve ended: accept on pipe: accept tcp: accept4: too many open files TestAcceptBackOffDoesNotDelayEndOfServe: accept_test.go:85: assertion failed: error is not nil: accept on pipe: accept tcp: accept4: too many open files and both pass now, 20 of 20 runs.

Why it works: errors that call themselves temporary are retried after 5 ms, doubling to 1 s with jitter, as net/http does for the daemon's other listeners. The back-off ends with the context, and at most one line in 10 s is logged. Other errors are still returned.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
@@ -19,16 +20,19 @@
 	log     *logrus.Entry
 	mux     *drpcmux.Mux
 	limiter *connLimiter
+	// acceptLog limits the rate of log lines about temporary errors of Accept.
+	acceptLog rate.Sometimes
 }
 
 // NewServer returns a server without services, which are registered on Mux.
 func NewServer(self Identity, traffic *TrafficCounter, log *logrus.Entry) *Server {
 	return &Server{
-		self:    self,
-		traffic: traffic,
-		log:     log,
-		mux:     drpcmux.New(),
-		limiter: newConnLimiter(maxConnections, acceptsPerSecond, acceptBurst),
+		self:      self,
+		traffic:   traffic,
+		log:       log,
+		mux:       drpcmux.New(),
+		limiter:   newConnLimiter(maxConnections, acceptsPerSecond, acceptBurst),
+		acceptLog: rate.Sometimes{Interval: acceptLogInterval},
 	}
 }
 
@@ -36,15 +40,15 @@
 func (s *Server) Mux() *drpcmux.Mux { return s.mux }
 
 // Serve accepts connections until ctx is cancelled and serves each in a task of its
-// own. Connections over the limits are closed at once. It closes the listener and
-// returns when every task has ended.
+// own. Connections over the limits are closed at once. Temporary errors of Accept are
+// retried. It closes the listener and returns when every task has ended.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for {
-		raw, err := listener.Accept()
+		raw, err := s.accept(ctx, listener)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
