--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,10 +5,10 @@
 	"errors"
 	"fmt"
 	"net"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
@@ -20,16 +20,19 @@
 	log     *logrus.Entry
 	mux     *drpcmux.Mux
 	limiter *connLimiter
+	// acceptLog limits the rate of log lines about temporary errors of Accept.
+	acceptLog rate.Sometimes
 }
 
 // NewServer returns a server without services, which are registered on Mux.
 func NewServer(self Identity, traffic *TrafficCounter, log *logrus.Entry) *Server {
 	return &Server{
-		self:    self,
-		traffic: traffic,
-		log:     log,
-		mux:     drpcmux.New(),
-		limiter: newConnLimiter(maxConnections, acceptsPerSecond, acceptBurst),
+		self:      self,
+		traffic:   traffic,
+		log:       log,
+		mux:       drpcmux.New(),
+		limiter:   newConnLimiter(maxConnections, acceptsPerSecond, acceptBurst),
+		acceptLog: rate.Sometimes{Interval: acceptLogInterval},
 	}
 }
 
@@ -37,15 +40,15 @@
 func (s *Server) Mux() *drpcmux.Mux { return s.mux }
 
 // Serve accepts connections until ctx is cancelled and serves each in a task of its
-// own. Connections over the limits are closed at once. It closes the listener and
-// returns when every task has ended.
+// own. Connections over the limits are closed at once. Temporary errors of Accept are
+// retried. It closes the listener and returns when every task has ended.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	for {
-		raw, err := listener.Accept()
+		raw, err := s.accept(ctx, listener)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -65,7 +68,7 @@
 // serveConn serves one accepted connection until it ends.
 func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
 	defer raw.Close()
-	remote, kind, err := s.handshake(raw)
+	remote, kind, err := handshake(ctx, raw, s.exchangeHello)
 	if err != nil {
 		s.log.WithError(err).Debugf("peer handshake with %s failed", raw.RemoteAddr())
 		return
@@ -78,21 +81,14 @@
 	}
 }
 
-// handshake exchanges Hello messages with a daemon that connected and returns its
-// identity and the kind of the connection.
-func (s *Server) handshake(raw net.Conn) (Identity, string, error) {
-	if err := raw.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
-		return Identity{}, "", err
-	}
-	remote, kind, err := readHello(raw)
+// exchangeHello reads the Hello message of a daemon that connected and responds.
+func (s *Server) exchangeHello(conn net.Conn) (Identity, string, error) {
+	remote, kind, err := readHello(conn)
 	if err != nil {
 		return Identity{}, "", err
 	}
-	if err := verifyCertificateName(raw, remote); err != nil {
-		return Identity{}, "", err
-	}
-	if err := writeHello(raw, s.self, kind); err != nil {
+	if err := verifyCertificateName(conn, remote); err != nil {
 		return Identity{}, "", err
 	}
-	return remote, kind, raw.SetDeadline(time.Time{})
+	return remote, kind, writeHello(conn, s.self, kind)
 }
