Limit the head of a response to 64 KiB

Callers saw: nothing wrong in the answer itself (502, unknown), but the daemon of a target whose response head never ends read 10 MiB of it for each request in progress, the default of net/http. A host with 18 slots and 184 MB has no room for that, and a daemon that runs out of memory takes all its calls with it.

Cause: the transports set no MaxResponseHeaderBytes.

Evidence: TestEndlessBytesOfTargetEndWithTruthfulOutcome, new, plays 20 forms of bytes without end, fast and dripped, at the own and at another host. Before, the 14 cases of an endless status line, header, informational response or other text that came fast failed: endless_test.go:271: assertion failed: e.network.read.Load() is greater than maxHeadRead: bytes read The other cases passed before: bodies and dripped bytes end at the deadline, endless chunk extensions, sizes and trailers and bytes after a response at once; slot and connection are freed in all.

Why it works: the transport counts the bytes of a head with all informational responses before it. The limit between daemons is higher, because the head that one daemon accepted grows by line ends and headers of the mesh; TestLongHeadOfTargetPassesBothHops fails with equal limits (502 != 200).

--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -131,7 +131,7 @@
 		inflight:        newInflight(),
 		callLimit:       newCallLimiter(options.MaxCalls),
 		targetConns:     newTargetTransports(options.Dial, options.TargetConnections, options.Now),
-		peerConns:       newTransport(options.DialPeers, options.PeerConnections),
+		peerConns:       newTransport(options.DialPeers, options.PeerConnections, maxPeerHeadBytes),
 	}
 }
 
--- a/internal/call/target_conns.go
+++ b/internal/call/target_conns.go
@@ -31,7 +31,11 @@
 }
 
 func newTargetTransports(dial DialFunc, connections int, now func() time.Time) *targetTransports {
-	transports := &targetTransports{now: now, normal: newTransport(dial, connections), shortIdle: newTransport(dial, connections)}
+	transports := &targetTransports{
+		now:       now,
+		normal:    newTransport(dial, connections, maxTargetHeadBytes),
+		shortIdle: newTransport(dial, connections, maxTargetHeadBytes),
+	}
 	transports.shortIdle.IdleConnTimeout = shortIdleTimeout
 	return transports
 }
--- a/internal/call/transport.go
+++ b/internal/call/transport.go
@@ -18,14 +18,21 @@
 	idleTimeout = 90 * time.Second
 	// keepAliveInterval is the time between TCP keep-alive probes.
 	keepAliveInterval = 5 * time.Second
+	// maxTargetHeadBytes limits the head of a target's response, together with the
+	// informational responses before it.
+	maxTargetHeadBytes = 64 << 10
+	// maxPeerHeadBytes limits the head of another daemon's response. It is higher,
+	// so that a head that one daemon accepted is not too long for the next one,
+	// which gets it with line ends of two bytes and with headers of the mesh.
+	maxPeerHeadBytes = 2*maxTargetHeadBytes + 4<<10
 )
 
 // DialFunc opens a TCP connection. Tests replace it.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // newTransport returns a transport with at most the given number of connections
-// per address.
-func newTransport(dial DialFunc, connections int) *http.Transport {
+// per address and of bytes in the head of a response.
+func newTransport(dial DialFunc, connections int, headBytes int64) *http.Transport {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}).DialContext
 	}
@@ -39,10 +46,11 @@
 			}
 			return &trackedConn{Conn: conn}, nil
 		},
-		DisableCompression:  true,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     idleTimeout,
+		DisableCompression:     true,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: headBytes,
 	}
 }
 
