Reject a response that switches the protocol

Callers saw: no answer, for as long as the target sent; from another host a 504 at the deadline while the daemon of the target went on. That daemon kept the slot and the connection, did not notice its caller leave, and kept each byte: one such target that sends fast ends it for lack of memory.

Cause: net/http gives a response with status 101 the connection itself as its body, with length 0. It passed for a short body of known length and was read to its end into memory, and neither the deadline nor a cancelled context closes a connection that net/http has given away.

Evidence: form "switched protocol" of TestEndlessBytesOfTargetEndWithTruthfulOutcome. Before, dripped: endless_test.go:282: assertion failed: error is not nil: context deadline exceeded: the call has not ended and the daemon still served it when the test's time was over.

Why it works: no request asks for another protocol, as the header is dropped at both hops, so such a response is never right. It is turned into an error, unknown, before anything reads its body, and its connection is closed.

--- a/internal/call/endless_test.go
+++ b/internal/call/endless_test.go
@@ -65,6 +65,7 @@
 	{"header lines", okHead, "A: a\r\n", endsAtOnce, endsByDeadline},
 	{"continue responses", "", "HTTP/1.1 100 Continue\r\n\r\n", endsAtOnce, endsByDeadline},
 	{"early hints", "", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", endsAtOnce, endsByDeadline},
+	{"switched protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\nConnection: Upgrade\r\n\r\n", "a", endsAtOnce, endsAtOnce},
 	{"binary", "", "\x00\xff", endsAtOnce, endsByDeadline},
 	{"text lines", "", "no response\n", endsAtOnce, endsAtOnce},
 	{"chunks", chunkedHead, "1\r\na\r\n", endsByDeadline, endsByDeadline},
--- a/internal/call/steps.go
+++ b/internal/call/steps.go
@@ -67,6 +67,7 @@
 	errNoLocalTarget      = errors.New("service has no target on this host")
 	errWrongHost          = errors.New("request is meant for another host")
 	errResponseMismatched = errors.New("response belongs to another request")
+	errProtocolSwitched   = errors.New("response switches to another protocol")
 	errTargetNotRun       = errors.New("target did not run the request")
 	errTooManyCalls       = errors.New("too many calls in progress")
 )
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -193,6 +193,10 @@
 		rewriteHeader(out.Header, remaining)
 	}
 	response, err := transport.RoundTrip(out.WithContext(tracker.trace(ctx, onWrite)))
+	if err == nil && response.StatusCode == http.StatusSwitchingProtocols {
+		_ = response.Body.Close()
+		err = errProtocolSwitched
+	}
 	if err == nil {
 		response.Body = &trackedBody{ReadCloser: response.Body, tracker: tracker}
 		return response, sendFailure{}, nil
