--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -131,7 +131,7 @@
 		inflight:        newInflight(),
 		callLimit:       newCallLimiter(options.MaxCalls),
 		targetConns:     newTargetTransports(options.Dial, options.TargetConnections, options.Now),
-		peerConns:       newTransport(options.DialPeers, options.PeerConnections),
+		peerConns:       newTransport(options.DialPeers, options.PeerConnections, maxPeerHeadBytes),
 	}
 	options.Metrics.NewGauge(`mulberrybank_calls_in_progress`, func() float64 { return float64(s.InProgress()) })
 	return s
