Stand-in upstreams take a request's execution time from its path

The soak needs requests that outlast a stop. Options.ExecutionTime says what the execution of a request takes; OnRunEnd reports when it ended and whether its connection ended first. A caller's connection reports when the last byte of its latest request was written. Nothing uses them yet.

--- a/internal/standin/upstream/caller.go
+++ b/internal/standin/upstream/caller.go
@@ -37,6 +37,7 @@
 type CallerConn struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	sentAt time.Time
 }
 
 // DialDaemon connects to the caller address of a daemon.
@@ -51,6 +52,10 @@
 // Close closes the connection.
 func (c *CallerConn) Close() { _ = c.conn.Close() }
 
+// SentAt returns when the last byte of the latest request was written, zero if the
+// request was not written completely.
+func (c *CallerConn) SentAt() time.Time { return c.sentAt }
+
 // Do sends a request and returns the whole response. After an error the connection
 // must not be used again.
 func (c *CallerConn) Do(request Request, timeout time.Duration) (Response, error) {
@@ -60,12 +65,14 @@
 	}
 	httpRequest.Header.Set(headerRequestID, request.ID)
 	httpRequest.Header.Set(headerDeadline, strconv.FormatInt(request.Timeout.Milliseconds(), 10))
+	c.sentAt = time.Time{}
 	if err := c.conn.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return Response{}, err
 	}
 	if err := httpRequest.Write(c.conn); err != nil {
 		return Response{}, fmt.Errorf("write request: %w", err)
 	}
+	c.sentAt = time.Now()
 	response, err := http.ReadResponse(c.reader, httpRequest)
 	if err != nil {
 		return Response{}, fmt.Errorf("read response: %w", err)
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -86,6 +86,12 @@
 	// OnRun is called when the execution of a request starts. If it is nil, Runs
 	// returns the requests.
 	OnRun func(Run)
+	// OnRunEnd is called when an execution ends, unless nil. completed is false if
+	// the connection of the request ended first.
+	OnRunEnd func(run Run, completed bool)
+	// ExecutionTime returns what the execution of a request takes in addition to
+	// Behaviour.Delay. If it is nil, that is nothing.
+	ExecutionTime func(path string) time.Duration
 }
 
 // Upstream is one stand-in upstream.
@@ -239,29 +245,34 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	behaviour, ok := u.startRun(r, string(body))
+	run := Run{ID: r.Header.Get(headerRequestID), Header: r.Header.Clone(), Path: r.RequestURI, Body: string(body)}
+	behaviour, ok := u.startRun(run)
 	if !ok {
 		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	wait.For(r.Context(), behaviour.Delay)
-	u.mu.Lock()
-	u.active--
-	u.mu.Unlock()
+	completed := wait.For(r.Context(), u.executionTime(run, behaviour))
+	u.endRun(run, completed)
 	u.writeResponse(w, r, behaviour, body)
 }
 
+func (u *Upstream) executionTime(run Run, behaviour Behaviour) time.Duration {
+	if u.options.ExecutionTime == nil {
+		return behaviour.Delay
+	}
+	return behaviour.Delay + u.options.ExecutionTime(run.Path)
+}
+
 // startRun acquires a slot and records the run. It reports whether the request may
 // be executed.
-func (u *Upstream) startRun(r *http.Request, body string) (Behaviour, bool) {
+func (u *Upstream) startRun(run Run) (Behaviour, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.behaviour.Shed || u.active >= u.options.Slots {
 		return u.behaviour, false
 	}
 	u.active++
-	run := Run{ID: r.Header.Get(headerRequestID), Header: r.Header.Clone(), Path: r.RequestURI, Body: body}
 	if u.options.OnRun != nil {
 		u.options.OnRun(run)
 		return u.behaviour, true
@@ -270,6 +281,16 @@
 	return u.behaviour, true
 }
 
+// endRun releases the slot of a run.
+func (u *Upstream) endRun(run Run, completed bool) {
+	u.mu.Lock()
+	u.active--
+	u.mu.Unlock()
+	if u.options.OnRunEnd != nil {
+		u.options.OnRunEnd(run, completed)
+	}
+}
+
 func (u *Upstream) writeResponse(w http.ResponseWriter, r *http.Request, behaviour Behaviour, body []byte) {
 	id := r.Header.Get(headerRequestID)
 	text := []byte(ResponseBody(id, string(body)))
