Soak: the stop timeout is the grace time; late requests are not cut any more

The soak's daemons get the setting as the deployment's do: the whole grace time of 6 s. With 5 s calls would be aborted before the last sixth of the grace time.

--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -73,7 +73,7 @@
 		"snapshots":    "off",
 		"tls":          map[string]string{"mode": "off"},
 		"stop_linger":  "2700ms",
-		"stop_timeout": "5s",
+		"stop_timeout": "6s",
 	}, "", "  ")
 	if err != nil {
 		// Marshalling maps of strings and numbers cannot fail.
