Soak judges lost requests by when their target worked on them

Until now a request counted as lost only if it had run and its connection ended without an answer. Now these count too, when no fault was active:

- the daemon's own answer in place of a run that was broken off, within 7 s of the SIGTERM of the daemon that took the request or of that beside the target;
- a connection that ends more than 0.2 s after the last byte of a request that has not run, before its deadline;
- a process that is still there 6 s after SIGTERM and was not suspended meanwhile: it was killed without a word ('ended').

Two cases that only long requests can meet don't count, as the rule says: the target exited while it worked, or it worked on the request in the last sixth of the grace time and the request was sent within 3 s of the SIGTERM.

The report says when a request was sent and cut after the SIGTERM, and how many requests were sent to stopping daemons. The time limit of reading an answer is the request's deadline plus 2 s, 4 s for the present kinds as before.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -16,8 +16,8 @@
 	routeHost = "huts.example"
 	// requestDeadline is the deadline that callers send with their requests.
 	requestDeadline = 2 * time.Second
-	// readTimeout bounds reading the response.
-	readTimeout = 4 * time.Second
+	// readMargin is how long after its deadline a request is given up.
+	readMargin  = 2 * time.Second
 	dialTimeout = time.Second
 	// meanThinkTime is the mean pause between two requests of a caller.
 	meanThinkTime = 40 * time.Millisecond
@@ -75,6 +75,7 @@
 	return &sentRequest{
 		id: id, method: kind.method, path: kind.path + id, body: body,
 		service: c.host.service, services: kind.services, idempotent: kind.idempotent,
+		deadline: requestDeadline, host: c.host,
 	}
 }
 
@@ -89,19 +90,20 @@
 		}
 		c.conn = conn
 	}
-	sentAt := time.Now()
+	request.daemonStopping = c.host.isStopping()
 	c.run.checker.requestSent(request)
 	response, err := c.conn.Do(upstream.Request{
-		ID: request.id, Method: request.method, Host: routeHost, Path: request.path, Body: request.body, Timeout: requestDeadline,
-	}, readTimeout)
+		ID: request.id, Method: request.method, Host: routeHost, Path: request.path, Body: request.body, Timeout: request.deadline,
+	}, request.deadline+readMargin)
+	end := requestEnd{at: time.Now(), sentAt: c.conn.SentAt(), faultFree: c.run.faultFreeSince(request.at)}
 	if err != nil {
 		c.closeConn()
 		if c.run.ctx.Err() == nil {
-			c.run.checker.connectionClosed(request, c.run.faultFreeSince(sentAt), err)
+			c.run.checker.connectionClosed(request, end, err)
 		}
 		return response, false
 	}
-	c.run.checker.responseReceived(request, response)
+	c.run.checker.responseReceived(request, response, end)
 	if response.Close {
 		c.closeConn()
 	}
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -36,9 +36,10 @@
 	// VersionLag: the newest version is active everywhere within
 	// recoveryTimeout after the last fault.
 	VersionLag Rule = "behind"
-	// RequestLost: planned operations fail no request that has run.
+	// RequestLost: planned operations break off no request that a target works on,
+	// and leave no request without an answer.
 	RequestLost Rule = "lost"
-	// UnexpectedExit: no daemon exits unless told to.
+	// UnexpectedExit: no daemon exits unless told to, and none outlasts stopGrace.
 	UnexpectedExit Rule = "ended"
 	// NotRecovered: all hosts serve again within recoveryTimeout after the
 	// last fault.
@@ -75,9 +76,15 @@
 	idempotent bool
 	// routeMayBeMissing says that the active version need not have the route.
 	routeMayBeMissing bool
-	at                time.Time
-	runs              int
-	refused           bool
+	// deadline is the deadline that the caller sends.
+	deadline time.Duration
+	// host is the host whose daemon gets the request.
+	host *host
+	// daemonStopping says that the daemon was already told to exit.
+	daemonStopping bool
+	at             time.Time
+	runs           []*targetRun
+	refused        bool
 }
 
 // checker records what callers and targets see and checks the rules as it
@@ -85,9 +92,13 @@
 type checker struct {
 	start time.Time
 
-	mu         sync.Mutex
-	requests   map[string]*sentRequest
-	drainedAt  map[string]time.Time
+	mu        sync.Mutex
+	requests  map[string]*sentRequest
+	drainedAt map[string]time.Time
+	// stoppedAt holds when the latest SIGTERM was sent to a host's daemon.
+	stoppedAt map[*host]time.Time
+	// exitedAt holds when a target exited.
+	exitedAt   map[string]time.Time
 	violations []Violation
 	counts     Counts
 }
@@ -95,10 +106,18 @@
 // Counts summarises the requests of a run.
 type Counts struct {
 	Sent, Answered, Refused, Failed, Closed, Runs int
+	// SentWhileStopping counts requests sent to a daemon after its SIGTERM.
+	SentWhileStopping int
 }
 
 func newChecker() *checker {
-	return &checker{start: time.Now(), requests: make(map[string]*sentRequest), drainedAt: make(map[string]time.Time)}
+	return &checker{
+		start:     time.Now(),
+		requests:  make(map[string]*sentRequest),
+		drainedAt: make(map[string]time.Time),
+		stoppedAt: make(map[*host]time.Time),
+		exitedAt:  make(map[string]time.Time),
+	}
 }
 
 func (c *checker) addViolation(rule Rule, request, format string, args ...any) {
@@ -120,6 +139,9 @@
 	request.at = time.Now()
 	c.requests[request.id] = request
 	c.counts.Sent++
+	if request.daemonStopping {
+		c.counts.SentWhileStopping++
+	}
 }
 
 // drainAcknowledged records that the drain of a target was acknowledged.
@@ -129,8 +151,8 @@
 	c.drainedAt[instance] = time.Now()
 }
 
-// requestRan checks a request that a target started to run.
-func (c *checker) requestRan(instance, service string, run upstream.Run) {
+// requestRan checks a request that the target of a host started to run.
+func (c *checker) requestRan(h *host, instance, service string, run upstream.Run) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts.Runs++
@@ -139,7 +161,7 @@
 		c.addViolationLocked(UnexpectedRequest, run.ID, "%s ran a request that nobody sent", instance)
 		return
 	}
-	request.runs++
+	request.runs = append(request.runs, &targetRun{host: h, instance: instance})
 	if run.Path != request.path || run.Body != request.body {
 		c.addViolationLocked(UnexpectedRequest, run.ID, "%s got %q %q, sent was %q %q", instance, run.Path, run.Body, request.path, request.body)
 	}
@@ -149,8 +171,8 @@
 	if !slices.Contains(request.services, service) {
 		c.addViolationLocked(Misrouted, run.ID, "ran at service %s", service)
 	}
-	if request.runs > 1 && !request.idempotent {
-		c.addViolationLocked(DuplicateRun, run.ID, "run number %d, at %s", request.runs, instance)
+	if len(request.runs) > 1 && !request.idempotent {
+		c.addViolationLocked(DuplicateRun, run.ID, "run number %d, at %s", len(request.runs), instance)
 	}
 	if request.refused && !request.idempotent {
 		c.addViolationLocked(RanAfterRefusal, run.ID, "ran at %s after it was refused", instance)
@@ -171,7 +193,7 @@
 }
 
 // responseReceived checks a response.
-func (c *checker) responseReceived(request *sentRequest, response upstream.Response) {
+func (c *checker) responseReceived(request *sentRequest, response upstream.Response, end requestEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if response.ID != request.id {
@@ -183,13 +205,13 @@
 		if response.Signature == "" || response.Body != upstream.ResponseBody(request.id, request.body) {
 			c.addViolationLocked(ResponseMismatch, request.id, "signature %q, body %q", response.Signature, response.Body)
 		}
-		if request.runs == 0 {
+		if len(request.runs) == 0 {
 			c.addViolationLocked(ResponseMismatch, request.id, "answered with success and never run")
 		}
 	case meansNotRun(response.Status):
 		c.counts.Refused++
 		request.refused = true
-		if request.runs > 0 && !request.idempotent {
+		if len(request.runs) > 0 && !request.idempotent {
 			c.addViolationLocked(RanAfterRefusal, request.id, "status %d, and it had run", response.Status)
 		}
 	default:
@@ -198,16 +220,8 @@
 			c.addViolationLocked(WronglyRejected, request.id, "status %d", response.Status)
 		}
 	}
-}
-
-// connectionClosed checks a request whose connection ended without a response.
-// faultFree says that only planned operations and store faults were active.
-func (c *checker) connectionClosed(request *sentRequest, faultFree bool, cause error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counts.Closed++
-	if faultFree && request.runs > 0 {
-		c.addViolationLocked(RequestLost, request.id, "it had run, and its connection ended without an answer: %v", cause)
+	if response.Status >= http.StatusMultipleChoices && response.Signature == "" {
+		c.checkBrokenOff(request, response.Status, end)
 	}
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -30,8 +30,6 @@
 	// restartDelay is the pause before a process is restarted, and before a
 	// failed dial or drain is retried.
 	restartDelay = 200 * time.Millisecond
-	// stopGrace is the time between SIGTERM and SIGKILL.
-	stopGrace = 6 * time.Second
 	// readyTimeout bounds one readiness check.
 	readyTimeout = time.Second
 )
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -39,6 +39,8 @@
 	// stopRequested says that the process was told to exit, killed that SIGKILL
 	// was sent.
 	stopRequested, killed bool
+	// pausedAt is when the process was last suspended or resumed.
+	pausedAt time.Time
 	// incarnation is the number of processes started so far.
 	incarnation  int
 	target       *upstream.Upstream
@@ -134,6 +136,12 @@
 	if h.process == nil {
 		return
 	}
+	switch {
+	case signal == syscall.SIGTERM && !h.stopRequested:
+		h.fleet.checker.stopSent(h)
+	case signal == syscall.SIGSTOP, signal == syscall.SIGCONT:
+		h.pausedAt = time.Now()
+	}
 	h.stopRequested = h.stopRequested || terminates
 	h.killed = h.killed || signal == syscall.SIGKILL
 	_ = h.process.Process.Signal(signal)
@@ -144,6 +152,7 @@
 	h.mu.Lock()
 	exited := h.exited
 	h.mu.Unlock()
+	start := time.Now()
 	h.signal(syscall.SIGTERM, true)
 	timer := time.NewTimer(stopGrace)
 	defer timer.Stop()
@@ -151,10 +160,27 @@
 	case <-exited:
 	case <-ctx.Done():
 	case <-timer.C:
+		if !h.pausedSince(start) {
+			h.fleet.checker.addViolation(UnexpectedExit, "", "%s: a stop did not end within %s", h.name, stopGrace)
+		}
 		h.signal(syscall.SIGKILL, true)
 	}
 }
 
+// pausedSince reports whether the process was suspended for some time after start.
+func (h *host) pausedSince(start time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pausedAt.After(start)
+}
+
+// isStopping reports whether the running process was told to exit.
+func (h *host) isStopping() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.process != nil && h.stopRequested
+}
+
 // runningIncarnation returns the incarnation of the running process, or 0 if none
 // runs or it was told to exit.
 func (h *host) runningIncarnation() int {
@@ -176,7 +202,10 @@
 	target, err := upstream.New(upstream.Options{
 		ID: instance, Service: service, Slots: targetSlots, DaemonAddress: h.listen["target"],
 		StartedUnixMs: time.Now().UnixMilli(), Listen: h.ip + ":0",
-		OnRun: func(run upstream.Run) { h.fleet.checker.requestRan(instance, service, run) },
+		OnRun: func(run upstream.Run) { h.fleet.checker.requestRan(h, instance, service, run) },
+		OnRunEnd: func(run upstream.Run, completed bool) {
+			h.fleet.checker.runEnded(instance, run, completed)
+		},
 	})
 	if err != nil {
 		return err
@@ -217,6 +246,7 @@
 	}
 	// A target whose deregistration is not acknowledged exits all the same.
 	_ = target.Deregister(ctx)
+	h.fleet.checker.targetExits(instance)
 	cancel()
 	if err := h.startTarget(ctx); err != nil {
 		h.fleet.checker.addViolation(UnexpectedExit, "", "target of %s: %v", h.name, err)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -181,10 +181,11 @@
 		probe := &sentRequest{
 			id: fmt.Sprintf("serves-%s-%d-%d", h.name, i, time.Now().UnixNano()), method: kind.method,
 			service: h.service, services: kind.services, idempotent: kind.idempotent,
+			deadline: requestDeadline, host: h,
 		}
 		probe.path = kind.path + probe.id
 		r.checker.requestSent(probe)
-		response, err := conn.Do(upstream.Request{ID: probe.id, Method: probe.method, Host: routeHost, Path: probe.path, Timeout: requestDeadline}, readTimeout)
+		response, err := conn.Do(upstream.Request{ID: probe.id, Method: probe.method, Host: routeHost, Path: probe.path, Timeout: requestDeadline}, requestDeadline+readMargin)
 		if err != nil || response.Status != http.StatusOK {
 			return false
 		}
