Soak sends requests that outlast a stop, and keeps connections idle

Each host now has two callers that send requests of 1 to 6 s, to an idempotent and to a non-idempotent route with a deadline of 25 s, and one caller that sends 1.5 s apart, so that a kept connection may get its first request late in a stop. Requests in progress when the callers end are no longer waited for and not judged.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/standin/upstream"
@@ -19,8 +20,16 @@
 	// readMargin is how long after its deadline a request is given up.
 	readMargin  = 2 * time.Second
 	dialTimeout = time.Second
-	// meanThinkTime is the mean pause between two requests of a caller.
+	// longDeadline is the deadline of requests that may outlast a stop.
+	longDeadline = 25 * time.Second
+	// meanThinkTime is the mean pause between two requests of a caller, and
+	// meanIdleTime that of callers whose connections are mostly idle.
 	meanThinkTime = 40 * time.Millisecond
+	meanIdleTime  = 1500 * time.Millisecond
+	// idleCallers and longCallers are the numbers of callers of each daemon that
+	// send short requests on mostly idle connections, and long requests.
+	idleCallers = 1
+	longCallers = 2
 	// newConnProbability is the probability that a request opens a new
 	// connection.
 	newConnProbability = 0.1
@@ -33,13 +42,53 @@
 	method, path string
 	idempotent   bool
 	services     []string
+	deadline     time.Duration
+	// minWork and maxWork bound the execution time. It is part of the path, unless
+	// maxWork is 0.
+	minWork, maxWork time.Duration
 }
 
+// requestKinds are short requests.
 var requestKinds = []requestKind{
-	{http.MethodGet, "/lookup/", true, []string{"huts"}},
-	{http.MethodPost, "/charge/", false, []string{"ledger"}},
-	{http.MethodPut, "/assign/", false, []string{"huts"}},
-	{http.MethodGet, "/moved/", true, services},
+	{method: http.MethodGet, path: "/lookup/", idempotent: true, services: []string{"huts"}, deadline: requestDeadline},
+	{method: http.MethodPost, path: "/charge/", services: []string{"ledger"}, deadline: requestDeadline},
+	{method: http.MethodPut, path: "/assign/", services: []string{"huts"}, deadline: requestDeadline},
+	{method: http.MethodGet, path: "/moved/", idempotent: true, services: services, deadline: requestDeadline},
+}
+
+// longRequestKinds are requests of which many outlast a stop.
+var longRequestKinds = []requestKind{
+	{method: http.MethodGet, path: "/history/", idempotent: true, services: []string{"huts"}, deadline: longDeadline, minWork: minLongWork, maxWork: maxLongWork},
+	{method: http.MethodPost, path: "/settle/", services: []string{"ledger"}, deadline: longDeadline, minWork: minLongWork, maxWork: maxLongWork},
+}
+
+const (
+	minLongWork = time.Second
+	maxLongWork = 6 * time.Second
+)
+
+// newPath returns the path of a new request with an ID.
+func (k requestKind) newPath(id string, random *rand.Rand) string {
+	if k.maxWork == 0 {
+		return k.path + id
+	}
+	work := k.minWork + time.Duration(random.Int64N(int64(k.maxWork-k.minWork)))
+	return k.path + work.Round(time.Millisecond).String() + "/" + id
+}
+
+// executionTime returns the execution time in the path of a request, 0 if there is
+// none.
+func executionTime(path string) time.Duration {
+	for _, kind := range longRequestKinds {
+		if rest, found := strings.CutPrefix(path, kind.path); found {
+			text, _, _ := strings.Cut(rest, "/")
+			// A path without a duration is not one that a caller sent, which
+			// requestRan reports.
+			work, _ := time.ParseDuration(text)
+			return work
+		}
+	}
+	return 0
 }
 
 // caller sends requests through one host on a persistent connection.
@@ -48,20 +97,23 @@
 	host   *host
 	name   string
 	random *rand.Rand
-	conn   *upstream.CallerConn
-	count  int
+	// kinds are the kinds of the requests, and thinkTime is the mean pause between
+	// two of them.
+	kinds     []requestKind
+	thinkTime time.Duration
+	conn      *upstream.CallerConn
+	count     int
 }
 
 // loop sends requests until ctx ends.
 func (c *caller) loop(ctx context.Context) {
 	defer c.closeConn()
-	for wait.For(ctx, time.Duration(c.random.ExpFloat64()*float64(meanThinkTime))) {
+	for wait.For(ctx, time.Duration(c.random.ExpFloat64()*float64(c.thinkTime))) {
 		if c.random.Float64() < newConnProbability {
 			c.closeConn()
 		}
-		kind := requestKinds[c.random.IntN(len(requestKinds))]
-		request := c.newRequest(kind)
-		_, _ = c.send(request)
+		kind := c.kinds[c.random.IntN(len(c.kinds))]
+		_, _ = c.send(ctx, c.newRequest(kind))
 	}
 }
 
@@ -73,23 +125,24 @@
 		body = fmt.Sprintf("%x", c.random.Uint64())
 	}
 	return &sentRequest{
-		id: id, method: kind.method, path: kind.path + id, body: body,
+		id: id, method: kind.method, path: kind.newPath(id, c.random), body: body,
 		service: c.host.service, services: kind.services, idempotent: kind.idempotent,
-		deadline: requestDeadline, host: c.host,
+		deadline: kind.deadline, host: c.host,
 	}
 }
 
 // send sends a request and checks the response. It returns false if there is no
-// connection or it ended without a response.
-func (c *caller) send(request *sentRequest) (upstream.Response, bool) {
+// connection or it ended without a response. The end of ctx closes the connection.
+func (c *caller) send(ctx context.Context, request *sentRequest) (upstream.Response, bool) {
 	if c.conn == nil {
 		conn, err := upstream.DialDaemon(c.run.callerAddress(c.host), dialTimeout)
 		if err != nil {
-			wait.For(c.run.ctx, restartDelay)
+			wait.For(ctx, restartDelay)
 			return upstream.Response{}, false
 		}
 		c.conn = conn
 	}
+	defer context.AfterFunc(ctx, c.conn.Close)()
 	request.daemonStopping = c.host.isStopping()
 	c.run.checker.requestSent(request)
 	response, err := c.conn.Do(upstream.Request{
@@ -98,7 +151,7 @@
 	end := requestEnd{at: time.Now(), sentAt: c.conn.SentAt(), faultFree: c.run.faultFreeSince(request.at)}
 	if err != nil {
 		c.closeConn()
-		if c.run.ctx.Err() == nil {
+		if ctx.Err() == nil {
 			c.run.checker.connectionClosed(request, end, err)
 		}
 		return response, false
@@ -130,7 +183,7 @@
 			c.closeConn()
 			continue
 		}
-		c.checkVersion(&seen)
+		c.checkVersion(ctx, &seen)
 		c.run.setObservedVersion(c.host, seen.version)
 	}
 }
@@ -142,16 +195,16 @@
 // checkVersion probes the version after the highest one seen, then the highest
 // one seen. A daemon process must not reject the route of a version that was
 // active on it.
-func (c *caller) checkVersion(seen *observation) {
+func (c *caller) checkVersion(ctx context.Context, seen *observation) {
 	if next := seen.version + 1; next <= c.run.newestVersion() {
-		if active, conclusive := c.probeVersion(next); conclusive && active && c.host.runningIncarnation() == seen.incarnation {
+		if active, conclusive := c.probeVersion(ctx, next); conclusive && active && c.host.runningIncarnation() == seen.incarnation {
 			seen.version = next
 		}
 	}
 	if seen.version == 0 {
 		return
 	}
-	active, conclusive := c.probeVersion(seen.version)
+	active, conclusive := c.probeVersion(ctx, seen.version)
 	if conclusive && !active && c.host.runningIncarnation() == seen.incarnation {
 		c.run.checker.addViolation(VersionRegression, "", "%s had version %d in force and refuses its route", c.host.name, seen.version)
 	}
@@ -159,11 +212,11 @@
 
 // probeVersion requests the route of a version. It returns whether the version is
 // active and whether the response was conclusive.
-func (c *caller) probeVersion(version int) (active, conclusive bool) {
-	kind := requestKind{method: http.MethodGet, path: versionPrefix(version), idempotent: true, services: services}
+func (c *caller) probeVersion(ctx context.Context, version int) (active, conclusive bool) {
+	kind := requestKind{method: http.MethodGet, path: versionPrefix(version), idempotent: true, services: services, deadline: requestDeadline}
 	request := c.newRequest(kind)
 	request.routeMayBeMissing = true
-	response, ok := c.send(request)
+	response, ok := c.send(ctx, request)
 	switch {
 	case !ok:
 		return false, false
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -206,6 +206,7 @@
 		OnRunEnd: func(run upstream.Run, completed bool) {
 			h.fleet.checker.runEnded(instance, run, completed)
 		},
+		ExecutionTime: executionTime,
 	})
 	if err != nil {
 		return err
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -31,7 +31,8 @@
 	Length time.Duration
 	// Hosts is the number of daemons.
 	Hosts int
-	// Callers is the number of callers of each daemon.
+	// Callers is the number of callers of each daemon that send short requests
+	// without pause; idleCallers and longCallers come in addition.
 	Callers int
 	// Kinds are the kinds of steps to inject; all if empty.
 	Kinds []Kind
@@ -139,9 +140,8 @@
 		r.startInterceptors(ctx)
 	}
 	for i, h := range r.fleet.hosts {
-		for j := range r.options.Callers {
-			name := fmt.Sprintf("%d-%d", i, j)
-			c := &caller{run: r, host: h, name: name, random: rand.New(rand.NewPCG(r.options.Seed, uint64(i*1000+j)))}
+		for j := range r.options.Callers + idleCallers + longCallers {
+			c := r.newCaller(h, i, j)
 			tasks.Go(func() { c.loop(ctx) })
 		}
 		watcher := &caller{run: r, host: h, name: fmt.Sprintf("%d-w", i), random: rand.New(rand.NewPCG(r.options.Seed, uint64(i)))}
@@ -149,6 +149,22 @@
 	}
 }
 
+// newCaller returns a caller of a host: the first ones send short requests, the next
+// ones do so on mostly idle connections, and the last ones send long requests.
+func (r *run) newCaller(h *host, hostIndex, index int) *caller {
+	c := &caller{
+		run: r, host: h, name: fmt.Sprintf("%d-%d", hostIndex, index), kinds: requestKinds, thinkTime: meanThinkTime,
+		random: rand.New(rand.NewPCG(r.options.Seed, uint64(hostIndex*1000+index))),
+	}
+	if index >= r.options.Callers {
+		c.thinkTime = meanIdleTime
+	}
+	if index >= r.options.Callers+idleCallers {
+		c.kinds, c.thinkTime = longRequestKinds, meanThinkTime
+	}
+	return c
+}
+
 // startInterceptors calls Options.Intercept for each host.
 func (r *run) startInterceptors(ctx context.Context) {
 	for _, h := range r.fleet.hosts {
@@ -181,7 +197,7 @@
 		probe := &sentRequest{
 			id: fmt.Sprintf("serves-%s-%d-%d", h.name, i, time.Now().UnixNano()), method: kind.method,
 			service: h.service, services: kind.services, idempotent: kind.idempotent,
-			deadline: requestDeadline, host: h,
+			deadline: kind.deadline, host: h,
 		}
 		probe.path = kind.path + probe.id
 		r.checker.requestSent(probe)
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -26,16 +26,25 @@
 func configurationForVersion(version int) upstream.Configuration {
 	moved := services[version%len(services)]
 	config := upstream.Configuration{Version: version * versionIncrement, Services: services, MaxConnections: 100}
+	addRoute := func(route upstream.Route) {
+		route.Name, route.Host, route.MaxAttempts = fmt.Sprintf("r-%d", len(config.Routes)), routeHost, 3
+		config.Routes = append(config.Routes, route)
+	}
 	add := func(prefix, service string, idempotent bool, priority int) {
-		config.Routes = append(config.Routes, upstream.Route{
-			Name: fmt.Sprintf("r-%d", len(config.Routes)), Host: routeHost, PathPrefix: prefix, Idempotent: idempotent,
-			Service: service, Timeout: 2, TargetLatency: 0.4, Priority: priority, MaxAttempts: 3,
+		addRoute(upstream.Route{
+			PathPrefix: prefix, Idempotent: idempotent, Service: service, Timeout: 2, TargetLatency: 0.4, Priority: priority,
 		})
 	}
 	add("/lookup/", "huts", true, 2)
 	add("/charge/", "ledger", false, 0)
 	add("/assign/", "huts", false, 1)
 	add("/moved/", moved, true, 2)
+	for _, kind := range longRequestKinds {
+		addRoute(upstream.Route{
+			PathPrefix: kind.path, Idempotent: kind.idempotent, Service: kind.services[0],
+			Timeout: longDeadline.Seconds(), TargetLatency: maxLongWork.Seconds(), Priority: 2,
+		})
+	}
 	for each := range version {
 		add(versionPrefix(each+1), "huts", true, 2)
 	}
