--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -23,6 +23,7 @@
 	Duration time.Duration `arg:"--for" default:"20s" help:"how long faults are injected for each seed"`
 	Machines int           `arg:"--machines" default:"6" help:"daemon processes for each seed, at most 200"`
 	Callers  int           `arg:"--callers" default:"3" help:"callers of each machine"`
+	Kinds    []string      `arg:"--kinds" placeholder:"KIND" help:"kinds of steps to play, as --plan prints them; all when left out"`
 	Logs     string        `arg:"--logs" placeholder:"DIR" help:"folder for the logs of seeds that fail"`
 	Plan     bool          `arg:"--plan" help:"only print the plan of the first seed"`
 	JSON     bool          `arg:"--json" help:"print one report a line as JSON"`
@@ -42,8 +43,12 @@
 	if c.Seed == 0 {
 		c.Seed = rand.Uint64N(1 << 32)
 	}
+	kinds, err := soak.ParseKinds(c.Kinds)
+	if err != nil {
+		return &usageError{fmt.Sprintf("--kinds: %v", err)}
+	}
 	if c.Plan {
-		for _, step := range soak.NewPlan(c.Seed, c.Duration, c.Machines).Steps {
+		for _, step := range soak.NewPlan(c.Seed, c.Duration, c.Machines, kinds...).Steps {
 			fmt.Fprintln(env.stdout, step)
 		}
 		return nil
@@ -53,9 +58,12 @@
 		return fmt.Errorf("find the path of the program: %w", err)
 	}
 	printer := &reportPrinter{out: env.stdout, asJSON: c.JSON}
+	options := soak.Options{
+		Binary: binary, Length: c.Duration, Hosts: c.Machines, Callers: c.Callers, Kinds: kinds, WorkDir: c.Logs,
+	}
 	tasks := pool.New().WithMaxGoroutines(max(c.Jobs, 1)).WithErrors()
 	for i := range c.Seeds {
-		tasks.Go(func() error { return c.runSeed(ctx, binary, c.Seed+uint64(i), printer) })
+		tasks.Go(func() error { return c.runSeed(ctx, options, c.Seed+uint64(i), printer) })
 	}
 	if err := tasks.Wait(); err != nil {
 		return err
@@ -67,13 +75,11 @@
 	return nil
 }
 
-func (c *soakCommand) runSeed(ctx context.Context, binary string, seed uint64, printer *reportPrinter) error {
+func (c *soakCommand) runSeed(ctx context.Context, options soak.Options, seed uint64, printer *reportPrinter) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	options := soak.Options{
-		Binary: binary, Seed: seed, Length: c.Duration, Hosts: c.Machines, Callers: c.Callers, WorkDir: c.Logs,
-	}
+	options.Seed = seed
 	if c.Seeds == 1 && !c.JSON {
 		options.Progress = func(text string) { fmt.Fprintln(printer.out, text) }
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -76,6 +76,19 @@
 	ReplaceTarget, ReplaceTarget, TargetDropResponses, TargetTruncateResponses, TargetDuplicateResponses, TargetShed, TargetSlow, Publish, Publish, Publish,
 }
 
+// ParseKinds returns the kinds with the given names.
+func ParseKinds(names []string) ([]Kind, error) {
+	var kinds []Kind
+	for _, name := range names {
+		kind := Kind(name)
+		if !slices.Contains(allKinds, kind) {
+			return nil, fmt.Errorf("%q is not one of %s", name, slices.Compact(slices.Clone(allKinds)))
+		}
+		kinds = append(kinds, kind)
+	}
+	return kinds, nil
+}
+
 // Step is one fault or one planned operation.
 type Step struct {
 	// At is the time since the start of the run.
