Soak tests plant requests that are lost in a stop

TestSoakDetectsInjectedLosses plants three losses between callers and daemons while daemons stop: the connection closes during the run, the run is broken off and answered with 502, the request is held for 0.6 s and its connection closed without a run. The soak must report one of the planted requests, not any, because the daemons themselves lose requests today.

--- a/cmd/mulberrybank/soak_test.go
+++ b/cmd/mulberrybank/soak_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -71,11 +72,22 @@
 	daemon, target string
 	inject         func(i *interceptor, w http.ResponseWriter, r *http.Request, body []byte)
 	count          atomic.Int64
+	// injected is called with the ID of each request that is lost on purpose.
+	injected func(id string)
+}
+
+// breakOff forwards a request to the daemon and closes the connection to it while the
+// target works on it.
+func (i *interceptor) breakOff(r *http.Request, body []byte) {
+	ctx, cancel := context.WithTimeout(r.Context(), breakOffTime)
+	defer cancel()
+	i.injected(r.Header.Get("Request-Id"))
+	_, _, _ = i.forward(i.daemon, r.WithContext(ctx), body)
 }
 
 // forward forwards a request and returns the complete response.
 func (i *interceptor) forward(address string, r *http.Request, body []byte) (*http.Response, []byte, error) {
-	out, err := http.NewRequest(r.Method, "http://"+address+r.RequestURI, bytes.NewReader(body))
+	out, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+address+r.RequestURI, bytes.NewReader(body))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -192,3 +204,66 @@
 		})
 	}
 }
+
+// breakOffTime is shorter than any execution of a long request.
+const breakOffTime = 600 * time.Millisecond
+
+// isLong reports whether a request takes its target a second or more.
+func isLong(r *http.Request) bool {
+	return strings.HasPrefix(r.URL.Path, "/history/") || strings.HasPrefix(r.URL.Path, "/settle/")
+}
+
+// lostRequests lose some requests each. The soak must report one of them.
+var lostRequests = map[string]func(i *interceptor, w http.ResponseWriter, r *http.Request, body []byte){
+	"connection closed during the run": func(i *interceptor, w http.ResponseWriter, r *http.Request, body []byte) {
+		if !isLong(r) || i.count.Add(1)%2 == 0 {
+			i.pass(w, r, body)
+			return
+		}
+		i.breakOff(r, body)
+		panic(http.ErrAbortHandler)
+	},
+	"run broken off and answered": func(i *interceptor, w http.ResponseWriter, r *http.Request, body []byte) {
+		if !isLong(r) {
+			i.pass(w, r, body)
+			return
+		}
+		i.breakOff(r, body)
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.WriteHeader(http.StatusBadGateway)
+	},
+	"held and closed without a run": func(i *interceptor, w http.ResponseWriter, r *http.Request, body []byte) {
+		if !isLong(r) || i.count.Add(1)%2 == 0 {
+			i.pass(w, r, body)
+			return
+		}
+		i.injected(r.Header.Get("Request-Id"))
+		time.Sleep(breakOffTime)
+		panic(http.ErrAbortHandler)
+	},
+}
+
+// TestSoakDetectsInjectedLosses checks that the soak reports requests that are lost in
+// stops. Only requests that the test loses count.
+func TestSoakDetectsInjectedLosses(t *testing.T) {
+	for name, inject := range lostRequests {
+		t.Run(name, func(t *testing.T) {
+			var injected sync.Map
+			report, err := soak.Run(t.Context(), soak.Options{
+				Binary: binary, Seed: 3, Length: 2 * time.Second, Hosts: 6, Callers: 2, WorkDir: t.TempDir(),
+				Kinds: []soak.Kind{soak.Stop},
+				Intercept: func(ctx context.Context, _, daemon, target string) string {
+					i := &interceptor{daemon: daemon, target: target, inject: inject, injected: func(id string) { injected.Store(id, true) }}
+					return i.serve(ctx, t)
+				},
+			})
+			assert.NilError(t, err)
+			found := false
+			for _, violation := range report.Violations {
+				_, lost := injected.Load(violation.Request)
+				found = found || lost && violation.Rule == soak.RequestLost
+			}
+			assert.Assert(t, found, "%v", report.Violations)
+		})
+	}
+}
