--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -82,6 +82,8 @@
 	for _, kind := range longRequestKinds {
 		if rest, found := strings.CutPrefix(path, kind.path); found {
 			text, _, _ := strings.Cut(rest, "/")
+			// A path without a duration is not one that a caller sent, which
+			// requestRan reports.
 			work, _ := time.ParseDuration(text)
 			return work
 		}
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -85,7 +85,7 @@
 		c.checkUnanswered(request, end, cause)
 	case c.brokenOffByTarget(run) || c.abortable(request, run, request.host, end):
 	default:
-		c.addViolationLocked(RequestLost, request.id, "it had run, and its connection ended without an answer %s: %v", c.timing(request, end), cause)
+		c.addViolationLocked(RequestLost, request.id, "it had run, and its connection ended without an answer %s: %v", c.timing(request.host, request, end), cause)
 	}
 }
 
@@ -95,7 +95,7 @@
 		return
 	}
 	if end.at.Sub(end.sentAt) > closeSlack {
-		c.addViolationLocked(RequestLost, request.id, "it had not run, and its connection ended without an answer %s: %v", c.timing(request, end), cause)
+		c.addViolationLocked(RequestLost, request.id, "it had not run, and its connection ended without an answer %s: %v", c.timing(request.host, request, end), cause)
 	}
 }
 
@@ -113,7 +113,8 @@
 			continue
 		}
 		if !c.abortable(request, run, h, end) {
-			c.addViolationLocked(RequestLost, request.id, "its run at %s was broken off and answered with status %d %s", run.instance, status, c.timing(request, end))
+			c.addViolationLocked(RequestLost, request.id, "its run at %s was broken off and answered with status %d %s; daemon beside the target: %s",
+				run.instance, status, c.timing(request.host, request, end), c.timing(run.host, request, end))
 		}
 		return
 	}
@@ -149,10 +150,11 @@
 	return !workedUntil.Before(stoppedAt.Add(stopGrace - abortPeriod))
 }
 
-// timing describes when a request was sent and ended, in a stop relative to SIGTERM.
-func (c *checker) timing(request *sentRequest, end requestEnd) string {
+// timing describes when a request was sent and ended, in a stop of a host's daemon
+// relative to its SIGTERM.
+func (c *checker) timing(h *host, request *sentRequest, end requestEnd) string {
 	text := "after " + rounded(end.at.Sub(request.at))
-	if stoppedAt, found := c.stoppedAt[request.host]; found && end.at.Sub(stoppedAt) <= stopPeriod {
+	if stoppedAt, found := c.stoppedAt[h]; found && end.at.Sub(stoppedAt) <= stopPeriod {
 		text += ", sent " + rounded(request.at.Sub(stoppedAt)) + " and ended " + rounded(end.at.Sub(stoppedAt)) + " after SIGTERM"
 	}
 	return text
