A failed listener of daemons no longer waits for its peers

When Accept failed for good while a connection was open, Serve did not return: it waited for the peers to close their connections, with the listener open and nobody accepting, and the daemon ran on unreachable for other daemons, without a line in its log.

Cause: Serve waited for the tasks of its connections, which end with its context only.

The listener of the test also returns failures that come while Accept waits, which is new.

Why it works: the tasks run under a context of Serve's own, which ends before Serve waits for them. The same context closes the listener.

--- a/internal/peer/accept_test.go
+++ b/internal/peer/accept_test.go
@@ -17,7 +17,8 @@
 // errNoDescriptors is what Accept returns when the process has no free descriptor.
 var errNoDescriptors = &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
 
-// failingListener is a channelListener whose Accept first returns the failures.
+// failingListener is a channelListener whose Accept returns the failures before it
+// returns connections.
 type failingListener struct {
 	channelListener
 	failures chan error
@@ -39,7 +40,14 @@
 	case failure := <-l.failures:
 		return nil, failure
 	default:
-		return l.channelListener.Accept()
+	}
+	select {
+	case failure := <-l.failures:
+		return nil, failure
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
 	}
 }
 
@@ -85,3 +93,22 @@
 		assert.NilError(t, serveErr)
 	})
 }
+
+func TestFatalAcceptErrorEndsServeWithOpenConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := NewServer(Identity{Host: "server"}, NewTrafficCounter(), logging.ForComponent(logging.Discard(), "peer"))
+		listener := newFailingListener()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var serveErr error
+		returned := background(func() { serveErr = server.Serve(ctx, listener) })
+		conn, err := NewDialer(Identity{Host: "client"}, NewTrafficCounter(), listener.dial).Dial(ctx, "test", "server")
+		assert.NilError(t, err)
+		defer conn.Close()
+		listener.failures <- syscall.EINVAL
+		synctest.Wait()
+		assert.Assert(t, isClosed(returned), "Serve waits for the peers of its connections after a fatal error")
+		assert.ErrorIs(t, serveErr, syscall.EINVAL)
+		assert.Assert(t, isClosed(listener.closed), "the listener is open after Serve has returned")
+	})
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -39,14 +39,15 @@
 // Mux returns the multiplexer on which services are registered before Serve.
 func (s *Server) Mux() *drpcmux.Mux { return s.mux }
 
-// Serve accepts connections until ctx is cancelled and serves each in a task of its
-// own. Connections over the limits are closed at once. Temporary errors of Accept are
-// retried. It closes the listener and returns when every task has ended.
+// Serve accepts connections until ctx is cancelled or Accept fails, and serves each in
+// a task of its own. Connections over the limits are closed at once. Temporary errors
+// of Accept are retried. At its end Serve closes the listener and all connections.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	for {
 		raw, err := s.accept(ctx, listener)
 		if errors.Is(err, net.ErrClosed) {
