Idle connections of peers are closed without the lock of membership

The maintenance of membership closed connections on which no heartbeat arrived while it held the lock. With TLS, Close writes an alert for up to 5 s to a peer that does not read, and meanwhile heartbeats were not answered, the view stood still, and announcements of the target waited.

Cause: closeIdleInbound ran under the lock together with the other changes that depend on time.

Why it works: the idle connections are collected under the lock and closed after it, as the last step of the maintenance.

--- a/internal/membership/inbound.go
+++ b/internal/membership/inbound.go
@@ -34,14 +34,23 @@
 	return conn
 }
 
-// closeIdleInbound closes accepted connections on which no heartbeat arrives
-// any more. A peer that still runs has abandoned them and dialled again.
-func (m *Membership) closeIdleInbound(now time.Time) {
+// removeIdleInbound removes and returns the accepted connections on which no heartbeat
+// arrives any more. A peer that still runs has abandoned them and dialled again.
+func (m *Membership) removeIdleInbound(now time.Time) []*inboundConn {
+	var idle []*inboundConn
 	for conn := range m.inbound {
-		if now.Sub(conn.lastHeard) < inboundIdleTimeout {
-			continue
+		if now.Sub(conn.lastHeard) >= inboundIdleTimeout {
+			delete(m.inbound, conn)
+			idle = append(idle, conn)
 		}
-		delete(m.inbound, conn)
+	}
+	return idle
+}
+
+// closeInbound closes accepted connections. The caller does not hold the mutex, because
+// closing may wait for the peer.
+func closeInbound(conns []*inboundConn) {
+	for _, conn := range conns {
 		peer.CloseConn(conn.ctx)
 	}
 }
--- a/internal/membership/maintenance.go
+++ b/internal/membership/maintenance.go
@@ -23,7 +23,7 @@
 func (m *Membership) maintain(now time.Time) {
 	m.mu.Lock()
 	m.updateZoneMonitors(now)
-	m.closeIdleInbound(now)
+	idle := m.removeIdleInbound(now)
 	m.dropExpired(now)
 	stale := m.isStale(m.view.current.Load().Members, now)
 	rebuild := m.contactOverrides || stale != m.view.current.Load().Stale
@@ -33,6 +33,7 @@
 	}
 	m.updateSelf(nil)
 	m.refute(now)
+	closeInbound(idle)
 }
 
 // updateZoneMonitors detects which of the zones and regions that this bridge
