Closing a TLS connection between daemons does not wait 5 s for its peer

With TLS, a connection whose peer does not read took 5 s to close, and with it the end of Serve, of the task that had dialled, and so of the process: as long as the whole stop timeout. CloseConn, which is for peers that no longer respond, waited as well, and so did the end of a handshake whose context had ended.

Cause: tls.Conn.Close writes an alert, with a deadline of its own of 5 s.

Why it works: where the peer is known not to respond, or the context has ended during the handshake, the connection under TLS is closed without the alert.

--- a/internal/membership/inbound.go
+++ b/internal/membership/inbound.go
@@ -47,8 +47,7 @@
 	return idle
 }
 
-// closeInbound closes accepted connections. The caller does not hold the mutex, because
-// closing may wait for the peer.
+// closeInbound closes accepted connections. The caller does not hold the mutex.
 func closeInbound(conns []*inboundConn) {
 	for _, conn := range conns {
 		peer.CloseConn(conn.ctx)
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -47,7 +47,7 @@
 		return d.exchangeHello(conn, kind)
 	})
 	if err != nil {
-		_ = raw.Close()
+		_ = closeGracefully(raw)
 		return nil, fmt.Errorf("peer handshake with %s: %w", address, err)
 	}
 	class := TrafficClass{Kind: kind, Scope: ScopeOf(d.self, remote)}
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -15,7 +15,7 @@
 func handshake(ctx context.Context, raw net.Conn, exchange func(net.Conn) (Identity, string, error)) (Identity, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	stop := context.AfterFunc(ctx, func() { abort(raw) })
 	remote, kind, err := exchange(raw)
 	if !stop() {
 		return Identity{}, "", ctx.Err()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -68,7 +68,7 @@
 
 // serveConn serves one accepted connection until it ends.
 func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
-	defer raw.Close()
+	defer closeGracefully(raw)
 	remote, kind, err := handshake(ctx, raw, s.exchangeHello)
 	if err != nil {
 		s.log.WithError(err).Debugf("peer handshake with %s failed", raw.RemoteAddr())
