A connection is not idle while its first heartbeat is handled

What callers saw: nothing reported; found while moving the close of idle connections. A peer's new connection could be closed under its first heartbeat, so that the peer counted a failure and dialled again.

Cause: the connection is listed before the time of its first heartbeat is set, each under the lock. Maintenance between the two took it for silent since the year 1.

Evidence: before the change TestConnectionOfFirstHeartbeatInProgressIsNotIdle: inbound_test.go:73: assertion failed: 0 (int) != 1 (int) and passes now, 20 of 20 runs.

Why it works: a connection is listed with the time at which it was created.

--- a/internal/membership/inbound.go
+++ b/internal/membership/inbound.go
@@ -26,7 +26,9 @@
 
 // inboundConnFor returns the connection on which a request arrived.
 func (m *Membership) inboundConnFor(ctx context.Context) *inboundConn {
-	create := func() any { return &inboundConn{ctx: context.WithoutCancel(ctx)} }
+	create := func() any {
+		return &inboundConn{ctx: context.WithoutCancel(ctx), lastHeard: time.Now()}
+	}
 	conn := drpccache.FromContext(ctx).LoadOrCreate(inboundConnKey{}, create).(*inboundConn)
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/membership/inbound_test.go
+++ b/internal/membership/inbound_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+	"storj.io/drpc/drpccache"
 
 	"github.com/mulberrybank/mulberrybank/internal/logging"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
@@ -64,3 +65,10 @@
 		assert.Equal(t, len(m.inbound), 0)
 	})
 }
+
+func TestConnectionOfFirstHeartbeatInProgressIsNotIdle(t *testing.T) {
+	m := newUnconnected("a")
+	m.inboundConnFor(drpccache.WithContext(t.Context(), drpccache.New()))
+	m.maintain(time.Now())
+	assert.Equal(t, len(m.inbound), 1)
+}
