A call refused in a stop is told to come back when the stop has ended

What callers saw: a caller that has this daemon alone was refused again and again during one stop, 0.1 to 0.3 s apart, until its tries were used up.

Change: the refusal carries the time until the stop ends at the latest.

TestCallRefusedInStopMayComeBackAfterIt fails without it (134 ms).

--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -46,7 +46,7 @@
 	defer end()
 	s.closeIfStopping(w)
 	if s.inflight.isShuttingDown() {
-		s.rejectCaller(w, in.ID, s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, errStopping), writeErr)
+		s.rejectCaller(w, in.ID, s.stoppingError(), writeErr)
 		return
 	}
 	start := s.now()
@@ -77,6 +77,16 @@
 	s.rejectCaller(w, id, failure, writeErr)
 }
 
+// stoppingError returns the error of calls during the shutdown. A caller that has no
+// other daemon may come back when the next process can have started.
+func (s *Server) stoppingError() *Error {
+	failure := s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, errStopping)
+	if end := s.inflight.latestEnd(); !end.IsZero() {
+		failure.Unavailable = end.Sub(s.now())
+	}
+	return failure
+}
+
 func (s *Server) rejectCaller(w http.ResponseWriter, id string, failure *Error, writeErr ErrorWriter) {
 	s.newTrace(id, "", "").failed(failure)
 	s.countFailure(failure)
--- a/internal/call/inflight.go
+++ b/internal/call/inflight.go
@@ -19,6 +19,8 @@
 	// as no call is in progress after that.
 	shuttingDown bool
 	idle         chan struct{}
+	// shutdownEnd is when the shutdown ends at the latest, zero if it has no limit.
+	shutdownEnd time.Time
 	// aborted ends when the calls in progress are aborted.
 	aborted context.Context
 	abort   context.CancelFunc
@@ -107,11 +109,19 @@
 	return f.shuttingDown
 }
 
+// latestEnd returns when the shutdown ends at the latest, zero if that is not known.
+func (f *inflight) latestEnd() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shutdownEnd
+}
+
 // shutdown makes isShuttingDown return true and waits until no call is in
 // progress.
 func (f *inflight) shutdown(ctx context.Context) error {
 	f.mu.Lock()
 	f.shuttingDown = true
+	f.shutdownEnd, _ = ctx.Deadline()
 	f.closeIfIdle()
 	f.mu.Unlock()
 	select {
--- a/internal/call/outcome.go
+++ b/internal/call/outcome.go
@@ -68,7 +68,9 @@
 // RetryAfter returns a delay after which a call that was not run may be made
 // again. It is random, so that callers refused at the same moment do not return
 // together.
-func (e *Error) RetryAfter() time.Duration { return retryAfterMin + rand.N(retryAfterSpread) }
+func (e *Error) RetryAfter() time.Duration {
+	return max(e.Unavailable, 0) + retryAfterMin + rand.N(retryAfterSpread)
+}
 
 // Error is the error of a call that failed inside the mesh.
 type Error struct {
@@ -79,7 +81,10 @@
 	Peer string
 	// Status is the HTTP status for the caller.
 	Status int
-	Err    error
+	// Unavailable is how long this daemon refuses every call at the longest, 0 if it
+	// refuses this one only.
+	Unavailable time.Duration
+	Err         error
 }
 
 func (e *Error) Error() string {
--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
@@ -85,6 +87,28 @@
 	assert.Equal(t, got.outcome(), string(call.Unknown))
 }
 
+func TestCallRefusedInStopMayComeBackAfterIt(t *testing.T) {
+	m := newMesh(t, 1, config(oneSlot), nil)
+	n := m.nodes[0]
+	n.setBehaviour(target.Behaviour{Hang: true})
+	running, endRunning := context.WithCancel(t.Context())
+	stop, endStop := context.WithTimeout(t.Context(), time.Hour)
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer endStop()
+	defer endRunning()
+	tasks.Go(func() { _, _ = n.do(t, running, http.MethodGet, lookups, nil) })
+	eventually(t, "a call runs", func() bool { return n.server.Load().Busy == 1 })
+	tasks.Go(func() { _ = n.server.Shutdown(stop) })
+	eventually(t, "calls are refused", func() bool { return n.get(t, lookups).step() == call.StepDrain })
+	in := call.InboundCall{ID: "late", Config: n.tables.Table().Config, Route: n.tables.Table().Config.Routes[lookups]}
+	var refused *call.Error
+	n.server.ServeCall(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil), in,
+		func(_ http.ResponseWriter, _ string, failure *call.Error) { refused = failure })
+	assert.Equal(t, refused.Outcome, call.NotRun)
+	assert.Assert(t, refused.RetryAfter() > 59*time.Minute, "%s", refused.RetryAfter())
+}
+
 func TestQueuedRequestDoesNotReachDrainingTarget(t *testing.T) {
 	m := newMesh(t, 1, config(oneSlot), nil)
 	n := m.nodes[0]
