Give no request a connection with bytes left of an earlier one

Callers saw: while a target sent bytes after its responses, calls that came later failed (502, not-run, or unknown), and a few got a complete success that was the answer to no request.

Cause: net/http puts a connection back for the next request before it looks for further bytes. A request that waits for the slot gets it in that moment: then it either meets the connection being closed, or the bytes that were read ahead pass for its response, even before it is written. Such a failure, and that of a kept connection which the target has closed, was not tried again on a new connection, although nothing had been sent.

Evidence: TestBytesAfterResponseReachNoLaterCall, 2 forms, 6 callers with 200 calls each.

Why it works: the transport reads ahead only when it has nothing left. A request that gets a connection waits until a read is in progress or the connection is closed, so nothing is left; if bytes arrive before its first write it is not written, and a response that comes before that is an error. What was not sent on a used connection goes to a new one, which no other request has used. A write after the connection was closed no longer counts as one that may have been sent.

Still open: bytes on their way while the request is written.

--- a/internal/call/endless_test.go
+++ b/internal/call/endless_test.go
@@ -146,7 +146,11 @@
 		e.mu.Lock()
 		form, dripped := e.form, e.dripped
 		e.mu.Unlock()
-		if _, err := io.WriteString(conn, form.start); err != nil {
+		first := form.start
+		if !dripped {
+			first += form.rest
+		}
+		if _, err := io.WriteString(conn, first); err != nil {
 			return
 		}
 		if form.rest != "" {
@@ -318,3 +322,24 @@
 	assert.Equal(t, string(got.body), "ok")
 	assert.Equal(t, len(got.header["A"]), lines)
 }
+
+// Bytes that follow a response are not taken for the response to a later call on the
+// same connection, and make no later call fail.
+func TestBytesAfterResponseReachNoLaterCall(t *testing.T) {
+	const callers, callsEach = 6, 200
+	for _, rest := range []string{okHead + "Content-Length: 5\r\n\r\nother", "a"} {
+		e := newEndlessMesh(t, endlessForm{start: okResponse, rest: rest}, false, true)
+		var tasks conc.WaitGroup
+		for range callers {
+			tasks.Go(func() {
+				for range callsEach {
+					got, err := e.from.do(t, t.Context(), http.MethodGet, lookups, nil)
+					assert.Check(t, err)
+					assert.Check(t, string(got.body) == "ok", "%d %s", got.status, got.body)
+				}
+			})
+		}
+		tasks.Wait()
+		assert.Equal(t, e.target.requests.Load(), int64(callers*callsEach))
+	}
+}
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -104,7 +104,7 @@
 	inflight    *inflight
 	callLimit   *callLimiter
 	targetConns *targetTransports
-	peerConns   *http.Transport
+	peerConns   transports
 }
 
 // New returns a server for one daemon.
@@ -131,7 +131,7 @@
 		inflight:        newInflight(),
 		callLimit:       newCallLimiter(options.MaxCalls),
 		targetConns:     newTargetTransports(options.Dial, options.TargetConnections, options.Now),
-		peerConns:       newTransport(options.DialPeers, options.PeerConnections, maxPeerHeadBytes),
+		peerConns:       newTransports(options.DialPeers, options.PeerConnections, maxPeerHeadBytes),
 	}
 }
 
@@ -197,7 +197,7 @@
 // Close closes idle connections.
 func (s *Server) Close() {
 	s.targetConns.close()
-	s.peerConns.CloseIdleConnections()
+	s.peerConns.pooled.CloseIdleConnections()
 }
 
 // fail returns an error that occurred on this host.
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -175,14 +175,26 @@
 type sendFailure struct {
 	// mayHaveSent says that a byte of the request may have been sent.
 	mayHaveSent bool
+	// reused says that its connection had carried an earlier request.
+	reused bool
 	// idle is how long the connection had been idle before the request, used how
 	// long the request was using it.
 	idle, used time.Duration
 }
 
 // roundTrip sends an attempt to an address and returns the response. The
-// sendFailure describes the request if there is an error.
-func (s *Server) roundTrip(ctx context.Context, transport *http.Transport, address string, q *request, onWrite func(), rewriteHeader func(http.Header, time.Duration)) (*http.Response, sendFailure, error) {
+// sendFailure describes the request if there is an error. A request that was given a
+// used connection on which it could not be sent goes to a new connection.
+func (s *Server) roundTrip(ctx context.Context, conns transports, address string, q *request, onWrite func(), rewriteHeader func(http.Header, time.Duration)) (*http.Response, sendFailure, error) {
+	response, failed, err := s.roundTripOnce(ctx, conns.pooled, address, q, onWrite, rewriteHeader)
+	if err == nil || !failed.reused || failed.mayHaveSent || !q.body.resendable() || ctx.Err() != nil {
+		return response, failed, err
+	}
+	return s.roundTripOnce(ctx, conns.unpooled, address, q, onWrite, rewriteHeader)
+}
+
+// roundTripOnce is roundTrip on one connection.
+func (s *Server) roundTripOnce(ctx context.Context, transport *http.Transport, address string, q *request, onWrite func(), rewriteHeader func(http.Header, time.Duration)) (*http.Response, sendFailure, error) {
 	remaining := max(q.deadline.Sub(s.now()), time.Nanosecond)
 	tracker := &writeTracker{}
 	out, err := q.httpRequest(ctx, address, remaining)
@@ -193,12 +205,11 @@
 		rewriteHeader(out.Header, remaining)
 	}
 	response, err := transport.RoundTrip(out.WithContext(tracker.trace(ctx, onWrite)))
-	if err == nil && response.StatusCode == http.StatusSwitchingProtocols {
-		_ = response.Body.Close()
-		err = errProtocolSwitched
-	}
 	if err == nil {
 		response.Body = &trackedBody{ReadCloser: response.Body, tracker: tracker}
+		err = checkResponse(response, tracker)
+	}
+	if err == nil {
 		return response, sendFailure{}, nil
 	}
 	failed := tracker.failure()
@@ -207,3 +218,18 @@
 	}
 	return nil, failed, err
 }
+
+// checkResponse returns an error for a response that cannot be one to its request,
+// and closes its connection.
+func checkResponse(response *http.Response, tracker *writeTracker) error {
+	switch {
+	case !tracker.mayHaveWritten():
+		closeConnection(response)
+		return errUnexpectedBytes
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		closeConnection(response)
+		return errProtocolSwitched
+	default:
+		return nil
+	}
+}
--- a/internal/call/target_conns.go
+++ b/internal/call/target_conns.go
@@ -1,7 +1,6 @@
 package call
 
 import (
-	"net/http"
 	"sync"
 	"time"
 )
@@ -23,25 +22,25 @@
 // is lost. After that, a transport with a short idle timeout is used for a while.
 type targetTransports struct {
 	now       func() time.Time
-	normal    *http.Transport
-	shortIdle *http.Transport
+	normal    transports
+	shortIdle transports
 
 	mu             sync.Mutex
 	shortIdleUntil time.Time
 }
 
 func newTargetTransports(dial DialFunc, connections int, now func() time.Time) *targetTransports {
-	transports := &targetTransports{
+	t := &targetTransports{
 		now:       now,
-		normal:    newTransport(dial, connections, maxTargetHeadBytes),
-		shortIdle: newTransport(dial, connections, maxTargetHeadBytes),
+		normal:    newTransports(dial, connections, maxTargetHeadBytes),
+		shortIdle: newTransports(dial, connections, maxTargetHeadBytes),
 	}
-	transports.shortIdle.IdleConnTimeout = shortIdleTimeout
-	return transports
+	t.shortIdle.pooled.IdleConnTimeout = shortIdleTimeout
+	return t
 }
 
-// current returns the transport to use now.
-func (t *targetTransports) current() *http.Transport {
+// current returns the transports to use now.
+func (t *targetTransports) current() transports {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.now().Before(t.shortIdleUntil) {
@@ -60,12 +59,12 @@
 	t.mu.Lock()
 	t.shortIdleUntil = t.now().Add(shortIdlePeriod)
 	t.mu.Unlock()
-	t.normal.CloseIdleConnections()
+	t.normal.pooled.CloseIdleConnections()
 	return true
 }
 
 // close closes idle connections.
 func (t *targetTransports) close() {
-	t.normal.CloseIdleConnections()
-	t.shortIdle.CloseIdleConnections()
+	t.normal.pooled.CloseIdleConnections()
+	t.shortIdle.pooled.CloseIdleConnections()
 }
--- a/internal/call/transport.go
+++ b/internal/call/transport.go
@@ -30,6 +30,18 @@
 // DialFunc opens a TCP connection. Tests replace it.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// transports are the connections to targets or to daemons.
+type transports struct {
+	// pooled keeps connections for later requests, unpooled opens one for each.
+	pooled, unpooled *http.Transport
+}
+
+func newTransports(dial DialFunc, connections int, headBytes int64) transports {
+	unpooled := newTransport(dial, connections, headBytes)
+	unpooled.DisableKeepAlives = true
+	return transports{pooled: newTransport(dial, connections, headBytes), unpooled: unpooled}
+}
+
 // newTransport returns a transport with at most the given number of connections
 // per address and of bytes in the head of a response.
 func newTransport(dial DialFunc, connections int, headBytes int64) *http.Transport {
@@ -44,7 +56,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &trackedConn{Conn: conn}, nil
+			return newTrackedConn(conn), nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
@@ -54,16 +66,73 @@
 	}
 }
 
-// errWritesBlocked is the error of writes after blockWritesIfAt.
-var errWritesBlocked = errors.New("writes on this connection are blocked")
+// Errors of connections on which a request must not be written, or was not.
+var (
+	errWritesBlocked   = errors.New("writes on this connection are blocked")
+	errUnexpectedBytes = errors.New("bytes arrived before the request was sent")
+)
 
 // trackedConn counts the bytes written, so that a request that was certainly not
-// sent can be told from one that may have been.
+// sent can be told from one that may have been, and refuses a request if bytes have
+// arrived that belong to no request.
 type trackedConn struct {
 	net.Conn
-	mu            sync.Mutex
+	mu sync.Mutex
+	// changed is signalled when a read begins and when the connection is closed.
+	changed       sync.Cond
 	bytesWritten  uint64
+	bytesRead     uint64
+	reading       bool
+	closed        bool
 	writesBlocked bool
+	// readBefore is bytesRead when the request that comes next got the connection;
+	// requestPending is set until its first write.
+	readBefore     uint64
+	requestPending bool
+}
+
+func newTrackedConn(conn net.Conn) *trackedConn {
+	c := &trackedConn{Conn: conn}
+	c.changed.L = &c.mu
+	return c
+}
+
+// beginRequest prepares the connection for a request and returns the number of bytes
+// written before. It waits until the transport reads: while that has bytes left that
+// follow an earlier response, it does not read but closes the connection.
+func (c *trackedConn) beginRequest() (offset uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.reading && !c.closed {
+		c.changed.Wait()
+	}
+	c.readBefore, c.requestPending = c.bytesRead, true
+	return c.bytesWritten
+}
+
+func (c *trackedConn) Read(p []byte) (int, error) {
+	c.beginRead()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	c.bytesRead += uint64(n)
+	return n, err
+}
+
+func (c *trackedConn) beginRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	c.changed.Broadcast()
+}
+
+func (c *trackedConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // Write counts p before writing it, so that the count is never too low.
@@ -77,19 +146,18 @@
 func (c *trackedConn) count(n int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.writesBlocked {
+	if c.writesBlocked || c.closed {
 		return errWritesBlocked
 	}
+	if c.requestPending && c.bytesRead != c.readBefore {
+		c.writesBlocked = true
+		return errUnexpectedBytes
+	}
+	c.requestPending = false
 	c.bytesWritten += uint64(n)
 	return nil
 }
 
-func (c *trackedConn) offset() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.bytesWritten
-}
-
 // blockWritesIfAt blocks further writes if nothing has been written since an
 // offset, and reports whether that is so.
 func (c *trackedConn) blockWritesIfAt(offset uint64) bool {
@@ -132,8 +200,9 @@
 	conns     []*trackedConn
 	offsets   []uint64
 	untracked bool
-	// idle is how long the last connection had been idle, acquired when the
-	// request got it.
+	// reused says that the last connection had been used before, idle for how long
+	// it had been idle, acquired when the request got it.
+	reused   bool
 	idle     time.Duration
 	acquired time.Time
 }
@@ -148,16 +217,20 @@
 }
 
 func (t *writeTracker) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*trackedConn)
+	var offset uint64
+	if ok {
+		offset = conn.beginRequest()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.idle, t.acquired = info.IdleTime, time.Now()
-	conn, ok := info.Conn.(*trackedConn)
+	t.reused, t.idle, t.acquired = info.Reused, info.IdleTime, time.Now()
 	if !ok {
 		t.untracked = true
 		return
 	}
 	t.conns = append(t.conns, conn)
-	t.offsets = append(t.offsets, conn.offset())
+	t.offsets = append(t.offsets, offset)
 }
 
 // failure describes the request after it got no response.
@@ -165,7 +238,7 @@
 	mayHaveSent := t.mayHaveWritten()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return sendFailure{mayHaveSent: mayHaveSent, idle: t.idle, used: time.Since(t.acquired)}
+	return sendFailure{mayHaveSent: mayHaveSent, reused: t.reused, idle: t.idle, used: time.Since(t.acquired)}
 }
 
 // mayHaveWritten reports whether a byte of the request may have been written.
