Bound what the clients of the log read of one response

Callers saw: nothing yet. A log, or a server in its place, whose response never ends made each daemon that reads it take 10 MiB of a head or 64 MiB of a body into memory, on hosts that have 184 MB in all. A body that was cut at 64 MiB was not told from a whole one.

Cause: the transport had the limit of net/http for heads; the limit for bodies was far above what a read may return, and LimitReader ends without an error.

Evidence: TestEndlessResponseOfLogIsAnError.

--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/peer"
@@ -19,7 +18,7 @@
 func (d *Daemon) newLogClient() platform.Log {
 	location := peer.Identity{Zone: d.settings.Platform.Zone, Region: d.settings.Platform.Region}
 	class := peer.TrafficClass{Kind: platformTraffic, Scope: peer.ScopeOf(d.identity, location)}
-	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport := platform.NewTransport()
 	dialer := &net.Dialer{}
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		dialStart := time.Now()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -19,8 +18,9 @@
 const (
 	// DefaultMaxBytes limits the total size of the payloads that one read returns.
 	DefaultMaxBytes = 1 << 20
-	// maxResponseBytes limits the body of one response.
-	maxResponseBytes = 64 << 20
+	// maxResponseBytes limits the body of one response. A single record may be longer
+	// than DefaultMaxBytes.
+	maxResponseBytes = 17 << 20
 )
 
 // Client is a client of the log service over HTTP.
@@ -37,7 +37,7 @@
 // creates its own.
 func NewClient(baseURL string, timeout time.Duration, transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = http.DefaultTransport.(*http.Transport).Clone()
+		transport = NewTransport()
 	}
 	client := &http.Client{Transport: transport, CheckRedirect: disallowRedirects}
 	return &Client{base: baseURL, timeout: timeout, http: client}
@@ -144,9 +144,9 @@
 // readResponse reads the whole body and decodes it if the status is 200 or 410.
 func readResponse(response *http.Response, into proto.Message) (int, error) {
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := ReadBody(response, maxResponseBytes)
 	if err != nil {
-		return response.StatusCode, fmt.Errorf("read response: %w", err)
+		return response.StatusCode, err
 	}
 	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusGone {
 		return response.StatusCode, nil
