Tests of a stop fail for the cause itself, and wait for the run

The test now asks that each request that ran got its 200; with the old order it fails ("request late-2-11 ran and did not get its response: status 502").

--- a/cmd/mulberrybank/stop_test.go
+++ b/cmd/mulberrybank/stop_test.go
@@ -95,14 +95,15 @@
 	assert.NilError(t, third.daemon.Process.Signal(syscall.SIGTERM))
 	var callers conc.WaitGroup
 	var mu sync.Mutex
-	unanswered := make(map[string]error)
+	unserved := make(map[string]string)
 	for caller := range lateCallers {
 		callers.Go(func() {
 			for count := 0; !isClosed(exited); count++ {
 				id := fmt.Sprintf("late-%d-%d", caller, count)
-				if _, err := third.do(id, http.MethodGet, "/lookup/3", callTimeout); err != nil {
+				response, err := third.do(id, http.MethodGet, "/lookup/3", callTimeout)
+				if err != nil || response.Status != http.StatusOK {
 					mu.Lock()
-					unanswered[id] = err
+					unserved[id] = fmt.Sprintf("status %d, error %v", response.Status, err)
 					mu.Unlock()
 				}
 				time.Sleep(pollInterval)
@@ -113,9 +114,9 @@
 	long, err := awaitLong()
 	assert.Check(t, err, "the long call gets no response")
 	assert.Check(t, long.Status == http.StatusBadGateway, "the long call gets status %d", long.Status)
-	for id, err := range unanswered {
+	for id, end := range unserved {
 		runs, _ := f.findRuns(id)
-		assert.Check(t, len(runs) == 0, "request %s ran and got no response: %v", id, err)
+		assert.Check(t, len(runs) == 0, "request %s ran and did not get its response: %s", id, end)
 	}
 	if t.Failed() {
 		f.dumpLogs()
--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -49,7 +49,7 @@
 			results <- got
 		}
 		tasks.Go(send)
-		eventually(t, "a call runs", func() bool { return stopping.server.Load().Busy == 1 })
+		eventually(t, "a call runs", func() bool { return len(stopping.target.Runs()) == 1 })
 		tasks.Go(send)
 		eventually(t, "a call is queued", func() bool { return stopping.server.Load().Queued == 1 })
 		assert.ErrorContains(t, stopping.server.Shutdown(expired(t)), "2 calls in progress")
@@ -78,7 +78,7 @@
 		assert.Check(t, err)
 		results <- got
 	})
-	eventually(t, "the call runs", func() bool { return n.server.Load().Busy == 1 })
+	eventually(t, "the call runs", func() bool { return len(n.target.Runs()) == 1 })
 	assert.ErrorContains(t, n.server.Shutdown(expired(t)), "1 calls in progress")
 	assert.NilError(t, n.server.Abort(t.Context()))
 	tasks.Wait()
@@ -98,7 +98,7 @@
 	defer endStop()
 	defer endRunning()
 	tasks.Go(func() { _, _ = n.do(t, running, http.MethodGet, lookups, nil) })
-	eventually(t, "a call runs", func() bool { return n.server.Load().Busy == 1 })
+	eventually(t, "a call runs", func() bool { return len(n.target.Runs()) == 1 })
 	tasks.Go(func() { _ = n.server.Shutdown(stop) })
 	eventually(t, "calls are refused", func() bool { return n.get(t, lookups).step() == call.StepDrain })
 	in := call.InboundCall{ID: "late", Config: n.tables.Table().Config, Route: n.tables.Table().Config.Routes[lookups]}
@@ -118,7 +118,7 @@
 	defer tasks.Wait()
 	defer endRunning()
 	tasks.Go(func() { _, _ = n.do(t, running, http.MethodGet, lookups, nil) })
-	eventually(t, "a call runs", func() bool { return n.server.Load().Busy == 1 })
+	eventually(t, "a call runs", func() bool { return len(n.target.Runs()) == 1 })
 	queued := make(chan result, 1)
 	tasks.Go(func() {
 		got, err := n.do(t, t.Context(), http.MethodGet, lookups, nil)
