Test leaving callers, keys, memory and stops against endless bytes

Callers that leave end each form that only the deadline would end, fast and dripped, at both hops. After 64 MiB of a body have passed the heap has grown by at most 16 MiB. A drain ends with its context and the close of the listener aborts the caller and frees slot and connection.

The form "chunks" now has chunks of 1 KiB, so that the bytes on the connection are near those of the body. Dripped cases run in parallel.

--- a/internal/call/endless_test.go
+++ b/internal/call/endless_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -68,7 +69,7 @@
 	{"switched protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\nConnection: Upgrade\r\n\r\n", "a", endsAtOnce, endsAtOnce},
 	{"binary", "", "\x00\xff", endsAtOnce, endsByDeadline},
 	{"text lines", "", "no response\n", endsAtOnce, endsAtOnce},
-	{"chunks", chunkedHead, "1\r\na\r\n", endsByDeadline, endsByDeadline},
+	{"chunks", chunkedHead, "400\r\n" + strings.Repeat("a", 1<<10) + "\r\n", endsByDeadline, endsByDeadline},
 	{"chunk size", chunkedHead, "0", endsAtOnce, endsByDeadline},
 	{"chunk extension", chunkedHead + "1;", "a", endsAtOnce, endsByDeadline},
 	{"chunk extensions", chunkedHead, "1;" + strings.Repeat("a", 2000) + "\r\na\r\n", endsAtOnce, endsByDeadline},
@@ -264,6 +265,7 @@
 			t.Run(form.name+" "+path.name, func(t *testing.T) {
 				expected := form.fast
 				if path.dripped {
+					t.Parallel()
 					expected = form.dripped
 				}
 				test(t, newEndlessMesh(t, form, path.dripped, path.local), form, expected)
@@ -343,3 +345,95 @@
 		assert.Equal(t, e.target.requests.Load(), int64(callers*callsEach))
 	}
 }
+
+// A call with a key ends with a whole answer or as unknown, and at most the longest
+// response that is stored is read.
+func TestEndlessBytesOfTargetEndCallsWithKeys(t *testing.T) {
+	const maxRead = 1<<20 + 128<<10
+	forEachEndlessForm(t, func(t *testing.T, e *endlessMesh, form endlessForm, expected ending) {
+		deadline := farDeadline
+		if e.target.dripped && expected == endsByDeadline {
+			deadline = nearDeadline
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		got, err := e.from.do(t, ctx, http.MethodPost, orders, strings.NewReader("order"), call.HeaderKey, newKey(t), call.HeaderDeadline, deadline)
+		assert.NilError(t, err)
+		assert.NilError(t, got.bodyErr)
+		assertEndlessResult(t, got, expected)
+		assert.Assert(t, e.network.read.Load() <= maxRead, "%d bytes read", e.network.read.Load())
+		assert.Equal(t, e.target.requests.Load(), int64(1))
+		e.assertReleased(t)
+	})
+}
+
+// A caller that leaves ends the bytes long before its deadline.
+func TestCallerThatLeavesEndsEndlessBytes(t *testing.T) {
+	forEachEndlessForm(t, func(t *testing.T, e *endlessMesh, form endlessForm, expected ending) {
+		if expected != endsByDeadline {
+			return
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var tasks conc.WaitGroup
+		tasks.Go(func() {
+			_, err := e.call(t, ctx, farDeadline)
+			assert.Check(t, err == nil || errors.Is(err, context.Canceled), "%v", err)
+		})
+		eventually(t, "the target sends", func() bool { return e.target.sent.Load() > 0 })
+		cancel()
+		tasks.Wait()
+		e.assertReleased(t)
+	})
+}
+
+// endlessStream starts a call whose response has a body without end.
+func (e *endlessMesh) endlessStream(t *testing.T) *http.Response {
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, e.from.callers.URL+"/"+lookups, nil)
+	assert.NilError(t, err)
+	request.Header.Set(call.HeaderDeadline, farDeadline)
+	response, err := e.from.callers.Client().Do(request)
+	assert.NilError(t, err)
+	return response
+}
+
+// A daemon holds a bounded part of a body, however much of it has passed.
+func TestEndlessBodyIsNotHeldInMemory(t *testing.T) {
+	const passed, maxHeld = 64 << 20, 16 << 20
+	form := endlessForm{start: okHead + "\r\n", rest: "a"}
+	for _, local := range []bool{true, false} {
+		e := newEndlessMesh(t, form, false, local)
+		before := heapBytes()
+		response := e.endlessStream(t)
+		_, err := io.CopyN(io.Discard, response.Body, passed)
+		assert.NilError(t, err)
+		held := heapBytes() - before
+		assert.Assert(t, held <= maxHeld, "%d bytes held", held)
+		_ = response.Body.Close()
+		e.assertReleased(t)
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// A daemon that stops waits for an endless body no longer than its drain may take, and
+// the caller does not take what it got for a whole response.
+func TestEndlessBodyDoesNotOutlastStop(t *testing.T) {
+	e := newEndlessMesh(t, endlessForm{start: chunkedHead, rest: "1\r\na\r\n"}, true, true)
+	response := e.endlessStream(t)
+	defer response.Body.Close()
+	ended, end := context.WithCancel(t.Context())
+	end()
+	assert.ErrorContains(t, e.to.server.Drain(ended), "1 calls in progress")
+	assert.ErrorContains(t, e.to.server.Shutdown(ended), "1 calls in progress")
+	assert.NilError(t, e.to.callers.Config.Close())
+	_, err := io.Copy(io.Discard, response.Body)
+	assert.Assert(t, err != nil)
+	eventually(t, "the slot is free", func() bool { return e.to.server.Load().Busy == 0 })
+	eventually(t, "the connection is closed", func() bool { return e.target.open.Load() == 0 })
+}
