Bound the responses that the administration client reads

Operators saw: a command that grows until its time limit of 10 s if what answers at the address of a daemon sends JSON without end.

Cause: the decoder read the body without a limit.

Evidence: TestEndlessResponseOfDaemonIsAnError. Before, all that the server sent was read, here 128 MiB: client_test.go:30: assertion failed: expected error to contain "too large", got "decode response from http://...: unexpected EOF"

Why it works: beyond 64 MiB the body is an error and its connection is closed.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -144,7 +144,8 @@
 	if mediaType(response) != "application/json" {
 		return c.responseError(response)
 	}
-	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+	limited := http.MaxBytesReader(nil, response.Body, maxResponseBytes)
+	if err := json.NewDecoder(limited).Decode(into); err != nil {
 		return fmt.Errorf("decode response from %s: %w", c.base, err)
 	}
 	return nil
@@ -173,8 +174,12 @@
 	return response, nil
 }
 
-// maxProblemBytes limits how much of an error response is read.
-const maxProblemBytes = 64 << 10
+const (
+	// maxResponseBytes limits how much of a response is read.
+	maxResponseBytes = 64 << 20
+	// maxProblemBytes limits how much of an error response is read.
+	maxProblemBytes = 64 << 10
+)
 
 // responseError converts a response without the expected content to an error.
 func (c *Client) responseError(response *http.Response) error {
