A call that may have run is never answered with 503

What callers saw: where a first attempt may have run and the second was refused, the outcome was unknown, and the status that of the refusal: 503, which on the users' platform says that the request has not run and never will. Calls that may not be repeated can't get there. A stop makes it likelier: an aborted attempt, then a refusal by a host that drains.

Cause: the combined error kept the status of the last attempt.

Evidence: TestUnknownOutcomeHasNoStatusOfNotRun failed before (503 != 502).

--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -56,3 +56,9 @@
 func (l *CallLimiter) Acquire(service string) bool { return l.limiter.acquire(service) }
 
 func (l *CallLimiter) Release(service string) { l.limiter.release(service) }
+
+// CombineErrors returns the error of a call of which one attempt may have run and the
+// last one failed with the given error.
+func CombineErrors(last *Error) *Error {
+	return (&outboundCall{mayHaveRun: true}).finalError(last, last)
+}
--- a/internal/call/refusal_test.go
+++ b/internal/call/refusal_test.go
@@ -63,3 +63,9 @@
 	assert.Equal(t, got.outcome(), string(call.NotRun))
 	assert.Equal(t, got.step(), call.StepHost)
 }
+
+func TestUnknownOutcomeHasNoStatusOfNotRun(t *testing.T) {
+	combined := call.CombineErrors(&call.Error{Outcome: call.NotRun, Step: call.StepDrain, Status: http.StatusServiceUnavailable})
+	assert.Equal(t, combined.Outcome, call.Unknown)
+	assert.Equal(t, combined.Status, http.StatusBadGateway)
+}
--- a/internal/call/retry.go
+++ b/internal/call/retry.go
@@ -47,6 +47,9 @@
 	}
 	combined := *last
 	combined.Outcome = Unknown
+	if combined.Status == http.StatusServiceUnavailable {
+		combined.Status = http.StatusBadGateway
+	}
 	return &combined
 }
 
