The check of stops sees calls that the stop of their own host ended

It also looks at the host where the call failed. The new case of TestCheckFindsViolations failed without it.

--- a/internal/timeline/check_drain.go
+++ b/internal/timeline/check_drain.go
@@ -84,18 +84,28 @@
 const abortMarginMs = 1000
 
 // checkAborted finds a call that failed because its connection to a host was lost
-// while that host stopped.
+// while that host stopped, or because the stop of the host that took it ended it.
 func (t *trace) checkAborted(failed *Event) []Violation {
 	if failed.Outcome != outcomeUnknown || failed.Status != statusBadGateway {
 		return nil
 	}
-	for _, p := range t.processesByHost[failed.Peer] {
+	for _, host := range []string{failed.Peer, failed.Host} {
+		if violations := t.checkAbortedBy(host, failed); violations != nil {
+			return violations
+		}
+	}
+	return nil
+}
+
+// checkAbortedBy finds a call that failed while a host stopped.
+func (t *trace) checkAbortedBy(host string, failed *Event) []Violation {
+	for _, p := range t.processesByHost[host] {
 		if p.stopping == nil || p.stopped == nil {
 			continue
 		}
 		at := failed.Time.Millis
 		if at >= p.stopping.Time.Millis && at <= p.stopped.Time.Millis+abortMarginMs {
-			reason := fmt.Sprintf("call %s was cut by the stop of %s", failed.Call, failed.Peer)
+			reason := fmt.Sprintf("call %s was cut by the stop of %s", failed.Call, host)
 			return []Violation{newViolation(StopsGraceful, reason, p.stopping, failed, p.stopped)}
 		}
 	}
--- a/internal/timeline/check_test.go
+++ b/internal/timeline/check_test.go
@@ -125,6 +125,10 @@
 			b.add(299, "a", Event{Kind: CallBegan, Call: "c8"})
 			b.add(30002, "a", Event{Kind: Failed, Call: "c8", Outcome: "unknown", Status: 502, Peer: "b"})
 		}},
+		{"forwarded call ended by the stop of its own host", StopsGraceful, func(b *traceBuilder) {
+			b.add(299, "b", Event{Kind: CallBegan, Call: "c8"})
+			b.add(30000, "b", Event{Kind: Failed, Call: "c8", Outcome: "unknown", Status: 502, Peer: "a"})
+		}},
 		{"call aborted by a stop", StopsGraceful, func(b *traceBuilder) {
 			b.add(29999, "b", Event{Kind: CallBegan, Call: "c8"})
 		}},
