TestAbortedCallsGetResponses drains before it shuts down, as the daemon does

The test aborted calls of a server that had not begun to drain, which the daemon never does: its stop drains first. A queued call then sometimes got the slot of the one that was aborted with it, and ended as not-run with 502, or as unknown.

--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -52,6 +52,7 @@
 		eventually(t, "a call runs", func() bool { return len(stopping.target.Runs()) == 1 })
 		tasks.Go(send)
 		eventually(t, "a call is queued", func() bool { return stopping.server.Load().Queued == 1 })
+		stopping.server.Drain()
 		assert.ErrorContains(t, stopping.server.Shutdown(expired(t)), "2 calls in progress")
 		assert.NilError(t, stopping.server.Abort(t.Context()))
 		tasks.Wait()
