Endless heads in tests end at 64 MiB, so that a failing test leaves the machine its memory

With the limit of response heads taken out on a scratch copy, the test process took 29 GB and was killed for want of memory; other work on the machine went with it. A target that should be given up in its head now stops sending after 64 MiB, a thousand times what a daemon may read.

--- a/internal/call/endless_test.go
+++ b/internal/call/endless_test.go
@@ -31,6 +31,9 @@
 	// maxHeadRead is the most bytes that a daemon may read from a target that does
 	// not end the head of its response: the limit and one read buffer.
 	maxHeadRead = 64<<10 + 4<<10
+	// maxHeadSent ends a head that the daemon reads on and on, so that a failing
+	// test does not take all memory.
+	maxHeadSent = 64 << 20
 
 	okHead      = "HTTP/1.1 200 OK\r\n"
 	chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
@@ -155,15 +158,15 @@
 			return
 		}
 		if form.rest != "" {
-			e.sendWithoutEnd(conn, form.rest, dripped)
+			e.sendWithoutEnd(conn, form, dripped)
 			return
 		}
 	}
 }
 
-func (e *endlessTarget) sendWithoutEnd(conn net.Conn, rest string, dripped bool) {
-	block := []byte(strings.Repeat(rest, 1+(16<<10)/len(rest)))
-	for i := 0; ; i = (i + 1) % len(block) {
+func (e *endlessTarget) sendWithoutEnd(conn net.Conn, form endlessForm, dripped bool) {
+	block := []byte(strings.Repeat(form.rest, 1+(16<<10)/len(form.rest)))
+	for i := 0; form.fast == endsByDeadline || e.sent.Load() < maxHeadSent; i = (i + 1) % len(block) {
 		piece := block
 		if dripped {
 			piece = block[i : i+1]
