A short stop timeout leaves time for the calls taken in the linger

The deployment takes stop_timeout from the grace time but has a fixed stop_linger of 2.7 s.

Cause: the linger was cut to five sixths of the stop timeout, which is when calls in progress are aborted, so that no time was left between the last accepted call and the abort.

Change: the last third of the time before the abort is kept for calls in progress. A stop timeout of 6 s and a linger of 2.7 s keep their times.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -17,6 +17,10 @@
 	// exitFraction is the part of the stop timeout, as 1/exitFraction, that is kept
 	// for the end of the process after the calls in progress have been aborted.
 	exitFraction = 6
+	// completionFraction is the part of the time before that, as
+	// 1/completionFraction, in which no new call of a caller is accepted, so that
+	// those accepted before can complete.
+	completionFraction = 3
 	// leaveTimeout limits how long a stopping daemon waits for its peers to
 	// acknowledge that it is leaving.
 	leaveTimeout = 700 * time.Millisecond
@@ -41,7 +45,7 @@
 // have ended within timeout.
 func newStopSchedule(start time.Time, linger, timeout time.Duration) stopSchedule {
 	finish := timeout - timeout/exitFraction
-	linger = min(linger, finish)
+	linger = min(linger, finish-finish/completionFraction)
 	return stopSchedule{
 		drain:  start.Add(max(linger-leaveLeadTime, 0)),
 		refuse: start.Add(linger),
