A short stop ends within its timeout

What operators saw: nothing yet; found by review. With a stop timeout below 3 s a stop that aborts calls, or whose peers do not acknowledge the leave, ended after its timeout, which is the time at which the process is killed.

Cause: the limits of what follows the abort are fixed (0.4 s to announce the end, 0.1 s to close), while the sixth of the timeout that is kept for them grows and shrinks with it.

Change: each limit is also at most two fifths of the time that is kept. Nothing changes for a stop timeout of 6 s or more.

Evidence: TestShortStopEndsWithinItsTimeout failed before ("timeout 1.2s").

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -24,10 +24,10 @@
 	// leaveTimeout limits how long a stopping daemon waits for its peers to
 	// acknowledge that it is leaving.
 	leaveTimeout = 700 * time.Millisecond
-	// abortTimeout limits how long aborted calls have to write their responses.
-	abortTimeout = 200 * time.Millisecond
-	// finishLeaveTimeout limits how long a daemon announces that it has stopped.
-	finishLeaveTimeout = 400 * time.Millisecond
+	// maxAbortTimeout limits how long aborted calls have to write their responses.
+	maxAbortTimeout = 200 * time.Millisecond
+	// maxFinishLeaveTimeout limits how long a daemon announces that it has stopped.
+	maxFinishLeaveTimeout = 400 * time.Millisecond
 )
 
 // stopSchedule holds the times at which the phases of a graceful stop begin. A
@@ -39,17 +39,23 @@
 	refuse time.Time
 	// finish is when the calls that are still in progress are aborted.
 	finish time.Time
+	// abortTimeout and finishLeaveTimeout limit what happens after finish.
+	abortTimeout, finishLeaveTimeout time.Duration
 }
 
 // newStopSchedule returns the schedule of a stop that begins at start and has to
 // have ended within timeout.
 func newStopSchedule(start time.Time, linger, timeout time.Duration) stopSchedule {
-	finish := timeout - timeout/exitFraction
+	exit := timeout / exitFraction
+	finish := timeout - exit
 	linger = min(linger, finish-finish/completionFraction)
 	return stopSchedule{
 		drain:  start.Add(max(linger-leaveLeadTime, 0)),
 		refuse: start.Add(linger),
 		finish: start.Add(finish),
+
+		abortTimeout:       min(maxAbortTimeout, exit*2/5),
+		finishLeaveTimeout: min(maxFinishLeaveTimeout, exit*2/5),
 	}
 }
 
@@ -74,9 +80,9 @@
 	var end conc.WaitGroup
 	if err != nil {
 		d.log.WithError(err).Warn("stop timeout")
-		end.Go(d.abortCalls)
+		end.Go(func() { d.abortCalls(schedule.abortTimeout) })
 	}
-	end.Go(d.finishLeave)
+	end.Go(func() { d.finishLeave(schedule.finishLeaveTimeout) })
 	end.Wait()
 	d.events.Record(timeline.Event{Kind: timeline.Stopped})
 }
@@ -91,8 +97,8 @@
 }
 
 // abortCalls ends the calls in progress, so that each caller still gets a response.
-func (d *Daemon) abortCalls() {
-	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+func (d *Daemon) abortCalls(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := d.calls.Abort(ctx); err != nil {
 		d.log.WithError(err).Warn("not every aborted call wrote its response")
@@ -100,8 +106,8 @@
 }
 
 // finishLeave tells the peers that this daemon has stopped.
-func (d *Daemon) finishLeave() {
-	ctx, cancel := context.WithTimeout(context.Background(), finishLeaveTimeout)
+func (d *Daemon) finishLeave(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := d.members.FinishLeave(ctx); err != nil {
 		d.log.WithError(err).Debug("could not announce the end of the process to all peers")
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestStopScheduleFitsTheStopTimeout(t *testing.T) {
-	const latestExit = abortTimeout + finishLeaveTimeout + closeTimeout
+	const latestExit = maxAbortTimeout + maxFinishLeaveTimeout + closeTimeout
 	start := time.Now()
 	for _, timeout := range []time.Duration{5 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
 		schedule := newStopSchedule(start, 2700*time.Millisecond, timeout)
@@ -31,3 +31,12 @@
 		}
 	}
 }
+
+func TestShortStopEndsWithinItsTimeout(t *testing.T) {
+	start := time.Now()
+	for _, timeout := range []time.Duration{1200 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
+		schedule := newStopSchedule(start, 0, timeout)
+		latestExit := schedule.finish.Add(max(schedule.abortTimeout, schedule.finishLeaveTimeout) + closeTimeout)
+		assert.Assert(t, latestExit.Before(start.Add(timeout)), "timeout %s", timeout)
+	}
+}
