The dial of a silent source takes no longer than the idle timeout

What operators saw: nothing yet; found by review. With pace brisk a daemon leaves a source that has gone silent after 0.8 s, but then waited 2 s for the dial of the next one if that did not answer either, longer than a probe or a pull (0.5 s) and most of the time in which a configuration is to be in force; the sources after it waited.

Cause: only the dialer's own limit of 2 s held for that dial, whatever the pace.

Change: the dial has the limit of a silent stream, the idle timeout. With the default pace (3.5 s) nothing changes.

Evidence: TestDialOfSilentSourceTakesNoLongerThanIdleTimeout failed before ("the dial took 2s").

--- a/internal/distribute/client.go
+++ b/internal/distribute/client.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 )
 
 // openFollow dials a source and opens the stream.
 func (d *Distributor) openFollow(ctx context.Context, source Source) (*clientLink, error) {
-	conn, err := d.dialer.Dial(ctx, trafficKind, source.Address)
+	conn, err := d.dialWithin(ctx, d.timing.IdleTimeout, source.Address)
 	if err != nil {
 		return nil, fmt.Errorf("follow %s: %w", source, err)
 	}
@@ -21,6 +22,13 @@
 	return &clientLink{conn: conn, stream: stream, decode: newDecoder(d.now)}, nil
 }
 
+// dialWithin dials a daemon. A timeout above the one of the dialer has no effect.
+func (d *Distributor) dialWithin(ctx context.Context, timeout time.Duration, address string) (*peer.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return d.dialer.Dial(ctx, trafficKind, address)
+}
+
 // clientLink is the follower's end of a stream over DRPC.
 type clientLink struct {
 	conn   *peer.Conn
--- a/internal/distribute/failure_test.go
+++ b/internal/distribute/failure_test.go
@@ -1,7 +1,9 @@
 package distribute
 
 import (
+	"context"
 	"errors"
+	"net"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -10,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrybank/mulberrybank/internal/enforce"
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
@@ -129,6 +132,27 @@
 	})
 }
 
+func TestDialOfSilentSourceTakesNoLongerThanIdleTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		self := peer.Identity{Host: "a", Zone: "z", Region: "r"}
+		silent := func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		d := New(Options{
+			Self:     self,
+			Enforcer: enforce.New(&fakeStateMachine{}, &eventLog{}),
+			Dialer:   peer.NewDialer(self, peer.NewTrafficCounter(), silent),
+			Timing:   FastTiming,
+		})
+		start := time.Now()
+		_, err := d.openFollow(t.Context(), Source{Host: "b", Address: "b"})
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		took := time.Since(start)
+		assert.Assert(t, took <= FastTiming.IdleTimeout, "the dial took %s", took)
+	})
+}
+
 func TestZoneCutOffFromLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := stableRegions(t, 6)
