TestStopThatOutlastsGraceIsReported waits until its program ignores SIGTERM

The test gave a shell 100 ms to ignore SIGTERM, which a busy machine need not do. In a trial in which the shell needs 500 ms it failed with "a stop did not end in order: signal: terminated"; now the program says when it is ready, and the same trial passes. What the test asks for is unchanged.

--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -107,15 +107,16 @@
 	dir := t.TempDir()
 	program := filepath.Join(dir, "stubborn")
 	// The process that sleeps ignores SIGTERM, because the shell before it did.
-	assert.NilError(t, os.WriteFile(program, []byte("#!/bin/sh\ntrap '' TERM\nexec sleep 60\n"), 0o700))
+	assert.NilError(t, os.WriteFile(program, []byte("#!/bin/sh\ntrap '' TERM\necho stubborn\nexec sleep 60\n"), 0o700))
 	checker := newChecker()
 	h := &host{name: "side-0", fleet: &fleet{options: Options{Binary: program}, dir: dir, checker: checker}}
 	ended := make(chan error)
 	go func() { ended <- h.runDaemon(t.Context()) }()
-	for h.runningIncarnation() == 0 {
+	for output := ""; output != "stubborn\n"; {
 		time.Sleep(time.Millisecond)
+		text, _ := os.ReadFile(h.logPath())
+		output = string(text)
 	}
-	time.Sleep(100 * time.Millisecond)
 	h.stop(t.Context())
 	assert.NilError(t, <-ended)
 	violations, _ := checker.result()
