--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 )
 
@@ -10,6 +11,8 @@
 	ParseDeadline = parseDeadline
 	ParseKey      = parseKey
 	SplitPath     = splitPath
+
+	ErrUnexpectedBytes = errUnexpectedBytes
 )
 
 // AdmissionQueue exports an admissionQueue to tests.
@@ -62,3 +65,10 @@
 func CombineErrors(last *Error) *Error {
 	return (&outboundCall{mayHaveRun: true}).finalError(last, last)
 }
+
+// TrackedConn is a connection of a transport.
+type TrackedConn = trackedConn
+
+func NewTrackedConn(conn net.Conn) *TrackedConn { return newTrackedConn(conn) }
+
+func (c *trackedConn) BeginRequest() { c.beginRequest() }
