--- a/cmd/mulberrybank/soak_test.go
+++ b/cmd/mulberrybank/soak_test.go
@@ -54,8 +54,7 @@
 // plannedKinds are kinds of steps that must not fail any request.
 var plannedKinds = []soak.Kind{soak.Stop, soak.Reload, soak.ReplaceTarget, soak.Publish}
 
-// TestSoakStopCutsNoRequestSentLate guards against a stop that accepts requests while
-// it waits for long ones, and cuts them at its timeout.
+// TestSoakStopCutsNoRequestSentLate plays stops that requests in progress outlast.
 func TestSoakStopCutsNoRequestSentLate(t *testing.T) {
 	report, err := soak.Run(t.Context(), soak.Options{
 		Binary: binary, Seed: 7105, Length: 4 * time.Second, Hosts: 6, Callers: 2, WorkDir: t.TempDir(), Kinds: plannedKinds,
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -48,8 +48,7 @@
 	})
 }
 
-// TestLibraryLinesAreBoundedAndStructured guards against libraries that write lines
-// of any length to the standard error output, which may block.
+// TestLibraryLinesAreBoundedAndStructured has a library log what it received.
 func TestLibraryLinesAreBoundedAndStructured(t *testing.T) {
 	// 256 bytes of the library, each escaped as four, and the other fields.
 	const maxLine = 4*256 + 128
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -72,12 +72,10 @@
 	})
 }
 
-// stopSlack is what the grace time of 6s leaves after the stop timeout of 5s.
+// stopSlack is what a grace time of 6 s leaves when calls in progress are aborted.
 const stopSlack = time.Second
 
-// TestSilentHandshakeDelaysNoStop guards against a daemon that is killed at the end
-// of the grace time, because a connection on which no Hello has come keeps its server
-// running.
+// TestSilentHandshakeDelaysNoStop has a connection on which no Hello comes.
 func TestSilentHandshakeDelaysNoStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := NewServer(Identity{Host: "server", Zone: "a"}, NewTrafficCounter(), logging.ForComponent(logging.Discard(), "peer"))
@@ -97,9 +95,7 @@
 	})
 }
 
-// TestSilentPeerDelaysNoCancelledDial guards against a daemon that is killed at the
-// end of the grace time, because a dial to a peer that sends no Hello ignores that its
-// context was cancelled.
+// TestSilentPeerDelaysNoCancelledDial dials a peer that sends no Hello.
 func TestSilentPeerDelaysNoCancelledDial(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		local, remote := net.Pipe()
