A component that fails stops its daemon gracefully

What callers saw: when a listener of a daemon failed, all calls in progress on that daemon ended with an EOF, and its peers never learned that it had left. A failure during a graceful stop broke off that stop in the same way.

Cause: the pool of the components cancelled the context of all of them at the first error. A stop needs most of them until its end: the listeners that carry the responses, membership for the announcements, and the readiness listener.

Change: no component ends before the stop is over. The first failure, an error or a panic, begins the same stop as SIGTERM; Run returns that failure after it. A failure during a stop is only returned. A listener that failed no longer leaves its open connections out of the orderly close at the end. Each phase had a limit of its own already, so a failed component that the stop needs (the control listener) delays no other phase.

--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -73,30 +73,27 @@
 	}
 }
 
-// serveHTTP serves HTTP on a listener until ctx is cancelled, then closes the
-// listener and its connections. Responses that are being written get closeTimeout.
-func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{
+// newHTTPServer returns a server whose connections are closed by closeHTTP.
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 	}
-	closed := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(closed)
-		closeHTTP(server)
-	})
+}
+
+// serveHTTP accepts connections until the server is closed or Accept fails. The
+// connections that were accepted before a failure stay open.
+func serveHTTP(server *http.Server, listener net.Listener) error {
 	err := server.Serve(listener)
-	if !stop() {
-		<-closed
-	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return fmt.Errorf("serve %s: %w", listener.Addr(), err)
 }
 
-// closeHTTP closes the listener and the connections of a server.
+// closeHTTP closes the listener and the connections of a server. Responses that are
+// being written get closeTimeout.
 func closeHTTP(server *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc/pool"
 
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
@@ -30,53 +28,52 @@
 	eventSampleRatio = 0.01
 )
 
-// Run serves until ctx is cancelled, then stops gracefully: it announces to its
-// peers that it is leaving, refuses new calls and finishes those in progress.
+// Run serves until ctx is cancelled or a component fails, then stops gracefully: it
+// announces to its peers that it is leaving, refuses new calls and finishes those in
+// progress. It returns the first error of a component.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.log.Infof("starting daemon on host %s in zone %s", d.identity.Host, d.identity.Zone)
 	d.events.Record(timeline.Event{Kind: timeline.Started})
 	// The components outlive ctx, because a graceful stop still needs them.
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	tasks := pool.New().WithContext(runCtx).WithCancelOnError().WithFirstError()
-	d.startTasks(tasks)
-	tasks.Go(func(taskCtx context.Context) error {
-		defer cancel()
-		select {
-		case <-ctx.Done():
-			d.stop()
-		case <-taskCtx.Done():
-		}
-		return nil
-	})
-	if err := tasks.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+	running := newComponents()
+	d.startComponents(runCtx, running)
+	select {
+	case <-ctx.Done():
+	case <-running.failed:
+		d.log.WithError(running.err).Error("component failed, stopping daemon")
+	}
+	d.stop()
+	cancel()
+	if err := running.wait(); err != nil {
 		return fmt.Errorf("run %s: %w", d.identity.Host, err)
 	}
 	d.log.Infof("daemon on host %s stopped", d.identity.Host)
 	return nil
 }
 
-// startTasks starts the tasks of the listeners and the components.
-func (d *Daemon) startTasks(tasks *pool.ContextPool) {
-	tasks.Go(func(ctx context.Context) error { return d.server.Serve(ctx, d.listeners.control) })
-	tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listeners.callers, d.callerHandler()) })
-	tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listeners.calls, d.calls.PeerHandler()) })
-	tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listeners.admin, d.admin.Handler()) })
-	tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listeners.target, d.announceHandler()) })
+// startComponents starts the listeners and the other components.
+func (d *Daemon) startComponents(ctx context.Context, c *components) {
+	c.start(ctx, func(ctx context.Context) error { return d.server.Serve(ctx, d.listeners.control) })
+	c.startHTTP(ctx, d.listeners.callers, d.callerHandler())
+	c.startHTTP(ctx, d.listeners.calls, d.calls.PeerHandler())
+	c.startHTTP(ctx, d.listeners.admin, d.admin.Handler())
+	c.startHTTP(ctx, d.listeners.target, d.announceHandler())
 	if d.listeners.ready != nil {
-		tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listeners.ready, d.readyHandler()) })
+		c.startHTTP(ctx, d.listeners.ready, d.readyHandler())
 	}
 	if d.listeners.metrics != nil {
-		tasks.Go(func(ctx context.Context) error { return serveHTTP(ctx, d.listeners.metrics, d.metricsHandler()) })
+		c.startHTTP(ctx, d.listeners.metrics, d.metricsHandler())
 	}
-	tasks.Go(d.members.Run)
-	tasks.Go(d.distributeAboveFloor)
-	tasks.Go(d.logVersions)
+	c.start(ctx, d.members.Run)
+	c.start(ctx, d.distributeAboveFloor)
+	c.start(ctx, d.logVersions)
 	if d.settings.Keys != settings.SwitchOff {
-		tasks.Go(d.proposer.Run)
+		c.start(ctx, d.proposer.Run)
 	}
 	if d.tlsIdentity != nil {
-		tasks.Go(d.tlsIdentity.Run)
+		c.start(ctx, d.tlsIdentity.Run)
 	}
 }
 
--- a/internal/inprocess/mesh.go
+++ b/internal/inprocess/mesh.go
@@ -47,6 +47,24 @@
 
 	stop     context.CancelFunc
 	finished *conc.WaitGroup
+	// daemonEnded is closed when Daemon has ended with daemonErr.
+	daemonEnded chan struct{}
+	daemonErr   error
+}
+
+// BeginStop begins a graceful stop of the daemon and the target.
+func (h *Host) BeginStop() { h.stop() }
+
+// AwaitDaemon waits until the daemon has ended and returns its error.
+func (h *Host) AwaitDaemon() error {
+	<-h.daemonEnded
+	return h.daemonErr
+}
+
+// runDaemon runs the daemon until ctx is cancelled or the daemon fails.
+func (h *Host) runDaemon(ctx context.Context) {
+	defer close(h.daemonEnded)
+	h.daemonErr = h.Daemon.Run(ctx)
 }
 
 // Mesh is the hosts and the stand-in for the log that they share.
@@ -96,8 +114,15 @@
 		return nil, fmt.Errorf("target of %s: %w", spec.Host, err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	host := &Host{Spec: spec, Daemon: d, Target: standin, stop: cancel, finished: conc.NewWaitGroup()}
-	host.finished.Go(func() { _ = d.Run(ctx) })
+	host := &Host{
+		Spec:        spec,
+		Daemon:      d,
+		Target:      standin,
+		stop:        cancel,
+		finished:    conc.NewWaitGroup(),
+		daemonEnded: make(chan struct{}),
+	}
+	host.finished.Go(func() { host.runDaemon(ctx) })
 	host.finished.Go(func() { _ = standin.Run(ctx) })
 	return host, nil
 }
