publish fails when it repeats a publication that was refused

What operators saw: `publish --id` with the id of an earlier attempt ended with status 0 also when that attempt had been refused or was in conflict, so that a script took the change for published.

Cause: verdictError took each duplicate for success. A duplicate carries the verdict on the first publication, and a version only if that was accepted.

Evidence: TestRepeatOfPublicationFailsUnlessTheFirstWasAccepted failed with "error is nil, not refused".

Result: the tests of the package pass, also with -race. The API still answers every duplicate with status 200.

--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -61,10 +61,13 @@
 	return text
 }
 
-// verdictError returns errRefused unless the outcome is accepted or duplicate.
+// verdictError returns errRefused unless the publication, or the one that it
+// duplicates, was accepted.
 func verdictError(verdict *admin.Verdict) error {
-	switch verdict.Outcome {
-	case "accepted", "duplicate":
+	switch {
+	case verdict.Outcome == "accepted":
+		return nil
+	case verdict.Outcome == "duplicate" && verdict.Version != 0:
 		return nil
 	default:
 		return errRefused
