--- a/internal/daemon/listen_test.go
+++ b/internal/daemon/listen_test.go
@@ -10,7 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 )
 
@@ -45,9 +44,9 @@
 			time.Sleep(closeTimeout / 2)
 			_, _ = io.WriteString(w, "answer")
 		})
-		var tasks conc.WaitGroup
-		defer tasks.Wait()
-		tasks.Go(func() { assert.Check(t, serveHTTP(ctx, listener, handler)) })
+		running := newComponents()
+		defer func() { assert.Check(t, running.wait()) }()
+		running.startHTTP(ctx, listener, handler)
 		client, accepted := net.Pipe()
 		defer client.Close()
 		listener.conns <- accepted
