Log lines of failed calls have a rate limit of their own

Cause: one limit of 50 lines a second held for all lines of a process. After 5000 lines of another part, the next failed call left neither `attempt failed` nor `call failed` (TestFailedCallIsLoggedAfterFloodOfOtherLines, red before this change), so its id led to nothing. While nobody read standard output, any line could fill the queue as well.

Change: each line has a kind (state, decision, rejection, failure) with a limit of its own, set through the context of the entry. Half of the queue to the output is reserved for failures. The limit is applied before a line is formatted, and the line that tells of drops names kind and number. Invalid requests and unknown routes are a kind apart, so that a caller with a wrong address cannot displace other failures.

Result: the test above and those of internal/logging pass, with the race detector too; with the reserve set to 0, or without the guard against the empty text of a dropped line, TestBlockedOutputKeepsSpaceForFailures fails. An `attempt failed` with again=true is a decision and may still be dropped; the `call failed` of its call is not dropped with it.

--- a/internal/call/log.go
+++ b/internal/call/log.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/mulberrybank/mulberrybank/internal/logging"
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 )
 
@@ -12,9 +13,36 @@
 // the call. A call that succeeds on its first attempt logs nothing above debug
 // level.
 
+// requestLoggers log lines about requests.
+type requestLoggers struct{ decision, rejection, failure *logrus.Entry }
+
+func newRequestLoggers(log *logrus.Entry) requestLoggers {
+	return requestLoggers{
+		decision:  logging.OfKind(log, logging.Decision),
+		rejection: logging.OfKind(log, logging.Rejection),
+		failure:   logging.OfKind(log, logging.Failure),
+	}
+}
+
+// ofCall returns the logger for the failure of a call.
+func (l requestLoggers) ofCall(failure *Error) *logrus.Entry {
+	if failure.Step == StepRequest || failure.Step == StepRoute {
+		return l.rejection
+	}
+	return l.failure
+}
+
+// ofAttempt returns the logger for a failed attempt.
+func (l requestLoggers) ofAttempt(willRetry bool) *logrus.Entry {
+	if willRetry {
+		return l.decision
+	}
+	return l.failure
+}
+
 // logCallFailed logs a call whose caller got an error or a truncated response.
 func (s *Server) logCallFailed(id, service string, failure *Error) {
-	s.log.WithFields(logrus.Fields{
+	s.requestLogs.ofCall(failure).WithFields(logrus.Fields{
 		"call":    id,
 		"service": service,
 		"outcome": failure.Outcome,
@@ -41,7 +69,7 @@
 		fields["step"] = failure.Step
 		fields["cause"] = failure.Err
 	}
-	s.log.WithFields(fields).Info("attempt failed")
+	s.requestLogs.ofAttempt(willRetry).WithFields(fields).Info("attempt failed")
 }
 
 // logRequestRefused logs why a request to the local target was refused.
@@ -50,7 +78,7 @@
 		return
 	}
 	load := s.admission.load()
-	s.log.WithFields(logrus.Fields{
+	s.requestLogs.decision.WithFields(logrus.Fields{
 		"call":     q.id,
 		"attempt":  q.attempt,
 		"priority": q.priority,
@@ -68,7 +96,7 @@
 	if !s.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
 		return
 	}
-	s.log.WithFields(logrus.Fields{
+	s.requestLogs.decision.WithFields(logrus.Fields{
 		"call":     c.request.id,
 		"service":  c.request.service.Name,
 		"route":    c.route.Name,
@@ -86,7 +114,7 @@
 	if !s.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
 		return
 	}
-	s.log.WithFields(logrus.Fields{
+	s.requestLogs.decision.WithFields(logrus.Fields{
 		"call":     q.id,
 		"attempt":  q.attempt,
 		"priority": q.priority,
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -96,6 +96,7 @@
 	events          timeline.Recorder
 	clock           *timeline.Clock
 	log             *logrus.Entry
+	requestLogs     requestLoggers
 	counters        counters
 	now             func() time.Time
 	sampleThreshold uint64
@@ -125,6 +126,7 @@
 		clock:           options.Clock,
 		log:             logging.ForComponent(options.Logger, "call"),
 		counters:        newCounters(options.Metrics),
+		requestLogs:     newRequestLoggers(logging.ForComponent(options.Logger, "call")),
 		now:             options.Now,
 		sampleThreshold: sampleThresholdOf(options.SampleRatio),
 		admission:       newAdmissionQueue(options.Now),
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -12,6 +12,8 @@
 const (
 	// queueCapacity is the number of lines that can wait to be written.
 	queueCapacity = 1024
+	// reservedLines is the part of the queue that is reserved for Failure lines.
+	reservedLines = queueCapacity / 2
 	// flushTimeout limits how long Close waits for queued lines to be written.
 	flushTimeout = 200 * time.Millisecond
 )
@@ -40,9 +42,15 @@
 	return w
 }
 
+// free returns how many more lines the queue can hold.
+func (w *AsyncWriter) free() int { return cap(w.queue) - len(w.queue) }
+
 // Write queues a copy of one line, or drops it when the queue is full. It never
-// blocks and returns no error.
+// blocks and returns no error. An empty line is ignored.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	if len(line) == 0 {
+		return 0, nil
+	}
 	select {
 	case w.queue <- append([]byte(nil), line...):
 	default:
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,5 +1,6 @@
 // Package logging provides the loggers of the components of a process. Their
-// lines are rate limited, and their messages begin with the name of the component.
+// lines are rate limited by kind, and their messages begin with the name of the
+// component.
 package logging
 
 import (
@@ -9,14 +10,15 @@
 )
 
 // New returns the logger of a process. level is the name of a logrus level. Lines
-// that exceed the rate limit are dropped and counted.
+// that exceed the rate limit of their kind are dropped and counted.
 func New(out io.Writer, level string) (*logrus.Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
 	log := logrus.New()
-	log.SetOutput(newRateLimitedWriter(out))
+	log.SetOutput(out)
+	log.SetFormatter(newLimitedFormatter(&logrus.TextFormatter{DisableColors: true}, out))
 	log.SetLevel(parsed)
 	log.AddHook(prefixHook{})
 	return log, nil
