A request that a stop refused or aborted names phase and SIGTERM on both daemons

"target accepts no new requests" was the cause of a drain by SIGTERM and of a target that drained by itself alike, and a queued request that a stop aborted said "context canceled" (TestAbortIsLoggedOnBothDaemons and TestRefusalInDrainIsLoggedOnBothDaemons, red before).

Change: the error of a stop carries its phase and the time of SIGTERM, which `stopping daemon` logs as `stop`; as the text of an error crosses to the other daemon, both log it. `request refused` is logged by default, and `request failed`, `request rejected` and `response cut` are new: each under the id of the call and within the limit of its kind. `call answered` and `request ran` are logged by default when the target failed. `story` knows the new lines.

Result: tests of call, story, daemon pass, with the race detector too.

--- a/internal/call/admission.go
+++ b/internal/call/admission.go
@@ -107,7 +107,7 @@
 	case <-timer.C:
 		return a.cancelWait(w, errQueueTimeout)
 	case <-ctx.Done():
-		return a.cancelWait(w, ctx.Err())
+		return a.cancelWait(w, context.Cause(ctx))
 	}
 }
 
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -80,7 +80,7 @@
 // stoppingError returns the error of calls during the shutdown. A caller that has no
 // other daemon may come back when the next process can have started.
 func (s *Server) stoppingError() *Error {
-	failure := s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, errStopping)
+	failure := s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, s.inflight.stopError(phaseShutdown, errStopping))
 	if end := s.inflight.latestEnd(); !end.IsZero() {
 		failure.Unavailable = end.Sub(s.now())
 	}
--- a/internal/call/inflight.go
+++ b/internal/call/inflight.go
@@ -11,8 +11,9 @@
 type inflight struct {
 	mu    sync.Mutex
 	count int
-	// keepAlivesDisabled is set when callers are asked to close their connections.
-	keepAlivesDisabled bool
+	// stopBegan is when the graceful stop began, zero before it. From then on callers
+	// are asked to close their connections.
+	stopBegan time.Time
 	// draining is set when new requests for the target are refused.
 	draining bool
 	// shuttingDown is set when all further calls are refused; idle is closed as soon
@@ -37,7 +38,7 @@
 func (f *inflight) callContext(parent context.Context, deadline time.Time) (ctx context.Context, cancel func()) {
 	ctx, cancelCause := context.WithCancelCause(parent)
 	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
-	stop := context.AfterFunc(f.aborted, func() { cancelCause(errStopTimeout) })
+	stop := context.AfterFunc(f.aborted, func() { cancelCause(f.stopError(phaseAbort, errStopTimeout)) })
 	return ctx, func() {
 		stop()
 		cancelDeadline()
@@ -79,16 +80,24 @@
 	return f.count
 }
 
-func (f *inflight) disableKeepAlives() {
+func (f *inflight) beginStop(began time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.keepAlivesDisabled = true
+	f.stopBegan = began
+}
+
+// stopError returns the error of a request that is refused or aborted in a phase of
+// the stop.
+func (f *inflight) stopError(phase stopPhase, cause error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &stopError{phase: phase, began: f.stopBegan, cause: cause}
 }
 
 func (f *inflight) closesConnections() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.keepAlivesDisabled || f.draining
+	return !f.stopBegan.IsZero() || f.draining
 }
 
 func (f *inflight) drain() {
--- a/internal/call/log.go
+++ b/internal/call/log.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -10,8 +11,8 @@
 )
 
 // Each failed attempt and each failed call is logged in one line with the id of
-// the call. A call that succeeds on its first attempt logs nothing above debug
-// level.
+// the call, by the daemon that took the call and by the daemon of the target. A call
+// that succeeds on its first attempt logs nothing above debug level.
 
 // requestLoggers log lines about requests.
 type requestLoggers struct{ decision, rejection, failure *logrus.Entry }
@@ -32,12 +33,12 @@
 	return l.failure
 }
 
-// ofAttempt returns the logger for a failed attempt.
-func (l requestLoggers) ofAttempt(willRetry bool) *logrus.Entry {
-	if willRetry {
-		return l.decision
+// ofEnd returns the logger for an attempt that ends a call as failed, or does not.
+func (l requestLoggers) ofEnd(failed bool) *logrus.Entry {
+	if failed {
+		return l.failure
 	}
-	return l.failure
+	return l.decision
 }
 
 // logCallFailed logs a call whose caller got an error or a truncated response.
@@ -69,13 +70,15 @@
 		fields["step"] = failure.Step
 		fields["cause"] = failure.Err
 	}
-	s.requestLogs.ofAttempt(willRetry).WithFields(fields).Info("attempt failed")
+	s.requestLogs.ofEnd(!willRetry).WithFields(fields).Info("attempt failed")
 }
 
-// logRequestRefused logs why a request to the local target was refused.
-func (s *Server) logRequestRefused(q *request, failure *Error) {
-	if !s.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
-		return
+// logRequestFailed logs why a request of another daemon to the local target was
+// refused, or why it got no response.
+func (s *Server) logRequestFailed(q *request, failure *Error) {
+	message := "request failed"
+	if failure.Outcome == NotRun {
+		message = "request refused"
 	}
 	load := s.admission.load()
 	s.requestLogs.decision.WithFields(logrus.Fields{
@@ -86,17 +89,48 @@
 		"busy":     load.Busy,
 		"slots":    load.Slots,
 		"queued":   load.Queued,
+		"outcome":  failure.Outcome,
 		"step":     failure.Step,
 		"cause":    failure.Err,
-	}).Debug("request refused")
+	}).Info(message)
+}
+
+// logInvalidRequest logs why a request of another daemon could not be accepted.
+func (s *Server) logInvalidRequest(header http.Header, failure *Error) {
+	id, err := parseCallID(header.Get(HeaderCall))
+	if err != nil {
+		id = "invalid"
+	}
+	s.requestLogs.rejection.WithFields(logrus.Fields{
+		"call":    id,
+		"outcome": failure.Outcome,
+		"step":    failure.Step,
+		"cause":   failure.Err,
+	}).Info("request rejected")
+}
+
+// logResponseCut logs a response of the local target that did not reach the daemon
+// that sent the request in full.
+func (s *Server) logResponseCut(q *request, err error) {
+	s.requestLogs.decision.WithFields(logrus.Fields{"call": q.id, "attempt": q.attempt, "cause": err}).Info("response cut")
+}
+
+// failureLevel returns the level of the line about a response: that of a target that
+// failed is logged by default. The status is 0 if there is no response.
+func failureLevel(status int) logrus.Level {
+	if status == 0 || status >= http.StatusInternalServerError {
+		return logrus.InfoLevel
+	}
+	return logrus.DebugLevel
 }
 
 // logCallAnswered logs a call that a target answered.
 func (s *Server) logCallAnswered(c *outboundCall, result *targetResponse, duration time.Duration) {
-	if !s.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+	level := failureLevel(result.status)
+	if !s.log.Logger.IsLevelEnabled(level) {
 		return
 	}
-	s.requestLogs.decision.WithFields(logrus.Fields{
+	s.requestLogs.ofEnd(level == logrus.InfoLevel).WithFields(logrus.Fields{
 		"call":     c.request.id,
 		"service":  c.request.service.Name,
 		"route":    c.route.Name,
@@ -105,13 +139,14 @@
 		"attempts": result.attempt,
 		"status":   result.status,
 		"took":     duration,
-	}).Debug("call answered")
+	}).Log(level, "call answered")
 }
 
 // logRequestRan logs a request to the local target. The status is 0 if the target
 // gave no response.
 func (s *Server) logRequestRan(q *request, instance string, status int, duration time.Duration) {
-	if !s.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+	level := failureLevel(status)
+	if !s.log.Logger.IsLevelEnabled(level) {
 		return
 	}
 	s.requestLogs.decision.WithFields(logrus.Fields{
@@ -121,5 +156,5 @@
 		"instance": instance,
 		"status":   status,
 		"took":     duration,
-	}).Debug("request ran")
+	}).Log(level, "request ran")
 }
--- a/internal/call/log_test.go
+++ b/internal/call/log_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrybank/mulberrybank/internal/call"
 	"github.com/mulberrybank/mulberrybank/internal/logging"
+	"github.com/mulberrybank/mulberrybank/internal/standin/target"
 )
 
 // floodLines is more lines than the rate limit of a process admits at once, and more
@@ -64,3 +68,106 @@
 	assert.Equal(t, len(out.lines("attempt failed", id, "again=false")), 1)
 	assert.Equal(t, len(out.lines("call failed", id)), 1)
 }
+
+// meshLogs are the logs of the daemons of a mesh.
+type meshLogs map[string]*lockedBuffer
+
+// capture makes a daemon log to its buffer at the default level.
+func (l meshLogs) capture(t *testing.T) func(int, *call.Options) {
+	return func(_ int, o *call.Options) {
+		l[o.Self.Host] = &lockedBuffer{}
+		logger, err := logging.New(l[o.Self.Host], "info")
+		assert.NilError(t, err)
+		o.Logger = logger
+	}
+}
+
+// stopLogMesh is a mesh of two daemons of which the second one stops.
+type stopLogMesh struct {
+	*mesh
+	logs           meshLogs
+	from, stopping *node
+	began          time.Time
+}
+
+func newStopLogMesh(t *testing.T) stopLogMesh {
+	logs := make(meshLogs)
+	m := newMesh(t, 2, config(oneSlot), logs.capture(t))
+	began := time.Date(2026, 12, 4, 9, 30, 0, 250_000_000, time.UTC)
+	m.nodes[0].routeOnlyTo(m.nodes[1])
+	m.nodes[1].routeOnlyTo(m.nodes[1])
+	m.nodes[1].server.BeginStop(began)
+	return stopLogMesh{mesh: m, logs: logs, from: m.nodes[0], stopping: m.nodes[1], began: began}
+}
+
+// assertCause checks that a daemon has one line about a call with a message and with
+// the phase of the stop.
+func (m stopLogMesh) assertCause(t *testing.T, daemon *node, message, id, phase string) {
+	t.Helper()
+	cause := fmt.Sprintf("(phase %s of the stop %s)", phase, call.FormatStop(m.began))
+	log := m.logs[daemon.name]
+	assert.Equal(t, len(log.lines(message, "call="+id, cause)), 1, "%s: %v", message, log.lines(id))
+}
+
+func TestRefusalInDrainIsLoggedOnBothDaemons(t *testing.T) {
+	m := newStopLogMesh(t)
+	m.stopping.server.Drain()
+	got := m.from.get(t, lookups)
+	assert.Equal(t, got.step(), call.StepDrain)
+	m.assertCause(t, m.stopping, "request refused", got.id(), "drain")
+	m.assertCause(t, m.from, "attempt failed", got.id(), "drain")
+	m.assertCause(t, m.from, "call failed", got.id(), "drain")
+}
+
+func TestRefusalInShutdownIsLogged(t *testing.T) {
+	m := newStopLogMesh(t)
+	assert.NilError(t, m.stopping.server.Shutdown(t.Context()))
+	got := m.stopping.get(t, lookups)
+	assert.Equal(t, got.step(), call.StepDrain)
+	m.assertCause(t, m.stopping, "call failed", got.id(), "shutdown")
+}
+
+// TestAbortIsLoggedOnBothDaemons aborts a running and a queued request of another
+// daemon.
+func TestAbortIsLoggedOnBothDaemons(t *testing.T) {
+	m := newStopLogMesh(t)
+	m.stopping.setBehaviour(target.Behaviour{Hang: true})
+	results := make(chan result, 2)
+	var tasks conc.WaitGroup
+	send := func() {
+		got, err := m.from.do(t, t.Context(), http.MethodGet, lookups, nil)
+		assert.Check(t, err)
+		results <- got
+	}
+	tasks.Go(send)
+	eventually(t, "a call runs", func() bool { return len(m.stopping.target.Runs()) == 1 })
+	tasks.Go(send)
+	eventually(t, "a call is queued", func() bool { return m.stopping.server.Load().Queued == 1 })
+	assert.ErrorContains(t, m.stopping.server.Shutdown(expired(t)), "2 calls in progress")
+	assert.NilError(t, m.stopping.server.Abort(t.Context()))
+	tasks.Wait()
+	messages := map[string]string{string(call.NotRun): "request refused", string(call.Unknown): "request failed"}
+	for range 2 {
+		got := <-results
+		m.assertCause(t, m.stopping, messages[got.outcome()], got.id(), "abort")
+		m.assertCause(t, m.from, "attempt failed", got.id(), "abort")
+		m.assertCause(t, m.from, "call failed", got.id(), "abort")
+	}
+}
+
+// TestErrorResponseOfTargetIsLogged guards against calls that fail with the response
+// of a target and leave no line at the default level.
+func TestErrorResponseOfTargetIsLogged(t *testing.T) {
+	logs := make(meshLogs)
+	m := newMesh(t, 2, config(withoutRetries), logs.capture(t))
+	from, to := m.nodes[0], m.nodes[1]
+	from.routeOnlyTo(to)
+	assert.Equal(t, from.get(t, lookups).status, http.StatusOK)
+	to.setBehaviour(target.Behaviour{Fail: true})
+	got := from.get(t, lookups)
+	assert.Equal(t, got.status, http.StatusInternalServerError)
+	status := "status=500"
+	assert.Equal(t, len(logs[from.name].lines("call answered", "call="+got.id(), status, "host="+to.name)), 1)
+	assert.Equal(t, len(logs[to.name].lines("request ran", "call="+got.id(), status)), 1)
+	assert.Equal(t, len(logs[from.name].lines("call="))+len(logs[to.name].lines("call=")), 2)
+}
--- a/internal/call/peer.go
+++ b/internal/call/peer.go
@@ -16,6 +16,7 @@
 	s.observeClock(r.Header)
 	q, failure := s.parsePeerRequest(w, r)
 	if failure != nil {
+		s.logInvalidRequest(r.Header, failure)
 		s.writePeerError(w, r.Header.Get(HeaderCall), unknownPriority, failure)
 		return
 	}
@@ -24,7 +25,7 @@
 	defer cancel()
 	result, failure := s.serveTarget(ctx, q)
 	if failure != nil {
-		s.logRequestRefused(q, failure)
+		s.logRequestFailed(q, failure)
 		q.body.stopReading(w)
 		closeIfDisconnected(ctx, w)
 		s.writePeerError(w, q.id, q.priority, failure.reported())
@@ -34,6 +35,7 @@
 	q.body.enableFullDuplex(w)
 	if err := result.relay(w); err != nil {
 		s.counters.truncated.Inc()
+		s.logResponseCut(q, err)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -180,9 +180,10 @@
 	s.log.WithField("in_progress", s.inflight.inProgress()).Info("drain started")
 }
 
-// DisableKeepAlives makes the server ask callers to open a new connection for
-// their next call. Calls are still accepted.
-func (s *Server) DisableKeepAlives() { s.inflight.disableKeepAlives() }
+// BeginStop makes the server ask callers to open a new connection for their next
+// call. Calls are still accepted. Errors of calls that the stop refuses or aborts
+// name the time at which it began.
+func (s *Server) BeginStop(began time.Time) { s.inflight.beginStop(began) }
 
 // Shutdown makes the server refuse all further calls as not run, and returns once
 // none is in progress. The error says how many were in progress when ctx ended.
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -36,7 +36,9 @@
 	switch {
 	case self.Service != q.service.Name || self.TargetState == membership.NoTarget:
 		return s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errNoLocalTarget)
-	case s.inflight.isDraining(), self.TargetState == membership.Draining, self.State != membership.Alive:
+	case s.inflight.isDraining():
+		return s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, s.inflight.stopError(phaseDrain, errDraining))
+	case self.TargetState == membership.Draining, self.State != membership.Alive:
 		return s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, errDraining)
 	default:
 		return nil
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/mulberrybank/mulberrybank/internal/call"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
@@ -51,15 +52,16 @@
 
 // stop stops the daemon gracefully within the stop timeout.
 func (d *Daemon) stop() {
-	d.log.Infof("stopping daemon on host %s", d.identity.Host)
-	schedule := newStopSchedule(time.Now(), time.Duration(d.settings.StopLinger), time.Duration(d.settings.StopTimeout))
+	began := time.Now()
+	d.log.WithField("stop", call.FormatStop(began)).Infof("stopping daemon on host %s", d.identity.Host)
+	schedule := newStopSchedule(began, time.Duration(d.settings.StopLinger), time.Duration(d.settings.StopTimeout))
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.finish)
 	defer cancel()
 	d.stopping.Store(true)
 	d.events.Record(timeline.Event{Kind: timeline.Stopping})
 	// Callers are asked to open new connections and so move to other daemons. The
 	// target keeps accepting calls until shortly before the end of the linger period.
-	d.calls.DisableKeepAlives()
+	d.calls.BeginStop(began)
 	wait.For(ctx, time.Until(schedule.drain))
 	d.calls.Drain()
 	var announcement conc.WaitGroup
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -19,11 +19,14 @@
 
 // Messages of the log lines about a call, as package call logs them.
 const (
-	messageRequestRefused = "call: request refused"
-	messageRequestRan     = "call: request ran"
-	messageAttemptFailed  = "call: attempt failed"
-	messageCallFailed     = "call: call failed"
-	messageCallAnswered   = "call: call answered"
+	messageRequestRefused  = "call: request refused"
+	messageRequestFailed   = "call: request failed"
+	messageRequestRejected = "call: request rejected"
+	messageRequestRan      = "call: request ran"
+	messageResponseCut     = "call: response cut"
+	messageAttemptFailed   = "call: attempt failed"
+	messageCallFailed      = "call: call failed"
+	messageCallAnswered    = "call: call answered"
 )
 
 // maxLineBytes limits the length of a log line.
@@ -95,12 +98,14 @@
 		attempt = math.MaxInt
 	}
 	switch l.Fields["msg"] {
-	case messageRequestRefused, messageRequestRan:
+	case messageRequestRan:
 		return sortKey{attempt, 0}
-	case messageAttemptFailed:
+	case messageRequestRefused, messageRequestFailed, messageRequestRejected, messageResponseCut:
 		return sortKey{attempt, 1}
+	case messageAttemptFailed:
+		return sortKey{attempt, 2}
 	default:
-		return sortKey{math.MaxInt, 2}
+		return sortKey{math.MaxInt, 3}
 	}
 }
 
@@ -122,6 +127,12 @@
 			f["attempt"], l.Daemon, f["step"], f["cause"], f["busy"], f["slots"], f["queued"])
 	case messageRequestRan:
 		return fmt.Sprintf("attempt %s: %s hands it to %s, status %s after %s", f["attempt"], l.Daemon, f["instance"], f["status"], f["took"])
+	case messageRequestFailed:
+		return fmt.Sprintf("attempt %s: %s gets no response at %s: %s", f["attempt"], l.Daemon, f["step"], f["cause"])
+	case messageRequestRejected:
+		return fmt.Sprintf("%s rejects it at %s: %s", l.Daemon, f["step"], f["cause"])
+	case messageResponseCut:
+		return fmt.Sprintf("attempt %s: %s could not send the response: %s", f["attempt"], l.Daemon, f["cause"])
 	case messageAttemptFailed:
 		next := "none follows"
 		if f["again"] == "true" {
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -19,7 +19,9 @@
 a line of something else about abc
 `,
 	"side-2": `time="2026-12-04T10:07:00Z" level=debug msg="call: request refused" attempt=1 busy=6 call=abc cause="queue is full" queued=6 slots=6 step=admit` + "\n",
-	"side-3": `time="2026-12-04T09:55:00Z" level=debug msg="call: request ran" attempt=2 call=abc instance=i-9 status=0 took=12ms` + "\n",
+	"side-3": `time="2026-12-04T09:55:00Z" level=info msg="call: request failed" attempt=2 busy=5 call=abc cause="read tcp: reset" outcome=unknown queued=0 slots=6 step=target
+time="2026-12-04T09:55:00Z" level=info msg="call: request ran" attempt=2 call=abc instance=i-9 status=0 took=12ms
+`,
 }
 
 // TestSortOrdersLinesByHops guards against an order that depends on the clocks of
@@ -41,6 +43,7 @@
 		"attempt 1: side-2 refuses it at admit: queue is full (6 of 6 slots busy, 6 queued)",
 		"attempt 1: side-1 sent it to side-2: not-run at admit: queue is full; another follows",
 		"attempt 2: side-3 hands it to i-9, status 0 after 12ms",
+		"attempt 2: side-3 gets no response at target: read tcp: reset",
 		`attempt 2: side-1 sent it to side-3: unknown at target: read tcp: reset by "peer"; none follows`,
 		`end: side-1 answers 502, unknown: read tcp: reset by "peer" at target of side-3`,
 	})
