--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -96,6 +96,7 @@
 	events          timeline.Recorder
 	clock           *timeline.Clock
 	log             *logrus.Entry
+	requestLogs     requestLoggers
 	counters        counters
 	now             func() time.Time
 	sampleThreshold uint64
@@ -125,6 +126,7 @@
 		clock:           options.Clock,
 		log:             logging.ForComponent(options.Logger, "call"),
 		counters:        newCounters(options.Metrics),
+		requestLogs:     newRequestLoggers(logging.ForComponent(options.Logger, "call")),
 		now:             options.Now,
 		sampleThreshold: sampleThresholdOf(options.SampleRatio),
 		admission:       newAdmissionQueue(options.Now),
@@ -178,9 +180,10 @@
 	s.log.WithField("in_progress", s.inflight.inProgress()).Info("drain started")
 }
 
-// DisableKeepAlives makes the server ask callers to open a new connection for
-// their next call. Calls are still accepted.
-func (s *Server) DisableKeepAlives() { s.inflight.disableKeepAlives() }
+// BeginStop makes the server ask callers to open a new connection for their next
+// call. Calls are still accepted. Errors of calls that the stop refuses or aborts
+// name the time at which it began.
+func (s *Server) BeginStop(began time.Time) { s.inflight.beginStop(began) }
 
 // Shutdown makes the server refuse all further calls as not run, and returns once
 // none is in progress. The error says how many were in progress when ctx ended.
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -36,7 +36,9 @@
 	switch {
 	case self.Service != q.service.Name || self.TargetState == membership.NoTarget:
 		return s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errNoLocalTarget)
-	case s.inflight.isDraining(), self.TargetState == membership.Draining, self.State != membership.Alive:
+	case s.inflight.isDraining():
+		return s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, s.inflight.stopError(phaseDrain, errDraining))
+	case self.TargetState == membership.Draining, self.State != membership.Alive:
 		return s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, errDraining)
 	default:
 		return nil
@@ -90,7 +92,7 @@
 // unless the caller disconnected or the target had dropped an idle connection.
 func (s *Server) recordSendFailure(ctx context.Context, q *request, failed sendFailure) {
 	if ctx.Err() == nil && failed.mayHaveSent && s.targetConns.reportFailure(failed.idle, failed.used) {
-		s.log.WithFields(logrus.Fields{"call": q.id, "rested": failed.idle, "used": failed.used}).Info("target dropped an idle connection")
+		s.requestLogs.decision.WithFields(logrus.Fields{"call": q.id, "rested": failed.idle, "used": failed.used}).Info("target dropped an idle connection")
 		return
 	}
 	s.admission.recordOutcome(!callerDisconnected(ctx))
