--- a/internal/call/fault_test.go
+++ b/internal/call/fault_test.go
@@ -267,9 +267,10 @@
 func TestDrainCompletesCallsAndForwardsNewOnes(t *testing.T) {
 	m := newMesh(t, 2, config(withoutRetries), nil)
 	stopping := m.nodes[0]
-	hold := make(chan struct{})
+	began, hold := make(chan struct{}), make(chan struct{})
 	finish := sync.OnceFunc(func() { close(hold) })
 	targetServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(began)
 		<-hold
 		_, _ = io.WriteString(w, "finished")
 	}))
@@ -285,7 +286,7 @@
 		assert.Check(t, err)
 		assert.Check(t, string(got.body) == "finished")
 	})
-	eventually(t, "the call is in progress", func() bool { return stopping.server.Load().Busy == 1 })
+	<-began
 	stopping.server.Drain()
 	m.shareView()
 	eventually(t, "the draining daemon refuses requests", func() bool {
