A stop refuses the requests queued at its gate at once

What callers saw: a request that was waiting for a slot when its target's daemon began to drain went on waiting, was refused when a slot came free or its time had passed, and had no time left for another target.

Cause: the drain refused new requests only; those in the queue were checked again after they had got a slot.

Change: the drain closes the queue. Waiters are refused as not run with the step drain, so that the caller's daemon can go to another target.

--- a/internal/call/admission.go
+++ b/internal/call/admission.go
@@ -71,6 +71,8 @@
 	mu     sync.Mutex
 	busy   int
 	queued int
+	// closed is set when no request is admitted any more.
+	closed bool
 	queues map[string][]*waiter
 	// workspaces holds the workspaces with waiters, the next one to get a slot
 	// first.
@@ -116,6 +118,9 @@
 func (a *admissionQueue) acquireOrEnqueue(request admissionRequest, limits admissionLimits) (*waiter, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.closed {
+		return nil, errDraining
+	}
 	a.limits = limits
 	a.grantSlots()
 	if a.busy < limits.slots && a.queued == 0 {
@@ -245,6 +250,17 @@
 	return w.err
 }
 
+// close refuses the waiters and all later requests, so that they have time left for
+// another target. Requests that hold a slot keep it.
+func (a *admissionQueue) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+	for a.queued > 0 {
+		a.dequeue().finish(errDraining)
+	}
+}
+
 // recordOutcome counts a request that succeeded or failed at the target.
 func (a *admissionQueue) recordOutcome(failed bool) {
 	a.mu.Lock()
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -173,10 +173,11 @@
 // PeerHandler serves the requests of other daemons to the target of this host.
 func (s *Server) PeerHandler() http.Handler { return http.HandlerFunc(s.servePeer) }
 
-// Drain makes the server refuse new requests for its target as not run. Calls in
-// progress go on, and later calls of callers are forwarded to other hosts.
+// Drain makes the server refuse new and queued requests for its target as not run.
+// Requests that run go on, and later calls of callers are forwarded to other hosts.
 func (s *Server) Drain() {
 	s.inflight.drain()
+	s.admission.close()
 	s.log.WithField("in_progress", s.inflight.inProgress()).Info("drain started")
 }
 
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -37,7 +37,7 @@
 	case self.Service != q.service.Name || self.TargetState == membership.NoTarget:
 		return s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errNoLocalTarget)
 	case s.inflight.isDraining():
-		return s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, s.inflight.stopError(phaseDrain, errDraining))
+		return s.drainError()
 	case self.TargetState == membership.Draining, self.State != membership.Alive:
 		return s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, errDraining)
 	default:
@@ -45,6 +45,11 @@
 	}
 }
 
+// drainError returns the error of requests that a stop refuses for the local target.
+func (s *Server) drainError() *Error {
+	return s.fail(NotRun, StepDrain, http.StatusServiceUnavailable, s.inflight.stopError(phaseDrain, errDraining))
+}
+
 // runOnTarget admits a request, sends it to the target and returns the response.
 // It reports whether a byte of the request may have been sent.
 func (s *Server) runOnTarget(ctx context.Context, q *request, self membership.Member) (*targetResponse, *Error, bool) {
@@ -170,6 +175,10 @@
 	start := s.now()
 	err := s.admission.acquire(ctx, q.admissionRequest(), q.limits(self))
 	s.counters.queue.Update(s.now().Sub(start).Seconds())
+	if errors.Is(err, errDraining) {
+		s.counters.refused.Inc()
+		return s.drainError()
+	}
 	if err != nil {
 		s.counters.refused.Inc()
 		return s.fail(NotRun, StepAdmit, http.StatusServiceUnavailable, err)
