An old version that the log cannot return now is answered with 503

What operators saw: during an outage of the log, `diff`, `rollback` and the source of an old version answered "there is no such resource" (404) for versions that exist.

Cause: sourceAt took every error of the archive for a version that does not exist.

Evidence: TestOldVersionDuringLogOutageIsUnavailable failed with 404 in place of 503.

Change: 404 only where the version does not exist or the log no longer retains it, else 503 as for the other operations that need the log.

Result: the tests of the package pass, also with -race.

--- a/internal/admin/workspaces.go
+++ b/internal/admin/workspaces.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 
+	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
 
@@ -91,11 +93,21 @@
 	defer s.releaseReplay()
 	old, err := s.Archive.SourceAt(ctx, workspace, publish.Version(version))
 	if err != nil {
-		return versionedSource{}, notFound("workspace %s at version %d: %v", truncate(workspace), version, err)
+		return versionedSource{}, archiveProblem(workspace, version, err)
 	}
 	return versionedSource{old, publish.Version(version)}, nil
 }
 
+// archiveProblem returns the problem for a version that the archive did not return: it
+// does not exist or is no longer retained, or the log could not be read.
+func archiveProblem(workspace string, version uint64, err error) *Problem {
+	var expired *platform.ExpiredError
+	if errors.Is(err, ErrVersionNotFound) || errors.As(err, &expired) {
+		return notFound("workspace %s at version %d: %v", truncate(workspace), version, err)
+	}
+	return unavailable("read old version", err)
+}
+
 // acquireReplay waits until the request may rebuild old state. The caller must call
 // releaseReplay afterwards.
 func (s *Server) acquireReplay(ctx context.Context) error {
