An error in an overridden setting names no line of the file

Cause: the errors of overrides had the file of the other settings and 0 for no line, which was printed.

Evidence: TestOverrideErrorNamesNoLineOfTheFile and TestInvalidSettingsBuiltInCodeNameNoLine failed with "daemon.json:0: ..." and "(settings):0: ...".

--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -20,6 +20,9 @@
 	Value string
 }
 
+// overrideSource takes the place of the file name in errors about an Override.
+const overrideSource = "(override)"
+
 // Load reads and validates a settings file. Every error about its content is an
 // *Error.
 func Load(path string, overrides ...Override) (*Settings, error) {
@@ -42,8 +45,9 @@
 	if err := d.decodeObject(&root, value, ""); err != nil {
 		return nil, err
 	}
+	overrideDecoder := &decoder{file: overrideSource, lines: d.lines}
 	for _, override := range overrides {
-		if err := d.applyOverride(value, override); err != nil {
+		if err := overrideDecoder.applyOverride(value, override); err != nil {
 			return nil, err
 		}
 	}
@@ -56,7 +60,7 @@
 	return settings, nil
 }
 
-// decoder decodes settings from the syntax tree of one file.
+// decoder decodes settings from the syntax tree of one file, or from overrides.
 type decoder struct {
 	file string
 	data []byte
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -87,6 +87,21 @@
 	assert.ErrorContains(t, err, "listen.admin")
 }
 
+func TestOverrideErrorNamesNoLineOfTheFile(t *testing.T) {
+	for _, override := range []Override{{"listen.admin", "nonsense"}, {"listen.amdin", "127.0.0.9:9"}, {"listen", "127.0.0.9:9"}} {
+		_, err := Parse("daemon.json", []byte(validSettings), override)
+		assert.ErrorContains(t, err, "(override): "+override.Field+": found ")
+		assert.Assert(t, !strings.Contains(err.Error(), "daemon.json"), "%v", err)
+	}
+}
+
+func TestInvalidSettingsBuiltInCodeNameNoLine(t *testing.T) {
+	s, err := Parse("daemon.json", []byte(validSettings))
+	assert.NilError(t, err)
+	s.Listen.Admin = "nonsense"
+	assert.ErrorContains(t, s.Validate(), "(settings): listen.admin: found ")
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validSettings))
 	f.Add([]byte(`{"host": 1}`))
