Connections to the platform follow a reload of the authority

What operators saw: after a change of the authority file, connections between daemons trusted the new authority, but a daemon refused a platform whose certificate the new authority had signed, until its restart. A platform of the old authority was still trusted.

Cause: PlatformClientConfig put the authority of the first load into RootCAs, which a transport keeps.

Evidence: TestPlatformOfReloadedAuthorityIsTrusted failed on the old code with "certificate signed by unknown authority" after the reload.

Change: the chain is verified against the authority that was read last, as for other daemons, and the certificate against the host of the platform's address, which the configuration now carries: with an IP address the state of a TLS connection names no server. TestPlatformWithCertificateOfAnotherAddressIsRefused holds that check, also for an empty host. Open connections keep their credentials, as before.

--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/url"
 	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/peer"
@@ -30,7 +31,7 @@
 		return d.traffic.WrapConn(conn, class), nil
 	}
 	if d.tlsIdentity != nil {
-		transport.TLSClientConfig = d.tlsIdentity.PlatformClientConfig()
+		transport.TLSClientConfig = d.tlsIdentity.PlatformClientConfig(hostOf(d.settings.Platform.Address))
 	}
 	if d.adapter != nil {
 		return platform.Instrument(d.adapter.NewLogClient(d.settings, transport, d.logger), d.metrics)
@@ -38,3 +39,12 @@
 	timeout := time.Duration(d.settings.Platform.Timeout)
 	return platform.NewClient(d.settings.Platform.Address, timeout, transport)
 }
+
+// hostOf returns the host of a base URL, empty if the URL is invalid.
+func hostOf(base string) string {
+	parsed, err := url.Parse(base)
+	if err != nil {
+		return ""
+	}
+	return parsed.Hostname()
+}
--- a/internal/secure/identity.go
+++ b/internal/secure/identity.go
@@ -67,10 +67,23 @@
 func (i *Identity) AdminServerConfig() *tls.Config { return i.serverConfig() }
 
 // PlatformClientConfig returns the configuration for connections to the platform,
-// whose certificate must be signed by the authority and be valid for its address.
-func (i *Identity) PlatformClientConfig() *tls.Config {
+// whose certificate must be signed by the authority and be valid for host, a DNS name
+// or an IP address. RootCAs would keep the authority of the first load, so it is not
+// used.
+func (i *Identity) PlatformClientConfig(host string) *tls.Config {
 	config := i.clientConfig()
-	config.RootCAs = i.current.Load().authority
+	config.ServerName = host
+	config.InsecureSkipVerify = true
+	verify := i.verifyChain(x509.ExtKeyUsageServerAuth)
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		if err := verify(state); err != nil {
+			return err
+		}
+		if err := state.PeerCertificates[0].VerifyHostname(host); err != nil {
+			return fmt.Errorf("verify platform certificate: %w", err)
+		}
+		return nil
+	}
 	return config
 }
 
--- a/internal/secure/secure_test.go
+++ b/internal/secure/secure_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
+	"log"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
 	"time"
@@ -126,3 +130,55 @@
 	assert.NilError(t, err)
 	assert.Equal(t, certificate.Leaf.SerialNumber.Int64(), int64(2))
 }
+
+// servePlatform serves HTTPS on a loopback address until the test ends and returns the
+// address. Its certificate is issued by the authority for the IP addresses.
+func servePlatform(t *testing.T, authority *securetest.Authority, addresses ...net.IP) string {
+	t.Helper()
+	files := authority.Issue(t, t.TempDir(), 9, "platform", addresses...)
+	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	assert.NilError(t, err)
+	server := httptest.NewUnstartedServer(http.NotFoundHandler())
+	server.TLS = &tls.Config{Certificates: []tls.Certificate{certificate}}
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// requestPlatform sends one request over a new connection of a transport.
+func requestPlatform(transport *http.Transport, address string) error {
+	response, err := (&http.Client{Transport: transport}).Get("https://" + address)
+	if err != nil {
+		return err
+	}
+	transport.CloseIdleConnections()
+	return response.Body.Close()
+}
+
+func TestPlatformOfReloadedAuthorityIsTrusted(t *testing.T) {
+	previous, next := securetest.NewAuthority(t), securetest.NewAuthority(t)
+	files := previous.Issue(t, t.TempDir(), 2, peer.CertificateName(accra))
+	identity := load(t, files)
+	transport := &http.Transport{TLSClientConfig: identity.PlatformClientConfig("127.0.0.1")}
+	before := servePlatform(t, previous, net.IPv4(127, 0, 0, 1))
+	after := servePlatform(t, next, net.IPv4(127, 0, 0, 1))
+	assert.NilError(t, requestPlatform(transport, before))
+	assert.ErrorContains(t, requestPlatform(transport, after), "unknown authority")
+	next.WriteAuthority(t, files.Authority)
+	assert.NilError(t, identity.Reload())
+	assert.NilError(t, requestPlatform(transport, after))
+	assert.ErrorContains(t, requestPlatform(transport, before), "unknown authority")
+}
+
+func TestPlatformWithCertificateOfAnotherAddressIsRefused(t *testing.T) {
+	authority := securetest.NewAuthority(t)
+	identity := load(t, authority.Issue(t, t.TempDir(), 2, peer.CertificateName(accra)))
+	address := servePlatform(t, authority, net.IPv4(10, 0, 0, 1))
+	for _, host := range []string{"127.0.0.1", "other", ""} {
+		transport := &http.Transport{TLSClientConfig: identity.PlatformClientConfig(host)}
+		assert.ErrorContains(t, requestPlatform(transport, address), "certificate", "host %q", host)
+	}
+	transport := &http.Transport{TLSClientConfig: identity.PlatformClientConfig("platform")}
+	assert.NilError(t, requestPlatform(transport, address))
+}
