Targets that come and go do not shorten the retry delay of additions

What was seen: a proposer whose additions the log refuses, and whose targets come and go, appended every 5.5 s, where the least delay between two appends is 10 s, in which the record of the first is applied. With many daemons and flapping targets this puts needless load on a log that is in trouble.

Cause: missingSince, the time at which services without homes were first seen, also held the time of the next try. It is reset as soon as no service misses a home, and the delay was lost with it.

Change: a time of its own, additionNotBefore, as grants have in notBefore. It keeps the delay of the rank. A retry no longer waits the 2 s that more targets get to become known.

--- /dev/null
+++ b/internal/once/export_test.go
@@ -0,0 +1,4 @@
+package once
+
+// RetryDelay is the minimum delay between appends of one proposer.
+const RetryDelay = retryDelay
--- a/internal/once/proposer.go
+++ b/internal/once/proposer.go
@@ -68,13 +68,15 @@
 type Proposer struct {
 	options ProposerOptions
 	log     *logrus.Entry
-	// notBefore is the earliest time of the next append.
+	// notBefore is the earliest time of the next append of a grant.
 	notBefore time.Time
 	// nextRetryDelay is the delay after the next append.
 	nextRetryDelay time.Duration
 	// missingSince is when services without homes were first seen, zero while there
 	// are none.
 	missingSince time.Time
+	// additionNotBefore is the earliest time of the next append of an addition.
+	additionNotBefore time.Time
 	// jitter is drawn once for each end of the chain.
 	jitter    time.Duration
 	jitterEnd int64
@@ -149,7 +151,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	p.missingSince = p.options.Now().Add(retryDelay)
+	p.additionNotBefore = p.options.Now().Add(retryDelay + p.rankDelay(grants))
 	p.appendGrant(ctx, NextAddition(grants, p.options.Directory.View(), p.options.Now()))
 }
 
@@ -164,7 +166,11 @@
 	if p.missingSince.IsZero() {
 		p.missingSince = now
 	}
-	return p.missingSince.Add(additionDelay + p.rankDelay(grants))
+	additionAt := p.missingSince.Add(additionDelay + p.rankDelay(grants))
+	if additionAt.Before(p.additionNotBefore) {
+		return p.additionNotBefore
+	}
+	return additionAt
 }
 
 // grantTime returns when this daemon may append the next grant of a chain.
