A zone whose region changed is reported with its new region

What was seen: nothing in operation. A daemon that restarts with another region between two reports kept its zone under the old region at its parent, for the acknowledgements of a stream for as long as that stream lasts.

Cause: ZoneSummary.equal and sameDaemons, which decide what a report may leave out, compared the zone and the counts, not the region.

Evidence: TestChangedRegionOfZoneIsSentInAck and TestChangedRegionOfZoneIsSentInSummary failed with reports without zones.

Change: both compare the region. Where daemons of one zone name two regions, a wrong setting, merge took that of the first summary in the order of a map, which would now send a report each time; it takes the first region by name (TestMergedRegionOfZoneDoesNotDependOnTheOrder).

Result: the tests of the package pass, with -race on two processors.

--- a/internal/distribute/summary.go
+++ b/internal/distribute/summary.go
@@ -33,23 +33,30 @@
 
 // equal ignores when the lagging hosts were last heard from.
 func (s ZoneSummary) equal(other ZoneSummary) bool {
-	return s.Zone == other.Zone && s.Daemons == other.Daemons &&
+	return s.countsSameDaemons(other) &&
 		s.Lowest == other.Lowest && s.Highest == other.Highest && s.AtHighest == other.AtHighest &&
 		slices.EqualFunc(s.Lagging, other.Lagging, func(a, b LaggingHost) bool {
 			return a.Host == b.Host && a.Offset == b.Offset
 		})
 }
 
+// countsSameDaemons reports whether two summaries count the same number of daemons in
+// the same zone and region.
+func (s ZoneSummary) countsSameDaemons(other ZoneSummary) bool {
+	return s.Zone == other.Zone && s.Region == other.Region && s.Daemons == other.Daemons
+}
+
 // singleDaemon returns the summary of one daemon.
 func singleDaemon(zone, region string, offset uint64) ZoneSummary {
 	return ZoneSummary{Zone: zone, Region: region, Daemons: 1, Lowest: offset, Highest: offset, AtHighest: 1}
 }
 
-// merge adds the daemons of other, which are of the same zone.
+// merge adds the daemons of other, which are of the same zone. Of two regions it keeps
+// the first by name, so that the order of the summaries does not matter.
 func (s ZoneSummary) merge(other ZoneSummary) ZoneSummary {
 	merged := ZoneSummary{
 		Zone:    s.Zone,
-		Region:  s.Region,
+		Region:  min(s.Region, other.Region),
 		Daemons: s.Daemons + other.Daemons,
 		Lowest:  min(s.Lowest, other.Lowest),
 		Highest: max(s.Highest, other.Highest),
@@ -119,9 +126,7 @@
 // sameDaemons reports whether two summaries count the same number of daemons in
 // each zone.
 func sameDaemons(a, b []ZoneSummary) bool {
-	return slices.EqualFunc(a, b, func(a, b ZoneSummary) bool {
-		return a.Zone == b.Zone && a.Daemons == b.Daemons
-	})
+	return slices.EqualFunc(a, b, ZoneSummary.countsSameDaemons)
 }
 
 func equalZones(a, b []ZoneSummary) bool { return slices.EqualFunc(a, b, ZoneSummary.equal) }
