Metric of the retries that the budget of each service has left

Cause: `call_retries_over_budget_total` told that a budget was used up, but nothing told that it was about to be, nor for which service.

--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -135,6 +135,7 @@
 		targetConns:     newTargetTransports(options.Dial, options.TargetConnections, options.Now),
 		peerConns:       newTransports(options.DialPeers, options.PeerConnections, maxPeerHeadBytes),
 	}
+	s.budgets.RegisterMetrics(options.Metrics)
 	options.Metrics.NewGauge(`mulberrybank_calls_in_progress`, func() float64 { return float64(s.InProgress()) })
 	return s
 }
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -1,8 +1,14 @@
 package route
 
 import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
@@ -76,6 +82,24 @@
 	return true
 }
 
+// RegisterMetrics exports the retries that the budget of each service allows now.
+func (b *Budgets) RegisterMetrics(set *metrics.Set) {
+	set.RegisterMetricsWriter(func(w io.Writer) {
+		balances := b.balances()
+		for _, service := range slices.Sorted(maps.Keys(balances)) {
+			name := fmt.Sprintf(`mulberrybank_call_retry_budget_retries{service=%q}`, service)
+			metrics.WriteGaugeFloat64(w, name, balances[service])
+		}
+	})
+}
+
+// balances returns the tokens of each service that has had a call.
+func (b *Budgets) balances() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.tokens)
+}
+
 func (b *Budgets) balance(service string) float64 {
 	tokens, found := b.tokens[service]
 	if !found {
--- a/internal/route/budget_test.go
+++ b/internal/route/budget_test.go
@@ -1,8 +1,10 @@
 package route_test
 
 import (
+	"strings"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -117,3 +119,23 @@
 	assert.Equal(t, count(lookup), 0)
 	assert.Equal(t, count(charge), 3)
 }
+
+// TestRetryBudgetIsExported guards against a budget that runs out unseen.
+func TestRetryBudgetIsExported(t *testing.T) {
+	lookups := &publish.Route{Name: "huts/lookups", RetryBudget: 0.5}
+	service := &publish.Service{Name: "huts/registry"}
+	budgets := route.NewBudgets(0, 0, nil)
+	set := metrics.NewSet()
+	budgets.RegisterMetrics(set)
+	exported := func() string {
+		var text strings.Builder
+		set.WritePrometheus(&text)
+		return text.String()
+	}
+	assert.Equal(t, exported(), "")
+	budgets.Deposit(lookups, service)
+	assert.Equal(t, exported(), `mulberrybank_call_retry_budget_retries{service="huts/registry"} 3.5`+"\n")
+	for budgets.Withdraw(lookups, service) {
+	}
+	assert.Equal(t, exported(), `mulberrybank_call_retry_budget_retries{service="huts/registry"} 0.5`+"\n")
+}
