Test that no call waits for a reader of standard output

Cause: only a test of the writer held that a blocked output blocks nobody; none saw it from the side of callers.

Change: TestBlockedOutputDelaysNoCall makes 1600 calls at the level debug, half of them failing, while the output is blocked and the queue of lines is full; the output is unblocked only after the last response, and all 2400 lines have to be counted as dropped. It bounds counts and an order of events, no times.

--- a/internal/call/log_test.go
+++ b/internal/call/log_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/call"
 	"github.com/mulberrybank/mulberrybank/internal/logging"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/standin/target"
 )
 
@@ -171,3 +172,54 @@
 	assert.Equal(t, len(logs[to.name].lines("request ran", "call="+got.id(), status)), 1)
 	assert.Equal(t, len(logs[from.name].lines("call="))+len(logs[to.name].lines("call=")), 2)
 }
+
+// blockedOutput blocks every write until unblocked is closed.
+type blockedOutput struct {
+	lockedBuffer
+	unblocked chan struct{}
+}
+
+func (o *blockedOutput) Write(p []byte) (int, error) {
+	<-o.unblocked
+	return o.lockedBuffer.Write(p)
+}
+
+// TestBlockedOutputDelaysNoCall guards against calls that wait for the reader of
+// standard output. The output is blocked until the last call has its response, and the
+// queue of lines is full before the first one.
+func TestBlockedOutputDelaysNoCall(t *testing.T) {
+	const callers, callsPerCaller = 8, 100
+	out := &blockedOutput{unblocked: make(chan struct{})}
+	writer := logging.NewAsyncWriter(out)
+	logger, err := logging.New(writer, "debug")
+	assert.NilError(t, err)
+	manySlots := func(service *publish.Service, _ *publish.Route) { service.Slots = callers }
+	m := newMesh(t, 2, config(manySlots), func(_ int, o *call.Options) { o.Logger = logger })
+	m.nodes[0].routeOnlyTo(m.nodes[1])
+	for range floodLines {
+		_, err := writer.Write([]byte("a line\n"))
+		assert.NilError(t, err)
+	}
+	before := logging.DroppedLines()
+	var tasks conc.WaitGroup
+	for range callers {
+		tasks.Go(func() {
+			for range callsPerCaller {
+				served, err := m.nodes[0].do(t, t.Context(), http.MethodGet, lookups, nil)
+				assert.Check(t, err)
+				assert.Check(t, served.status == http.StatusOK, "status %d", served.status)
+				failed, err := m.nodes[0].do(t, t.Context(), http.MethodGet, "no/route", nil)
+				assert.Check(t, err)
+				assert.Check(t, failed.status == http.StatusNotFound, "status %d", failed.status)
+			}
+		})
+	}
+	tasks.Wait()
+	// Three lines for each pair of calls: the answer, the run and the failure.
+	const lines = 3 * callers * callsPerCaller
+	assert.Equal(t, int(logging.DroppedLines()-before), lines)
+	assert.Equal(t, len(out.lines("")), 0)
+	close(out.unblocked)
+	eventually(t, "the log tells of the drop", func() bool { return len(out.lines("lines were dropped")) == 1 })
+	writer.Close()
+}
