A call refused without an attempt tells which refusals that is based on

Change: the error names the number of targets that refused, the age of the oldest and of the latest refusal and the host of the latter; that of no target names how many the directory holds and how many hosts are excluded.

Result: TestErrorsOfChoiceTellTheirInputs; tests of route pass, with the race detector too.

--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -77,6 +77,8 @@
 	fullUntil    time.Time
 	fullPriority int
 	fullCount    int
+	// refusedAt is when the host last refused a call as full.
+	refusedAt time.Time
 	// serviceTimes holds the last report for each priority.
 	serviceTimes     map[int]serviceTimeReport
 	reportedFailures failureReport
--- a/internal/route/outcome.go
+++ b/internal/route/outcome.go
@@ -181,6 +181,9 @@
 // recordFull records a refusal as full, and resets the backoff when a call of
 // the refused priority or a less urgent one succeeds.
 func (h *hostStats) recordFull(result Result, now time.Time) {
+	if result.Outcome == Full {
+		h.refusedAt = now
+	}
 	switch {
 	case result.Outcome == Full && now.Before(h.fullUntil):
 		h.fullPriority = min(h.fullPriority, result.Priority)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -6,7 +6,6 @@
 package route
 
 import (
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,12 +17,6 @@
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
 
-// ErrNoTarget is returned when no target of the service accepts new calls.
-var ErrNoTarget = errors.New("no target takes new calls")
-
-// ErrAllFull is returned when every target has recently refused calls as full.
-var ErrAllFull = errors.New("all targets are full")
-
 // Rand is a source of random numbers. It need not be safe for concurrent use.
 type Rand interface {
 	IntN(n int) int
@@ -131,14 +124,14 @@
 	}
 	if len(healthy) == 0 {
 		r.counters.noTarget.Inc()
-		return candidate{}, false, ErrNoTarget
+		return candidate{}, false, &NoTargetError{Known: len(members), Excluded: len(request.Exclude)}
 	}
 	r.setRelativeServiceTimes(healthy, request.Priority, now)
 	ejectFailing(healthy)
 	chosen, freeSlotOnly, ok := r.chooseByLocality(r.excludeEjected(healthy))
 	if !ok {
 		r.counters.allFull.Inc()
-		return candidate{}, false, ErrAllFull
+		return candidate{}, false, newAllFullError(healthy, now)
 	}
 	return chosen, freeSlotOnly, nil
 }
@@ -156,8 +149,10 @@
 	// failureRate is the fraction of requests that the target failed recently.
 	failureRate float64
 	ejected     bool
-	// full is set when the target has recently refused a call of this priority.
-	full bool
+	// full is set when the target has recently refused a call of this priority,
+	// refusedAt is when it last refused any call.
+	full      bool
+	refusedAt time.Time
 }
 
 // candidates returns the reachable targets, and as a fallback those that are
@@ -208,6 +203,7 @@
 		failureRate: stats.reportedFailures.decayed(now, request.Repeatable),
 		ejected:     now.Before(stats.ejectedUntil),
 		full:        stats.full(request.Priority, now),
+		refusedAt:   stats.refusedAt,
 	}
 }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -271,3 +271,21 @@
 	_, err = r.Pick(service, nil)
 	assert.NilError(t, err)
 }
+
+// TestErrorsOfChoiceTellTheirInputs guards against calls refused without an attempt of
+// which nobody can tell why.
+func TestErrorsOfChoiceTellTheirInputs(t *testing.T) {
+	d := &directory{members: []membership.Member{readyMember("a", "zone-0"), readyMember("b", "zone-0")}}
+	r, clock := newRouter(d, 1)
+	for _, host := range []string{"a", "b"} {
+		r.Begin(host)
+		r.Done(host, route.Result{Outcome: route.Full})
+		clock.time = clock.time.Add(2 * time.Millisecond)
+	}
+	_, err := r.Pick(service, nil)
+	assert.Assert(t, errors.Is(err, route.ErrAllFull))
+	assert.Error(t, err, "all targets are full: 2 refused calls in the last 4ms, the latest 2ms ago by b")
+	_, err = r.Pick(service, map[string]bool{"a": true, "b": true})
+	assert.Assert(t, errors.Is(err, route.ErrNoTarget))
+	assert.Error(t, err, "no target takes new calls: 2 known, 2 hosts excluded")
+}
