Four times as many lines of failed calls as of other kinds

Change: lines of the kind `failure` may come at 200 a second and 2000 at once.

Result: TestFloodOfOtherKindsDropsNoFailure holds 2000 at once.

--- a/internal/logging/limit.go
+++ b/internal/logging/limit.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	// maxLinesPerSecond is the sustained rate of lines of one kind.
+	// maxLinesPerSecond is the sustained rate of lines of one kind but Failure.
 	maxLinesPerSecond = 50
 	// maxBurstLines is the number of lines of one kind that may exceed that rate at
 	// once.
 	maxBurstLines = 500
+	// failureFactor is how many times as many lines of the kind Failure there may be.
+	failureFactor = 4
 )
 
 // limitedFormatter formats lines and drops those that exceed the rate limit of their
@@ -40,6 +42,7 @@
 	for kind := range f.kinds {
 		f.kinds[kind].limiter = rate.NewLimiter(maxLinesPerSecond, maxBurstLines)
 	}
+	f.kinds[Failure].limiter = rate.NewLimiter(failureFactor*maxLinesPerSecond, failureFactor*maxBurstLines)
 	return f
 }
 
--- a/internal/logging/limit_test.go
+++ b/internal/logging/limit_test.go
@@ -45,7 +45,7 @@
 }
 
 func TestFloodOfOtherKindsDropsNoFailure(t *testing.T) {
-	const failures = 500
+	const failures = 2000
 	var out bytes.Buffer
 	logger, err := logging.New(&out, "info")
 	assert.NilError(t, err)
