The log does not claim that a target only dropped an idle connection

The daemon knows only that the connection had rested for 321 ms and broke 2 ms later, and does not hold that against the target.

Change: the line says that.

--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -92,7 +92,7 @@
 // unless the caller disconnected or the target had dropped an idle connection.
 func (s *Server) recordSendFailure(ctx context.Context, q *request, failed sendFailure) {
 	if ctx.Err() == nil && failed.mayHaveSent && s.targetConns.reportFailure(failed.idle, failed.used) {
-		s.requestLogs.decision.WithFields(logrus.Fields{"call": q.id, "rested": failed.idle, "used": failed.used}).Info("target dropped an idle connection")
+		s.requestLogs.decision.WithFields(logrus.Fields{"call": q.id, "rested": failed.idle, "used": failed.used}).Info("connection broke after it was idle, not counted as a failure of the target")
 		return
 	}
 	s.admission.recordOutcome(!callerDisconnected(ctx))
