A failed attempt says why no other one follows

Cause: `attempt failed` with again=false had the counts of what was left, but not the reason. Whether the route forbade it, the deadline was near, the call had used its attempts or the budget of the service was used up had to be guessed from the route's settings.

Change: the decision on another attempt is a typed value; the field `reason` gives it and `story` prints it. Which attempts are made does not change.

--- a/internal/call/log.go
+++ b/internal/call/log.go
@@ -54,8 +54,9 @@
 	}).Info("call failed")
 }
 
-// logAttemptFailed logs a failed attempt and whether it is retried.
-func (s *Server) logAttemptFailed(c *outboundCall, attempt int, member membership.Member, failure *Error, willRetry bool) {
+// logAttemptFailed logs a failed attempt and whether another one follows.
+func (s *Server) logAttemptFailed(c *outboundCall, attempt int, member membership.Member, failure *Error, decision retryDecision) {
+	willRetry := decision == retryAllowed
 	fields := logrus.Fields{
 		"call":     c.request.id,
 		"attempt":  attempt,
@@ -65,6 +66,9 @@
 		"left":     c.retriesLeft,
 		"refusals": c.refusals,
 	}
+	if !willRetry {
+		fields["reason"] = decision
+	}
 	if failure != nil {
 		fields["outcome"] = failure.Outcome
 		fields["step"] = failure.Step
--- a/internal/call/log_test.go
+++ b/internal/call/log_test.go
@@ -223,3 +223,33 @@
 	eventually(t, "the log tells of the drop", func() bool { return len(out.lines("lines were dropped")) == 1 })
 	writer.Close()
 }
+
+// TestReasonForNoRetryIsLogged guards against failed calls of which nobody can tell why
+// they were not attempted again.
+func TestReasonForNoRetryIsLogged(t *testing.T) {
+	withoutBudget := func(_ *publish.Service, route *publish.Route) { route.RetryBudget = 0 }
+	for _, c := range []struct {
+		name, path, reason string
+		change             func(*publish.Service, *publish.Route)
+		header             []string
+	}{
+		{"not idempotent", orders, "not idempotent, or status not to be retried", nil, []string{call.HeaderKey, newKey(t)}},
+		{"no retries", lookups, "no retries left", withoutRetries, nil},
+		{"no budget", lookups, "retry budget used up", withoutBudget, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			logs := make(meshLogs)
+			m := newMesh(t, 1, config(c.change), logs.capture(t))
+			m.nodes[0].setBehaviour(target.Behaviour{TruncateBody: true})
+			if c.path == lookups {
+				unreachable := "127.0.0.1:1"
+				m.nodes[0].address.Store(&unreachable)
+			}
+			got, err := m.nodes[0].do(t, t.Context(), http.MethodPost, c.path, nil, c.header...)
+			assert.NilError(t, err)
+			assert.Equal(t, got.status, http.StatusBadGateway)
+			lines := logs["a"].lines("attempt failed", "call="+got.id(), "again=false", c.reason)
+			assert.Equal(t, len(lines), 1, "%v", logs["a"].lines(got.id()))
+		})
+	}
+}
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -62,9 +62,12 @@
 			return result, nil
 		}
 		c.recordFailure(member.Host, failure)
-		willRetry := s.mayRetry(c, failure) && s.backOff(ctx, c, attempt)
-		s.logAttemptFailed(c, attempt, member, failure, willRetry)
-		if !willRetry {
+		decision := s.decideRetry(c, failure)
+		if decision == retryAllowed && !s.backOff(ctx, c, attempt) {
+			decision = retryCallEnded
+		}
+		s.logAttemptFailed(c, attempt, member, failure, decision)
+		if decision != retryAllowed {
 			if failure == nil {
 				return result, nil
 			}
--- a/internal/call/retry.go
+++ b/internal/call/retry.go
@@ -53,30 +53,54 @@
 	return &combined
 }
 
-// mayRetry reports whether another attempt is allowed, and takes it from the
+// retryDecision says whether a call is attempted again, and if not, why.
+type retryDecision string
+
+// Decisions on another attempt.
+const (
+	retryAllowed retryDecision = "allowed"
+	// retryBodyGone means that the body of the request cannot be sent again.
+	retryBodyGone retryDecision = "body cannot be sent again"
+	// retryNotSafe means that the request may have run and is not idempotent, or that
+	// its status is not one to retry.
+	retryNotSafe retryDecision = "not idempotent, or status not to be retried"
+	// retryTooLate means that too little time is left before the deadline.
+	retryTooLate retryDecision = "deadline too near"
+	// retryLimitReached means that the call has used its retries.
+	retryLimitReached retryDecision = "no retries left"
+	// retryOverBudget means that the retry budget of the service is used up.
+	retryOverBudget retryDecision = "retry budget used up"
+	// retryCallEnded means that the call ended during the wait before the attempt.
+	retryCallEnded retryDecision = "call has ended"
+)
+
+// decideRetry decides whether another attempt is allowed, and takes it from the
 // limits of the call. The first retries after refusals are bounded by the route
 // alone; all others by the retries left to the call and by the retry budget. A nil
 // failure stands for a call that the target shed.
-func (s *Server) mayRetry(c *outboundCall, failure *Error) bool {
-	if !c.request.body.resendable() || !c.allowsRetry(failure) {
-		return false
+func (s *Server) decideRetry(c *outboundCall, failure *Error) retryDecision {
+	if !c.request.body.resendable() {
+		return retryBodyGone
+	}
+	if !c.allowsRetry(failure) {
+		return retryNotSafe
 	}
 	if c.request.deadline.Sub(s.now()) < minRetryTime {
-		return false
+		return retryTooLate
 	}
 	if failure.failedBeforeTarget() && c.refusals < c.route.Refusals {
 		c.refusals++
-		return true
+		return retryAllowed
 	}
 	if c.retriesLeft <= 0 {
-		return false
+		return retryLimitReached
 	}
 	if !s.budgets.Withdraw(c.route, c.request.service) {
 		s.counters.overBudget.Inc()
-		return false
+		return retryOverBudget
 	}
 	c.retriesLeft--
-	return true
+	return retryAllowed
 }
 
 // failedBeforeTarget reports whether an attempt failed before it reached a target,
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -135,6 +135,9 @@
 		return fmt.Sprintf("attempt %s: %s could not send the response: %s", f["attempt"], l.Daemon, f["cause"])
 	case messageAttemptFailed:
 		next := "none follows"
+		if f["reason"] != "" {
+			next += ": " + f["reason"]
+		}
 		if f["again"] == "true" {
 			next = "another follows"
 		}
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -14,7 +14,7 @@
 var logs = map[string]string{
 	"side-1": `time="2026-12-04T10:00:02Z" level=info msg="call: attempt failed" again=true attempt=1 call=abc cause="queue is full" entry=2 host=side-2 left=1 outcome=not-run part=call refusals=1 step=admit
 time="2026-12-04T10:00:02Z" level=info msg="call: attempt failed" again=true attempt=1 call=abcd cause="queue is full" host=side-2 outcome=not-run step=admit
-time="2026-12-04T10:00:02Z" level=info msg="call: attempt failed" again=false attempt=2 call=abc cause="read tcp: reset by \"peer\"" host=side-3 left=1 outcome=unknown step=target
+time="2026-12-04T10:00:02Z" level=info msg="call: attempt failed" again=false attempt=2 call=abc cause="read tcp: reset by \"peer\"" host=side-3 left=1 outcome=unknown reason="no retries left" step=target
 time="2026-12-04T10:00:03Z" level=info msg="call: call failed" call=abc cause="read tcp: reset by \"peer\"" outcome=unknown peer=side-3 status=502 step=target
 a line of something else about abc
 `,
@@ -44,7 +44,7 @@
 		"attempt 1: side-1 sent it to side-2: not-run at admit: queue is full; another follows",
 		"attempt 2: side-3 hands it to i-9, status 0 after 12ms",
 		"attempt 2: side-3 gets no response at target: read tcp: reset",
-		`attempt 2: side-1 sent it to side-3: unknown at target: read tcp: reset by "peer"; none follows`,
+		`attempt 2: side-1 sent it to side-3: unknown at target: read tcp: reset by "peer"; none follows: no retries left`,
 		`end: side-1 answers 502, unknown: read tcp: reset by "peer" at target of side-3`,
 	})
 }
