TestBlockedOutputDelaysNoCall waits until the output is blocked

Cause: it failed once in three runs of the whole package ("condition not met within 20 s: the log tells of the drop"). The task of the writer may take its first line in the midst of the flood that fills the queue; then the log tells of drops twice, before the first and before the second line, and the test waits for one such line.

Change: the flood begins to count once the first line blocks the output, so that all drops come before the second line. The bound of one line stays.

--- a/internal/call/log_test.go
+++ b/internal/call/log_test.go
@@ -173,13 +173,16 @@
 	assert.Equal(t, len(logs[from.name].lines("call="))+len(logs[to.name].lines("call=")), 2)
 }
 
-// blockedOutput blocks every write until unblocked is closed.
+// blockedOutput blocks every write until unblocked is closed. blocked is closed by the
+// first one.
 type blockedOutput struct {
 	lockedBuffer
-	unblocked chan struct{}
+	once               sync.Once
+	blocked, unblocked chan struct{}
 }
 
 func (o *blockedOutput) Write(p []byte) (int, error) {
+	o.once.Do(func() { close(o.blocked) })
 	<-o.unblocked
 	return o.lockedBuffer.Write(p)
 }
@@ -189,16 +192,19 @@
 // queue of lines is full before the first one.
 func TestBlockedOutputDelaysNoCall(t *testing.T) {
 	const callers, callsPerCaller = 8, 100
-	out := &blockedOutput{unblocked: make(chan struct{})}
+	out := &blockedOutput{blocked: make(chan struct{}), unblocked: make(chan struct{})}
 	writer := logging.NewAsyncWriter(out)
 	logger, err := logging.New(writer, "debug")
 	assert.NilError(t, err)
 	manySlots := func(service *publish.Service, _ *publish.Route) { service.Slots = callers }
 	m := newMesh(t, 2, config(manySlots), func(_ int, o *call.Options) { o.Logger = logger })
 	m.nodes[0].routeOnlyTo(m.nodes[1])
-	for range floodLines {
+	for number := range floodLines {
 		_, err := writer.Write([]byte("a line\n"))
 		assert.NilError(t, err)
+		if number == 0 {
+			<-out.blocked
+		}
 	}
 	before := logging.DroppedLines()
 	var tasks conc.WaitGroup
