A call whose next attempt finds no host says so

The choice of a host had failed, and the error of the attempt before was reported in its place.

Change: a line `attempt not made` with the cause; `story` prints it in its place.

Result: TestAttemptWithoutHostIsLogged, red before; tests of call and story pass with the race detector.

--- a/internal/call/log.go
+++ b/internal/call/log.go
@@ -77,6 +77,16 @@
 	s.requestLogs.ofEnd(!willRetry).WithFields(fields).Info("attempt failed")
 }
 
+// logNoHostLeft logs why there is no host for another attempt that was allowed.
+func (s *Server) logNoHostLeft(c *outboundCall, attempt int, failure *Error) {
+	s.requestLogs.failure.WithFields(logrus.Fields{
+		"call":    c.request.id,
+		"attempt": attempt,
+		"step":    failure.Step,
+		"cause":   failure.Err,
+	}).Info("attempt not made")
+}
+
 // logRequestFailed logs why a request of another daemon to the local target was
 // refused, or why it got no response.
 func (s *Server) logRequestFailed(q *request, failure *Error) {
--- a/internal/call/log_test.go
+++ b/internal/call/log_test.go
@@ -259,3 +259,17 @@
 		})
 	}
 }
+
+// TestAttemptWithoutHostIsLogged guards against calls that end although their last line
+// says that another attempt follows.
+func TestAttemptWithoutHostIsLogged(t *testing.T) {
+	logs := make(meshLogs)
+	m := newMesh(t, 1, config(nil), logs.capture(t))
+	unreachable := "127.0.0.1:1"
+	m.nodes[0].address.Store(&unreachable)
+	got := m.nodes[0].get(t, lookups)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	id := "call=" + got.id()
+	assert.Equal(t, len(logs["a"].lines("attempt failed", id, "attempt=1", "again=true")), 1)
+	assert.Equal(t, len(logs["a"].lines("attempt not made", id, "attempt=2", "1 hosts excluded")), 1)
+}
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -53,6 +53,9 @@
 	for attempt := 1; ; attempt++ {
 		choice, failure := s.chooseHost(c)
 		if failure != nil {
+			if last != nil {
+				s.logNoHostLeft(c, attempt, failure)
+			}
 			return nil, c.finalError(last, failure)
 		}
 		member := choice.Member
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -25,6 +25,7 @@
 	messageRequestRan      = "call: request ran"
 	messageResponseCut     = "call: response cut"
 	messageAttemptFailed   = "call: attempt failed"
+	messageAttemptNotMade  = "call: attempt not made"
 	messageCallFailed      = "call: call failed"
 	messageCallAnswered    = "call: call answered"
 )
@@ -102,7 +103,7 @@
 		return sortKey{attempt, 0}
 	case messageRequestRefused, messageRequestFailed, messageRequestRejected, messageResponseCut:
 		return sortKey{attempt, 1}
-	case messageAttemptFailed:
+	case messageAttemptFailed, messageAttemptNotMade:
 		return sortKey{attempt, 2}
 	default:
 		return sortKey{math.MaxInt, 3}
@@ -142,6 +143,8 @@
 			next = "another follows"
 		}
 		return fmt.Sprintf("attempt %s: %s sent it to %s: %s at %s: %s; %s", f["attempt"], l.Daemon, f["host"], f["outcome"], f["step"], f["cause"], next)
+	case messageAttemptNotMade:
+		return fmt.Sprintf("attempt %s: %s does not make it: %s", f["attempt"], l.Daemon, f["cause"])
 	case messageCallFailed:
 		return fmt.Sprintf("end: %s answers %s, %s: %s at %s of %s", l.Daemon, f["status"], f["outcome"], f["cause"], f["step"], f["peer"])
 	case messageCallAnswered:
