--- a/internal/call/log.go
+++ b/internal/call/log.go
@@ -54,8 +54,9 @@
 	}).Info("call failed")
 }
 
-// logAttemptFailed logs a failed attempt and whether it is retried.
-func (s *Server) logAttemptFailed(c *outboundCall, attempt int, member membership.Member, failure *Error, willRetry bool) {
+// logAttemptFailed logs a failed attempt and whether another one follows.
+func (s *Server) logAttemptFailed(c *outboundCall, attempt int, member membership.Member, failure *Error, decision retryDecision) {
+	willRetry := decision == retryAllowed
 	fields := logrus.Fields{
 		"call":     c.request.id,
 		"attempt":  attempt,
@@ -65,6 +66,9 @@
 		"left":     c.retriesLeft,
 		"refusals": c.refusals,
 	}
+	if !willRetry {
+		fields["reason"] = decision
+	}
 	if failure != nil {
 		fields["outcome"] = failure.Outcome
 		fields["step"] = failure.Step
@@ -73,6 +77,16 @@
 	s.requestLogs.ofEnd(!willRetry).WithFields(fields).Info("attempt failed")
 }
 
+// logNoHostLeft logs why there is no host for another attempt that was allowed.
+func (s *Server) logNoHostLeft(c *outboundCall, attempt int, failure *Error) {
+	s.requestLogs.failure.WithFields(logrus.Fields{
+		"call":    c.request.id,
+		"attempt": attempt,
+		"step":    failure.Step,
+		"cause":   failure.Err,
+	}).Info("attempt not made")
+}
+
 // logRequestFailed logs why a request of another daemon to the local target was
 // refused, or why it got no response.
 func (s *Server) logRequestFailed(q *request, failure *Error) {
--- a/internal/call/log_test.go
+++ b/internal/call/log_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/call"
 	"github.com/mulberrybank/mulberrybank/internal/logging"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/standin/target"
 )
 
@@ -176,3 +177,104 @@
 	assert.Equal(t, len(logs[to.name].lines("request ran", "call="+got.id(), status)), 1)
 	assert.Equal(t, len(logs[from.name].lines("call="))+len(logs[to.name].lines("call=")), 2)
 }
+
+// blockedOutput blocks every write until unblocked is closed. blocked is closed by the
+// first one.
+type blockedOutput struct {
+	lockedBuffer
+	once               sync.Once
+	blocked, unblocked chan struct{}
+}
+
+func (o *blockedOutput) Write(p []byte) (int, error) {
+	o.once.Do(func() { close(o.blocked) })
+	<-o.unblocked
+	return o.lockedBuffer.Write(p)
+}
+
+// TestBlockedOutputDelaysNoCall guards against calls that wait for the reader of
+// standard output. The output is blocked until the last call has its response, and the
+// queue of lines is full before the first one.
+func TestBlockedOutputDelaysNoCall(t *testing.T) {
+	const callers, callsPerCaller = 8, 100
+	out := &blockedOutput{blocked: make(chan struct{}), unblocked: make(chan struct{})}
+	writer := logging.NewAsyncWriter(out)
+	logger, err := logging.New(writer, "debug")
+	assert.NilError(t, err)
+	manySlots := func(service *publish.Service, _ *publish.Route) { service.Slots = callers }
+	m := newMesh(t, 2, config(manySlots), func(_ int, o *call.Options) { o.Logger = logger })
+	m.nodes[0].routeOnlyTo(m.nodes[1])
+	for number := range floodLines {
+		_, err := writer.Write([]byte("a line\n"))
+		assert.NilError(t, err)
+		if number == 0 {
+			<-out.blocked
+		}
+	}
+	before := logging.DroppedLines()
+	var tasks conc.WaitGroup
+	for range callers {
+		tasks.Go(func() {
+			for range callsPerCaller {
+				served, err := m.nodes[0].do(t, t.Context(), http.MethodGet, lookups, nil)
+				assert.Check(t, err)
+				assert.Check(t, served.status == http.StatusOK, "status %d", served.status)
+				failed, err := m.nodes[0].do(t, t.Context(), http.MethodGet, "no/route", nil)
+				assert.Check(t, err)
+				assert.Check(t, failed.status == http.StatusNotFound, "status %d", failed.status)
+			}
+		})
+	}
+	tasks.Wait()
+	// Three lines for each pair of calls: the answer, the run and the failure.
+	const lines = 3 * callers * callsPerCaller
+	assert.Equal(t, int(logging.DroppedLines()-before), lines)
+	assert.Equal(t, len(out.lines("")), 0)
+	close(out.unblocked)
+	eventually(t, "the log tells of the drop", func() bool { return len(out.lines("lines were dropped")) == 1 })
+	writer.Close()
+}
+
+// TestReasonForNoRetryIsLogged guards against failed calls of which nobody can tell why
+// they were not attempted again.
+func TestReasonForNoRetryIsLogged(t *testing.T) {
+	withoutBudget := func(_ *publish.Service, route *publish.Route) { route.RetryBudget = 0 }
+	for _, c := range []struct {
+		name, path, reason string
+		change             func(*publish.Service, *publish.Route)
+		header             []string
+	}{
+		{"not idempotent", orders, "not idempotent, or status not to be retried", nil, []string{call.HeaderKey, newKey(t)}},
+		{"no retries", lookups, "no retries left", withoutRetries, nil},
+		{"no budget", lookups, "retry budget used up", withoutBudget, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			logs := make(meshLogs)
+			m := newMesh(t, 1, config(c.change), logs.capture(t))
+			m.nodes[0].setBehaviour(target.Behaviour{TruncateBody: true})
+			if c.path == lookups {
+				unreachable := "127.0.0.1:1"
+				m.nodes[0].address.Store(&unreachable)
+			}
+			got, err := m.nodes[0].do(t, t.Context(), http.MethodPost, c.path, nil, c.header...)
+			assert.NilError(t, err)
+			assert.Equal(t, got.status, http.StatusBadGateway)
+			lines := logs["a"].lines("attempt failed", "call="+got.id(), "again=false", c.reason)
+			assert.Equal(t, len(lines), 1, "%v", logs["a"].lines(got.id()))
+		})
+	}
+}
+
+// TestAttemptWithoutHostIsLogged guards against calls that end although their last line
+// says that another attempt follows.
+func TestAttemptWithoutHostIsLogged(t *testing.T) {
+	logs := make(meshLogs)
+	m := newMesh(t, 1, config(nil), logs.capture(t))
+	unreachable := "127.0.0.1:1"
+	m.nodes[0].address.Store(&unreachable)
+	got := m.nodes[0].get(t, lookups)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	id := "call=" + got.id()
+	assert.Equal(t, len(logs["a"].lines("attempt failed", id, "attempt=1", "again=true")), 1)
+	assert.Equal(t, len(logs["a"].lines("attempt not made", id, "attempt=2", "1 hosts excluded")), 1)
+}
