A publication without a verdict is answered within 8 s

What operators saw: while the log gives no answer, `publish` ended after its own limit of 10 s with "context deadline exceeded" and without the id that is needed to repeat the publication, which OPERATIONS says the error names. Found by review.

Cause: the wait for the verdict had no limit but the client.

Change: the administration API waits 8 s and then answers `unknown-result` with the id, before a client with the default limit gives up.

Evidence: TestPublicationWithoutVerdictIsAnsweredBeforeClientGivesUp failed before ("the client has given up"); 50 of 50 runs passed after.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -1,6 +1,9 @@
 package admin_test
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -8,6 +11,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
@@ -112,6 +117,35 @@
 	}
 }
 
+// silentSubmitter waits for a verdict that never comes.
+type silentSubmitter struct{}
+
+func (silentSubmitter) Submit(ctx context.Context, publication *publish.Publication) (publish.Verdict, error) {
+	<-ctx.Done()
+	return publish.Verdict{}, &publish.PendingError{ID: publication.GetId(), Err: ctx.Err()}
+}
+
+func TestPublicationWithoutVerdictIsAnsweredBeforeClientGivesUp(t *testing.T) {
+	// clientTimeout is the default time limit of the command line.
+	const clientTimeout = 10 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		options := admintest.New(logservice.New(logservice.Options{})).Options()
+		options.Submitter = silentSubmitter{}
+		publication := newPublication("heaters", 0, "20")
+		body, err := json.Marshal(publication)
+		assert.NilError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), clientTimeout)
+		defer cancel()
+		request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/publications", bytes.NewReader(body))
+		request.Header.Set("Content-Type", "application/json")
+		response := httptest.NewRecorder()
+		admin.New(options).Handler().ServeHTTP(response, request)
+		assert.NilError(t, ctx.Err(), "the client has given up")
+		assert.Equal(t, response.Code, http.StatusGatewayTimeout)
+		assert.Assert(t, strings.Contains(response.Body.String(), publication.ID), "%s", response.Body)
+	})
+}
+
 func TestMalformedBodiesAreRefused(t *testing.T) {
 	cases := map[string]int{
 		`{`:                        http.StatusBadRequest,
--- a/internal/admin/publications.go
+++ b/internal/admin/publications.go
@@ -1,9 +1,11 @@
 package admin
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -111,6 +113,10 @@
 	return claimed
 }
 
+// submitTimeout limits how long a request waits for the verdict on its publication.
+// It is below the default time limit of clients, so that they learn its id.
+const submitTimeout = 8 * time.Second
+
 // submit appends a publication and responds with its verdict.
 func (s *Server) submit(w http.ResponseWriter, r *request, publication *publish.Publication) error {
 	if problem := s.quotas.consume(publication.GetWorkspace()); problem != nil {
@@ -123,7 +129,9 @@
 	if refusal != nil {
 		return s.respond(w, *refusal)
 	}
-	verdict, err := s.Submitter.Submit(r.Context(), publication)
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
+	defer cancel()
+	verdict, err := s.Submitter.Submit(ctx, publication)
 	var notWritten *publish.NotWrittenError
 	switch {
 	case err == nil:
