--- a/internal/call/endless_test.go
+++ b/internal/call/endless_test.go
@@ -277,8 +277,7 @@
 	}
 }
 
-// A target that sends without end gives its caller no success that looks complete,
-// and keeps neither its slot nor its connection.
+// Bytes without end make no complete success and keep no slot and no connection.
 func TestEndlessBytesOfTargetEndWithTruthfulOutcome(t *testing.T) {
 	forEachEndlessForm(t, func(t *testing.T, e *endlessMesh, form endlessForm, expected ending) {
 		deadline := farDeadline
@@ -328,8 +327,7 @@
 	assert.Equal(t, len(got.header["A"]), lines)
 }
 
-// Bytes that follow a response are not taken for the response to a later call on the
-// same connection, and make no later call fail.
+// Bytes after a response are no response to a later call and make none fail.
 func TestBytesAfterResponseReachNoLaterCall(t *testing.T) {
 	const callers, callsEach = 6, 200
 	for _, rest := range []string{okHead + "Content-Length: 5\r\n\r\nother", "a"} {
@@ -349,8 +347,7 @@
 	}
 }
 
-// A call with a key ends with a whole answer or as unknown, and at most the longest
-// response that is stored is read.
+// A call with a key ends whole or as unknown, and reads at most what may be stored.
 func TestEndlessBytesOfTargetEndCallsWithKeys(t *testing.T) {
 	const maxRead = 1<<20 + 128<<10
 	forEachEndlessForm(t, func(t *testing.T, e *endlessMesh, form endlessForm, expected ending) {
@@ -424,8 +421,7 @@
 	return int64(stats.HeapAlloc)
 }
 
-// A daemon that stops waits for an endless body no longer than its stop may take, and
-// the caller does not take what it got for a whole response.
+// A stop does not wait for an endless body, and its caller does not take it for whole.
 func TestEndlessBodyDoesNotOutlastStop(t *testing.T) {
 	e := newEndlessMesh(t, endlessForm{start: chunkedHead, rest: "1\r\na\r\n"}, true, true)
 	response := e.endlessStream(t)
--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -30,8 +30,7 @@
 	return ctx
 }
 
-// TestAbortedCallsGetResponses aborts a running and a queued call of a caller, and a
-// running one of another daemon.
+// TestAbortedCallsGetResponses aborts a running and a queued call on either hop.
 func TestAbortedCallsGetResponses(t *testing.T) {
 	for _, remote := range []bool{false, true} {
 		m := newMesh(t, 2, config(oneSlot), nil)
--- a/internal/membership/neighbour_selection_test.go
+++ b/internal/membership/neighbour_selection_test.go
@@ -20,8 +20,7 @@
 	assert.Equal(t, len(m.desiredPeers()), 0)
 }
 
-// TestGoneHostOfLogIsNotDialledAgainBeforeOthers has a bridge dial the unknown
-// hosts of the log, none of which answers.
+// TestGoneHostOfLogIsNotDialledAgainBeforeOthers has a bridge whose dials all fail.
 func TestGoneHostOfLogIsNotDialledAgainBeforeOthers(t *testing.T) {
 	const recorded, rounds = 20, 3
 	m := newUnconnected("a")
@@ -47,8 +46,7 @@
 	}
 }
 
-// TestUnansweredDialsOfUnknownHostsSlowDown bounds what records of gone hosts
-// cost a bridge for as long as the log holds them.
+// TestUnansweredDialsOfUnknownHostsSlowDown bounds the cost of records of gone hosts.
 func TestUnansweredDialsOfUnknownHostsSlowDown(t *testing.T) {
 	m := newUnconnected("a")
 	assert.Assert(t, m.unknownHostDelay("gone") <= 2*firstDialSpread)
