--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -30,8 +30,7 @@
 	return ctx
 }
 
-// TestAbortedCallsGetResponses stops a server with a running and a queued call, of its
-// own caller and of another daemon.
+// TestAbortedCallsGetResponses stops a server with a running and a queued call on either hop.
 func TestAbortedCallsGetResponses(t *testing.T) {
 	for _, remote := range []bool{false, true} {
 		m := newMesh(t, 2, config(oneSlot), nil)
