A call in progress as a stop begins leaves no idle connection

Callers saw: a request on a kept connection to a stopping daemon could cross the close of its process and get no answer.

Cause: a stopping daemon asks its callers to close their connections, but decided so when a request arrived. The response of a call that was in progress at the SIGTERM did not say it, so its connection stayed open until the process ended.

Change: the header is set as the response is written, in the two places that write one.

Left are the connections that are idle since before the SIGTERM.

TestCallInProgressAtStopLeavesNoIdleConnection fails without it, for an answered and for a refused call.

--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -59,6 +59,7 @@
 func (s *Server) respondToCaller(ctx context.Context, w http.ResponseWriter, c *outboundCall, writeErr ErrorWriter) {
 	start := s.now()
 	result, failure := s.execute(ctx, c)
+	s.closeIfStopping(w)
 	if failure != nil {
 		c.trace.failed(failure)
 		s.countFailure(failure)
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -44,7 +44,6 @@
 func (s *Server) ServeCall(w http.ResponseWriter, r *http.Request, in InboundCall, writeErr ErrorWriter) {
 	end := s.inflight.begin()
 	defer end()
-	s.closeIfStopping(w)
 	if s.inflight.isShuttingDown() {
 		s.rejectCaller(w, in.ID, s.stoppingError(), writeErr)
 		return
@@ -73,7 +72,6 @@
 func (s *Server) Reject(w http.ResponseWriter, id string, failure *Error, writeErr ErrorWriter) {
 	end := s.inflight.begin()
 	defer end()
-	s.closeIfStopping(w)
 	s.rejectCaller(w, id, failure, writeErr)
 }
 
@@ -90,6 +88,7 @@
 func (s *Server) rejectCaller(w http.ResponseWriter, id string, failure *Error, writeErr ErrorWriter) {
 	s.newTrace(id, "", "").failed(failure)
 	s.countFailure(failure)
+	s.closeIfStopping(w)
 	writeErr(w, id, failure)
 }
 
@@ -102,7 +101,8 @@
 }
 
 // closeIfStopping makes a caller open a new connection for its next call while the
-// daemon drains or stops.
+// daemon drains or stops. It is called as the response is written, because the stop
+// may have begun after the request arrived.
 func (s *Server) closeIfStopping(w http.ResponseWriter) {
 	if s.inflight.closesConnections() {
 		w.Header().Set("Connection", "close")
--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"testing"
 	"time"
 
@@ -110,6 +112,31 @@
 	assert.Assert(t, refused.RetryAfter() > 59*time.Minute, "%s", refused.RetryAfter())
 }
 
+// TestCallInProgressAtStopLeavesNoIdleConnection begins a stop while the body of a
+// request is being sent. Its response asks the caller to close the connection.
+func TestCallInProgressAtStopLeavesNoIdleConnection(t *testing.T) {
+	for name, behaviour := range map[string]target.Behaviour{"answered": {}, "refused": {Shed: true}} {
+		t.Run(name, func(t *testing.T) {
+			m := newMesh(t, 1, config(withoutRetries), nil)
+			n := m.nodes[0]
+			n.setBehaviour(behaviour)
+			body, write := io.Pipe()
+			var tasks conc.WaitGroup
+			tasks.Go(func() {
+				_, err := n.do(t, t.Context(), http.MethodPost, lookups, body)
+				assert.Check(t, err)
+			})
+			eventually(t, "the call is in progress", func() bool { return n.server.InProgress() == 1 })
+			n.server.DisableKeepAlives()
+			assert.NilError(t, write.Close())
+			tasks.Wait()
+			trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { assert.Check(t, !info.Reused) }}
+			_, err := n.do(t, httptrace.WithClientTrace(t.Context(), trace), http.MethodGet, lookups, nil)
+			assert.NilError(t, err)
+		})
+	}
+}
+
 func TestQueuedRequestDoesNotReachDrainingTarget(t *testing.T) {
 	m := newMesh(t, 1, config(oneSlot), nil)
 	n := m.nodes[0]
