A request on a connection accepted as the process ends gets its 503

Cause: at its end the daemon shut its HTTP servers down at once. From then on net/http closes a connection without a response even if it reads a request on it, so a request on a connection that had just been accepted got none.

Change: a server first closes its listener, then waits until no accepted connection awaits or answers a request, and shuts down after that. The two waits together last the close timeout at most, as the one did before.

--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -74,32 +73,32 @@
 }
 
 // serveHTTP serves HTTP on a listener until ctx is cancelled, then closes the
-// listener and its connections. Responses that are being written get closeTimeout.
+// listener and its connections. Requests on connections that were accepted before
+// get closeTimeout for their responses.
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	requests := &openRequests{conns: make(map[net.Conn]struct{})}
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnState:         requests.observe,
 	}
-	closed := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(closed)
-		closeHTTP(server)
-	})
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	err := server.Serve(listener)
-	if !stop() {
-		<-closed
+	if stop() {
+		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return fmt.Errorf("serve %s: %w", listener.Addr(), err)
+	closeHTTP(server, requests)
+	return nil
 }
 
-// closeHTTP closes the listener and the connections of a server.
-func closeHTTP(server *http.Server) {
+// closeHTTP closes the connections of a server that accepts no more. Once its
+// shutdown has begun, the server closes a connection without a response even if it
+// then reads a request on it.
+func closeHTTP(server *http.Server, requests *openRequests) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	requests.waitNone(ctx)
 	if server.Shutdown(ctx) != nil {
 		_ = server.Close()
 	}
