--- a/internal/daemon/components.go
+++ b/internal/daemon/components.go
@@ -39,11 +39,11 @@
 // startHTTP serves HTTP on a listener until ctx is cancelled, then closes the
 // listener and its connections.
 func (c *components) startHTTP(ctx context.Context, listener net.Listener, handler http.Handler) {
-	server := newHTTPServer(handler)
-	c.start(ctx, func(context.Context) error { return serveHTTP(server, listener) })
+	server := newHTTPServer(listener, handler)
+	c.start(ctx, func(context.Context) error { return server.serve() })
 	c.start(ctx, func(ctx context.Context) error {
 		<-ctx.Done()
-		closeHTTP(server)
+		server.close()
 		return nil
 	})
 }
--- /dev/null
+++ b/internal/daemon/http_server.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// readHeaderTimeout limits how long a client may take to send its headers.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout is how long an HTTP connection without requests stays open.
+	idleTimeout = 2 * time.Minute
+	// closeTimeout limits how long responses may still be written when the server
+	// closes.
+	closeTimeout = 100 * time.Millisecond
+)
+
+// httpServer serves HTTP on one listener.
+type httpServer struct {
+	server   *http.Server
+	listener net.Listener
+	requests *openRequests
+	// served is closed when serve has returned.
+	served chan struct{}
+}
+
+func newHTTPServer(listener net.Listener, handler http.Handler) *httpServer {
+	requests := &openRequests{conns: make(map[net.Conn]struct{})}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ConnState:         requests.observe,
+	}
+	return &httpServer{server: server, listener: listener, requests: requests, served: make(chan struct{})}
+}
+
+// serve accepts connections until the listener is closed or Accept fails. The
+// connections that were accepted before stay open until close.
+func (s *httpServer) serve() error {
+	defer close(s.served)
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
+}
+
+// close closes the listener and then the connections. Requests on connections that
+// were accepted before get closeTimeout for their responses: once its shutdown has
+// begun, net/http closes a connection without a response even if it then reads a
+// request on it.
+func (s *httpServer) close() {
+	_ = s.listener.Close()
+	<-s.served
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	s.requests.waitNone(ctx)
+	if s.server.Shutdown(ctx) != nil {
+		_ = s.server.Close()
+	}
+}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -1,26 +1,12 @@
 package daemon
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"net"
-	"net/http"
-	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/settings"
 )
 
-const (
-	// readHeaderTimeout limits how long a client may take to send its headers.
-	readHeaderTimeout = 5 * time.Second
-	// idleTimeout is how long an HTTP connection without requests stays open.
-	idleTimeout = 2 * time.Minute
-	// closeTimeout limits how long responses may still be written when the server
-	// closes.
-	closeTimeout = 100 * time.Millisecond
-)
-
 // listeners holds the open TCP listeners of one daemon.
 type listeners struct {
 	callers net.Listener
@@ -72,32 +58,3 @@
 		}
 	}
 }
-
-// newHTTPServer returns a server whose connections are closed by closeHTTP.
-func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-	}
-}
-
-// serveHTTP accepts connections until the server is closed or Accept fails. The
-// connections that were accepted before a failure stay open.
-func serveHTTP(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return fmt.Errorf("serve %s: %w", listener.Addr(), err)
-}
-
-// closeHTTP closes the listener and the connections of a server. Responses that are
-// being written get closeTimeout.
-func closeHTTP(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if server.Shutdown(ctx) != nil {
-		_ = server.Close()
-	}
-}
