A dial that times out no longer ends a call that has time left

What callers saw: 504 after 1 s, though their deadline was later and other targets were free, and though nothing had been sent.

Cause: the error of a dial that takes longer than dialTimeout satisfies errors.Is(err, context.DeadlineExceeded), and statusOf took it for the deadline of the call, which is final.

Change: the transport replaces that error. The attempt fails with 502, not-run, as a refused dial does, and may go to another host.

--- a/internal/call/transport.go
+++ b/internal/call/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -54,7 +55,7 @@
 			defer cancel()
 			conn, err := dial(ctx, network, address)
 			if err != nil {
-				return nil, err
+				return nil, dialError(err)
 			}
 			return newTrackedConn(conn), nil
 		},
@@ -66,6 +67,18 @@
 	}
 }
 
+// dialError returns the error of a failed dial. One that timed out must not be taken
+// for one of a call that has reached its deadline.
+func dialError(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("%w: %v", errDialTimeout, err)
+	}
+	return err
+}
+
+// errDialTimeout is the error of a dial that took longer than dialTimeout.
+var errDialTimeout = errors.New("dial timed out")
+
 // Errors of connections on which a request must not be written, or was not.
 var (
 	errWritesBlocked   = errors.New("writes on this connection are blocked")
