A wait for a connection to another daemon leaves time for another host

What callers saw: 504, not-run, at their deadline, though other targets were free.

Cause: an attempt waits for one of the connections to a daemon (PeerConnections), or for a dial, with no limit but the deadline of the call. Requests to a frozen daemon hold all connections, and a host that is cut off answers no dial.

Change: while another host could serve the call, the wait is limited to 250 ms and to half of the time left. The attempt is then not-run and may go on as after a refusal, free of the retry budget within the refusals of the route. A connection that comes at that moment is closed before a byte is written, so not-run holds. Calls with a key, which have one home, wait as before. New metric mulberrybank_call_connection_timeouts_total.

--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -12,6 +12,9 @@
 	SplitPath     = splitPath
 )
 
+// MaxConnWait exports maxConnWait.
+const MaxConnWait = maxConnWait
+
 // AdmissionQueue exports an admissionQueue to tests.
 type AdmissionQueue struct{ admission *admissionQueue }
 
--- a/internal/call/metrics.go
+++ b/internal/call/metrics.go
@@ -21,6 +21,8 @@
 	refused    *metrics.Counter
 	keyed      *metrics.Counter
 	replayed   *metrics.Counter
+	// connTimeouts counts attempts that got no connection in time.
+	connTimeouts *metrics.Counter
 	// durations holds the durations of calls by priority, the last one for that
 	// and all lower priorities.
 	durations [trackedPriorities]*metrics.Histogram
@@ -41,21 +43,22 @@
 		return set.GetOrCreateHistogram(fmt.Sprintf(`mulberrybank_call_stage_seconds{stage=%q}`, name))
 	}
 	c := counters{
-		answered:   set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="answered"}`),
-		notRun:     set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="not-run"}`),
-		unknown:    set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="unknown"}`),
-		truncated:  set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="cut"}`),
-		aborted:    set.GetOrCreateCounter(`mulberrybank_calls_aborted_total`),
-		retries:    set.GetOrCreateCounter(`mulberrybank_call_retries_total`),
-		hedges:     set.GetOrCreateCounter(`mulberrybank_call_hedges_total`),
-		overBudget: set.GetOrCreateCounter(`mulberrybank_call_retries_over_budget_total`),
-		admitted:   set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="admitted"}`),
-		refused:    set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="refused"}`),
-		keyed:      set.GetOrCreateCounter(`mulberrybank_gate_keyed_requests_total`),
-		replayed:   set.GetOrCreateCounter(`mulberrybank_gate_replays_total`),
-		queue:      stage("queue"),
-		target:     stage("target"),
-		peer:       stage("peer"),
+		answered:     set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="answered"}`),
+		notRun:       set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="not-run"}`),
+		unknown:      set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="unknown"}`),
+		truncated:    set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="cut"}`),
+		aborted:      set.GetOrCreateCounter(`mulberrybank_calls_aborted_total`),
+		retries:      set.GetOrCreateCounter(`mulberrybank_call_retries_total`),
+		hedges:       set.GetOrCreateCounter(`mulberrybank_call_hedges_total`),
+		overBudget:   set.GetOrCreateCounter(`mulberrybank_call_retries_over_budget_total`),
+		admitted:     set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="admitted"}`),
+		refused:      set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="refused"}`),
+		keyed:        set.GetOrCreateCounter(`mulberrybank_gate_keyed_requests_total`),
+		replayed:     set.GetOrCreateCounter(`mulberrybank_gate_replays_total`),
+		connTimeouts: set.GetOrCreateCounter(`mulberrybank_call_connection_timeouts_total`),
+		queue:        stage("queue"),
+		target:       stage("target"),
+		peer:         stage("peer"),
 	}
 	for priority := range c.durations {
 		c.durations[priority] = set.GetOrCreateHistogram(fmt.Sprintf(`mulberrybank_call_duration_seconds{rank="%d"}`, priority))
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -89,14 +89,18 @@
 	if s.inflight.isDraining() {
 		exclude = withHost(exclude, s.self.Host)
 	}
-	routeRequest := route.Request{Service: c.request.service, Exclude: exclude, Priority: c.request.priority, Repeatable: c.route.Idempotent}
-	choice, err := s.router.Choose(routeRequest)
+	choice, err := s.router.Choose(c.routeRequest(exclude))
 	if err != nil {
 		return route.Choice{}, s.fail(NotRun, StepPick, http.StatusServiceUnavailable, err)
 	}
 	return choice, nil
 }
 
+// routeRequest returns what the router needs to know of the call.
+func (c *outboundCall) routeRequest(exclude map[string]bool) route.Request {
+	return route.Request{Service: c.request.service, Exclude: exclude, Priority: c.request.priority, Repeatable: c.route.Idempotent}
+}
+
 func withHost(hosts map[string]bool, host string) map[string]bool {
 	extended := make(map[string]bool, len(hosts)+1)
 	for name := range hosts {
@@ -133,6 +137,9 @@
 	q := c.request
 	q.attempt = number
 	q.retries = route.NextHopRetries(c.retriesLeft)
+	if member.Host != s.self.Host {
+		q.mayGoElsewhere = s.elsewhereFunc(c, member.Host)
+	}
 	c.trace.sent(number, member.Host)
 	s.router.Begin(member.Host)
 	return func(ctx context.Context) (*targetResponse, *Error) {
@@ -164,6 +171,9 @@
 	start := s.now()
 	response, failed, err := s.roundTrip(ctx, s.peerConns, member.CallsAddress, q, func() {}, nil)
 	s.counters.peer.Update(s.now().Sub(start).Seconds())
+	if errors.Is(err, errConnWait) {
+		s.counters.connTimeouts.Inc()
+	}
 	if err != nil {
 		failure := &Error{
 			Outcome: sendOutcome(failed.mayHaveSent),
--- a/internal/call/peer_wait_test.go
+++ b/internal/call/peer_wait_test.go
@@ -8,11 +8,14 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/mulberrybank/mulberrybank/internal/call"
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/standin/target"
 )
 
 // withRefusals allows free retries after refusals, as the front ends do.
@@ -61,3 +64,57 @@
 	}
 	assert.Assert(t, dials.Load() > 0)
 }
+
+// Two calls hold all connections to a host; the others are served by another one.
+func TestBusyConnectionsDoNotUseUpDeadline(t *testing.T) {
+	const connections = 2
+	m := newMesh(t, 3, config(withRefusals), func(i int, o *call.Options) { o.PeerConnections = connections })
+	from, busy, other := m.nodes[0], m.nodes[1], m.nodes[2]
+	other.member.Zone = "zone-2"
+	m.shareView()
+	busy.setBehaviour(target.Behaviour{Hang: true})
+	from.routeOnlyTo(busy)
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer cancel()
+	for range connections {
+		tasks.Go(func() { _, _ = from.do(t, ctx, http.MethodGet, lookups, nil) })
+	}
+	eventually(t, "all connections are in use", func() bool { return busy.server.Load().Busy == connections })
+	m.shareView()
+	from.routeOnlyToPeers()
+	const calls = 3
+	for range calls {
+		assert.Equal(t, from.get(t, lookups).status, http.StatusOK)
+	}
+	assert.Equal(t, len(other.target.Runs()), calls)
+}
+
+// A host that cannot be reached, but neither refuses connections, is given up for
+// another one; without another one the attempt waits on.
+func TestSlowDialDoesNotUseUpDeadline(t *testing.T) {
+	var slow atomic.Pointer[string]
+	accept := make(chan struct{})
+	m := newMesh(t, 3, config(withRefusals), func(_ int, o *call.Options) {
+		o.DialPeers = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if address == *slow.Load() {
+				<-accept
+			}
+			return (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, address)
+		}
+	})
+	from, unreachable, other := m.nodes[0], m.nodes[1], m.nodes[2]
+	slow.Store(&unreachable.member.CallsAddress)
+	other.member.Zone = "zone-2"
+	m.shareView()
+	from.routeOnlyToPeers()
+	assert.Equal(t, from.get(t, lookups).status, http.StatusOK)
+	assert.Equal(t, len(other.target.Runs()), 1)
+	from.routeOnlyTo(unreachable)
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { assert.Check(t, is.Equal(from.get(t, lookups).status, http.StatusOK)) })
+	time.Sleep(2 * call.MaxConnWait)
+	close(accept)
+}
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -40,12 +40,16 @@
 	deadline     time.Time
 	// retries is the number of retries that the next hop may use.
 	retries int
-	method  string
-	host    string
-	path    string
-	query   string
-	header  http.Header
-	body    *body
+	// mayGoElsewhere reports whether another host could serve the call if this
+	// attempt gets no connection. It is nil if the attempt waits for one until its
+	// deadline.
+	mayGoElsewhere func() bool
+	method         string
+	host           string
+	path           string
+	query          string
+	header         http.Header
+	body           *body
 }
 
 // admissionRequest returns what the admission queue needs to know of the request.
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -209,6 +209,11 @@
 	if rewriteHeader != nil {
 		rewriteHeader(out.Header, remaining)
 	}
+	if q.mayGoElsewhere != nil {
+		var stop func() bool
+		ctx, stop = limitConnWait(ctx, connWaitLimit(remaining), q.mayGoElsewhere)
+		defer stop()
+	}
 	response, err := transport.RoundTrip(out.WithContext(tracker.trace(ctx, onWrite)))
 	if err == nil {
 		response.Body = &trackedBody{ReadCloser: response.Body, tracker: tracker}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -120,6 +120,16 @@
 	return chosen.member, err
 }
 
+// HasTarget reports whether a reachable target may take a call that has not recently
+// refused calls of its priority as full.
+func (r *Router) HasTarget(request Request) bool {
+	members := r.directory.View().ByService[request.Service.Name]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	healthy, _ := r.candidates(members, request, r.now())
+	return len(excludeFull(healthy)) > 0
+}
+
 func (r *Router) pick(request Request) (candidate, bool, error) {
 	members := r.directory.View().ByService[request.Service.Name]
 	r.mu.Lock()
