Silent connections to a daemon cost one call, not one each

Cause: when a request reaches its deadline net/http closes its own connection and no other. The idle ones that died with it are handed out one after the other.

Change: a request that was sent and got no byte by its deadline marks the address. A connection from which nothing was read since that request was sent is blocked when it is handed out; the request was not sent and goes to a new connection, as it did already on connections that are found closed. Connections that have answered since are kept.

--- a/internal/call/fault_test.go
+++ b/internal/call/fault_test.go
@@ -425,3 +425,34 @@
 		assert.Equal(t, got.step(), call.StepAnswer)
 	}
 }
+
+// When several idle connections to a daemon were blackholed, one call is lost, not one
+// for each of them.
+func TestSilentConnectionsCostOneCall(t *testing.T) {
+	const connections = 4
+	network := &blackholeNetwork{}
+	_, from, to := twoHops(t, config(withoutRetries), func(i int, o *call.Options) {
+		if i == 0 {
+			o.Dial = network.dial
+		}
+	})
+	hold := make(chan struct{})
+	targetServer := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hold }))
+	defer targetServer.Close()
+	address := strings.TrimPrefix(targetServer.URL, "http://")
+	to.address.Store(&address)
+	var tasks conc.WaitGroup
+	for range connections {
+		tasks.Go(func() { assert.Check(t, from.get(t, lookups).status == http.StatusOK) })
+	}
+	eventually(t, "all calls are in progress", func() bool { return to.server.Load().Busy == connections })
+	close(hold)
+	tasks.Wait()
+	assert.Equal(t, network.blackholeAll(), connections)
+	got := from.get(t, lookups, call.HeaderDeadline, "200ms")
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	assert.Equal(t, got.outcome(), string(call.Unknown))
+	for range 2 * connections {
+		assert.Equal(t, from.get(t, lookups).status, http.StatusOK)
+	}
+}
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -171,10 +171,8 @@
 	start := s.now()
 	response, failed, err := s.roundTrip(ctx, s.peerConns, member.CallsAddress, q, func() {}, nil)
 	s.counters.peer.Update(s.now().Sub(start).Seconds())
-	if errors.Is(err, errConnWait) {
-		s.counters.connTimeouts.Inc()
-	}
 	if err != nil {
+		s.recordPeerFailure(ctx, member.CallsAddress, failed, err)
 		failure := &Error{
 			Outcome: sendOutcome(failed.mayHaveSent),
 			Step:    StepPeer,
@@ -199,6 +197,18 @@
 	return s.acceptPeerResponse(ctx, q, member.Host, response, load)
 }
 
+// recordPeerFailure records an attempt that got no response from another daemon. One
+// that waited for a byte of it until its deadline shows that the connections to that
+// daemon may be dead.
+func (s *Server) recordPeerFailure(ctx context.Context, address string, failed sendFailure, err error) {
+	if errors.Is(err, errConnWait) {
+		s.counters.connTimeouts.Inc()
+	}
+	if failed.unanswered && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		s.peerConns.silent.record(address, failed.acquired, time.Now())
+	}
+}
+
 func (s *Server) acceptPeerResponse(ctx context.Context, q *request, host string, response *http.Response, load *route.Load) (*targetResponse, *Error) {
 	status := response.StatusCode
 	result, err := newTargetResponse(response, func(complete bool) {
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -180,10 +180,13 @@
 type sendFailure struct {
 	// mayHaveSent says that a byte of the request may have been sent.
 	mayHaveSent bool
+	// unanswered says that it was sent and no byte of a response was read.
+	unanswered bool
 	// reused says that its connection had carried an earlier request.
 	reused bool
-	// idle is how long the connection had been idle before the request, used how
-	// long the request was using it.
+	// acquired is when the request got its connection, idle is how long that had been
+	// idle before, used how long the request was using it.
+	acquired   time.Time
 	idle, used time.Duration
 }
 
--- a/internal/call/transport.go
+++ b/internal/call/transport.go
@@ -35,17 +35,19 @@
 type transports struct {
 	// pooled keeps connections for later requests, unpooled opens one for each.
 	pooled, unpooled *http.Transport
+	silent           *silentAddresses
 }
 
 func newTransports(dial DialFunc, connections int, headBytes int64) transports {
-	unpooled := newTransport(dial, connections, headBytes)
+	silent := newSilentAddresses()
+	unpooled := newTransport(dial, connections, headBytes, silent)
 	unpooled.DisableKeepAlives = true
-	return transports{pooled: newTransport(dial, connections, headBytes), unpooled: unpooled}
+	return transports{pooled: newTransport(dial, connections, headBytes, silent), unpooled: unpooled, silent: silent}
 }
 
 // newTransport returns a transport with at most the given number of connections
 // per address and of bytes in the head of a response.
-func newTransport(dial DialFunc, connections int, headBytes int64) *http.Transport {
+func newTransport(dial DialFunc, connections int, headBytes int64, silent *silentAddresses) *http.Transport {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}).DialContext
 	}
@@ -57,7 +59,7 @@
 			if err != nil {
 				return nil, dialError(err)
 			}
-			return newTrackedConn(conn), nil
+			return newTrackedConn(conn, address, silent), nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
@@ -90,6 +92,9 @@
 // arrived that belong to no request.
 type trackedConn struct {
 	net.Conn
+	address string
+	silent  *silentAddresses
+
 	mu sync.Mutex
 	// changed is signalled when a read begins and when the connection is closed.
 	changed       sync.Cond
@@ -102,34 +107,50 @@
 	// requestPending is set until its first write.
 	readBefore     uint64
 	requestPending bool
+	// lastRead is when bytes were last read, at first when the connection was opened.
+	lastRead time.Time
 }
 
-func newTrackedConn(conn net.Conn) *trackedConn {
-	c := &trackedConn{Conn: conn}
+func newTrackedConn(conn net.Conn, address string, silent *silentAddresses) *trackedConn {
+	c := &trackedConn{Conn: conn, address: address, silent: silent, lastRead: time.Now()}
 	c.changed.L = &c.mu
 	return c
 }
 
 // beginRequest prepares the connection for a request and returns the number of bytes
 // written before. It waits until the transport reads: while that has bytes left that
-// follow an earlier response, it does not read but closes the connection.
+// follow an earlier response, it does not read but closes the connection. A connection
+// that may be dead is blocked.
 func (c *trackedConn) beginRequest() (offset uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for !c.reading && !c.closed {
 		c.changed.Wait()
 	}
+	if c.silent.suspects(c.address, c.lastRead) {
+		c.writesBlocked = true
+	}
 	c.readBefore, c.requestPending = c.bytesRead, true
 	return c.bytesWritten
 }
 
+// readNothing reports whether nothing was read since the last request began.
+func (c *trackedConn) readNothing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytesRead == c.readBefore
+}
+
 func (c *trackedConn) Read(p []byte) (int, error) {
 	c.beginRead()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	c.bytesRead += uint64(n)
+	if n > 0 {
+		c.bytesRead += uint64(n)
+		c.lastRead = time.Now()
+	}
 	return n, err
 }
 
@@ -251,7 +272,14 @@
 	mayHaveSent := t.mayHaveWritten()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return sendFailure{mayHaveSent: mayHaveSent, reused: t.reused, idle: t.idle, used: time.Since(t.acquired)}
+	return sendFailure{
+		mayHaveSent: mayHaveSent,
+		unanswered:  mayHaveSent && len(t.conns) > 0 && t.conns[len(t.conns)-1].readNothing(),
+		reused:      t.reused,
+		idle:        t.idle,
+		acquired:    t.acquired,
+		used:        time.Since(t.acquired),
+	}
 }
 
 // mayHaveWritten reports whether a byte of the request may have been written.
