An idempotent call is repeated once the daemon it waits at is known to be gone

What callers saw: a call that had been sent to a daemon which then froze or lost power waited until its deadline, also after membership had the host as unreachable or another process in its place, and with time and retry budget left.

Cause: a request between daemons had no limit but the deadline of its call, and nothing told it of the membership.

Change: 500 ms after an attempt of an idempotent call was sent it begins to follow the view. When its daemon is unreachable there or has another incarnation, and another target can take the call, the retry is taken from the budget and the attempt is given up and made elsewhere. Calls that may run only once wait as before. The hedge code covers none of this: it starts after a delay that the route gives, and the users' platform gives none. New metric mulberrybank_call_peers_gone_total.

--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -12,8 +12,11 @@
 	SplitPath     = splitPath
 )
 
-// MaxConnWait exports maxConnWait.
-const MaxConnWait = maxConnWait
+// Limits on the waits of attempts at other daemons.
+const (
+	MaxConnWait    = maxConnWait
+	PeerWatchDelay = peerWatchDelay
+)
 
 // AdmissionQueue exports an admissionQueue to tests.
 type AdmissionQueue struct{ admission *admissionQueue }
--- a/internal/call/mesh_test.go
+++ b/internal/call/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -26,6 +27,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/route"
 	"github.com/mulberrybank/mulberrybank/internal/standin/target"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 const (
@@ -63,11 +65,21 @@
 
 // directory provides the view of one daemon.
 type directory struct {
-	view atomic.Pointer[membership.View]
+	view    atomic.Pointer[membership.View]
+	changed wait.Broadcast
 }
 
 func (d *directory) View() *membership.View   { return d.view.Load() }
-func (d *directory) Changed() <-chan struct{} { return nil }
+func (d *directory) Changed() <-chan struct{} { return d.changed.Wait() }
+
+// change replaces a member of the view and announces that.
+func (d *directory) change(member membership.Member) {
+	view := *d.View()
+	view.Members = maps.Clone(view.Members)
+	view.Members[member.Host] = member
+	d.view.Store(&view)
+	d.changed.Notify()
+}
 
 // events holds the events that a daemon recorded.
 type events struct {
--- a/internal/call/metrics.go
+++ b/internal/call/metrics.go
@@ -23,6 +23,8 @@
 	replayed   *metrics.Counter
 	// connTimeouts counts attempts that got no connection in time.
 	connTimeouts *metrics.Counter
+	// peersGone counts attempts given up because their daemon was gone.
+	peersGone *metrics.Counter
 	// durations holds the durations of calls by priority, the last one for that
 	// and all lower priorities.
 	durations [trackedPriorities]*metrics.Histogram
@@ -56,6 +58,7 @@
 		keyed:        set.GetOrCreateCounter(`mulberrybank_gate_keyed_requests_total`),
 		replayed:     set.GetOrCreateCounter(`mulberrybank_gate_replays_total`),
 		connTimeouts: set.GetOrCreateCounter(`mulberrybank_call_connection_timeouts_total`),
+		peersGone:    set.GetOrCreateCounter(`mulberrybank_call_peers_gone_total`),
 		queue:        stage("queue"),
 		target:       stage("target"),
 		peer:         stage("peer"),
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -138,7 +138,7 @@
 	q.attempt = number
 	q.retries = route.NextHopRetries(c.retriesLeft)
 	if member.Host != s.self.Host {
-		q.mayGoElsewhere = s.elsewhereFunc(c, member.Host)
+		s.allowGiveUp(&q, c, member.Host)
 	}
 	c.trace.sent(number, member.Host)
 	s.router.Begin(member.Host)
@@ -169,7 +169,7 @@
 	q.header = s.peerHeader(q)
 	q.header.Set(HeaderTo, member.Host)
 	start := s.now()
-	response, failed, err := s.roundTrip(ctx, s.peerConns, member.CallsAddress, q, func() {}, nil)
+	response, failed, err := s.roundTripToPeer(ctx, q, member)
 	s.counters.peer.Update(s.now().Sub(start).Seconds())
 	if err != nil {
 		s.recordPeerFailure(ctx, member.CallsAddress, failed, err)
@@ -197,6 +197,22 @@
 	return s.acceptPeerResponse(ctx, q, member.Host, response, load)
 }
 
+// roundTripToPeer is roundTrip to the daemon of another host. An attempt that may be
+// repeated waits only until that daemon is gone.
+func (s *Server) roundTripToPeer(ctx context.Context, q *request, member membership.Member) (*http.Response, sendFailure, error) {
+	if q.takeRetry == nil {
+		return s.roundTrip(ctx, s.peerConns, member.CallsAddress, q, func() {}, nil)
+	}
+	ctx, served, stop := s.watchPeer(ctx, q, member)
+	defer stop()
+	response, failed, err := s.roundTrip(ctx, s.peerConns, member.CallsAddress, q, func() {}, nil)
+	if err == nil && !served() {
+		_ = response.Body.Close()
+		return nil, sendFailure{mayHaveSent: true}, errPeerGone
+	}
+	return response, failed, err
+}
+
 // recordPeerFailure records an attempt that got no response from another daemon. One
 // that waited for a byte of it until its deadline shows that the connections to that
 // daemon may be dead.
@@ -204,6 +220,9 @@
 	if errors.Is(err, errConnWait) {
 		s.counters.connTimeouts.Inc()
 	}
+	if errors.Is(err, errPeerGone) {
+		s.counters.peersGone.Inc()
+	}
 	if failed.unanswered && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		s.peerConns.silent.record(address, failed.acquired, time.Now())
 	}
--- a/internal/call/peer_wait_test.go
+++ b/internal/call/peer_wait_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -118,3 +119,85 @@
 	time.Sleep(2 * call.MaxConnWait)
 	close(accept)
 }
+
+// Calls wait at a daemon that never answers, until membership has another word of it.
+func TestCallDoesNotWaitForGoneDaemon(t *testing.T) {
+	unreachable := func(m *membership.Member) { m.Reachability = membership.Unreachable }
+	replaced := func(m *membership.Member) { m.Version.Incarnation++ }
+	changes := map[string]func(*membership.Member){"unreachable": unreachable, "replaced": replaced}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			m, frozen := frozenPeer(t, withRefusals)
+			from, other := m.nodes[0], m.nodes[2]
+			var tasks conc.WaitGroup
+			defer tasks.Wait()
+			tasks.Go(func() { assert.Check(t, is.Equal(from.get(t, lookups).status, http.StatusOK)) })
+			eventually(t, "the call waits", func() bool { return frozen.server.Load().Busy == 1 })
+			time.Sleep(2 * call.PeerWatchDelay)
+			gone := frozen.member
+			change(&gone)
+			from.dir.change(gone)
+			tasks.Wait()
+			assert.Equal(t, len(other.target.Runs()), 1)
+		})
+	}
+}
+
+// A call that may run only once waits for its response: the host may come back.
+func TestUnrepeatableCallIsNotGivenUp(t *testing.T) {
+	m, frozen := frozenPeer(t, withRefusals)
+	from, other := m.nodes[0], m.nodes[2]
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { _, _ = from.do(t, ctx, http.MethodPost, orders, strings.NewReader("order")) })
+	eventually(t, "the call waits", func() bool { return frozen.server.Load().Busy == 1 })
+	gone := frozen.member
+	gone.Reachability = membership.Unreachable
+	from.dir.change(gone)
+	time.Sleep(2 * call.PeerWatchDelay)
+	assert.Equal(t, from.server.InProgress(), 1)
+	cancel()
+	tasks.Wait()
+	assert.Equal(t, len(other.target.Runs()), 0)
+}
+
+// Of four calls that wait at a gone daemon three find a retry in the budget; the other
+// one waits on, as the daemon may answer yet.
+func TestCallBeyondRetryBudgetWaitsOn(t *testing.T) {
+	const calls, retries = 4, 3
+	almostNoBudget := func(_ *publish.Service, route *publish.Route) { route.RetryBudget = 0.001 }
+	m, frozen := frozenPeer(t, almostNoBudget)
+	from, other := m.nodes[0], m.nodes[2]
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer cancel()
+	for range calls {
+		tasks.Go(func() { _, _ = from.do(t, ctx, http.MethodGet, lookups, nil) })
+	}
+	eventually(t, "the calls wait", func() bool { return frozen.server.Load().Busy == calls })
+	time.Sleep(2 * call.PeerWatchDelay)
+	gone := frozen.member
+	gone.Reachability = membership.Unreachable
+	from.dir.change(gone)
+	eventually(t, "the budget is used up", func() bool { return len(other.target.Runs()) == retries })
+	time.Sleep(2 * call.PeerWatchDelay)
+	assert.Equal(t, from.server.InProgress(), calls-retries)
+}
+
+// frozenPeer returns three hosts; calls of the first go to the second, whose target
+// never answers, and otherwise to the third.
+func frozenPeer(t *testing.T, change func(*publish.Service, *publish.Route)) (*mesh, *node) {
+	longDeadline := func(service *publish.Service, route *publish.Route) {
+		route.Deadline = time.Hour
+		route.Keyless = true
+		change(service, route)
+	}
+	m := newMesh(t, 3, config(longDeadline), nil)
+	m.nodes[2].member.Zone = "zone-2"
+	m.shareView()
+	m.nodes[0].routeOnlyToPeers()
+	m.nodes[1].setBehaviour(target.Behaviour{Hang: true})
+	return m, m.nodes[1]
+}
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -44,12 +44,16 @@
 	// attempt gets no connection. It is nil if the attempt waits for one until its
 	// deadline.
 	mayGoElsewhere func() bool
-	method         string
-	host           string
-	path           string
-	query          string
-	header         http.Header
-	body           *body
+	// takeRetry reports whether the call can be repeated on another host though this
+	// attempt may have run, and takes that from the retry budget. It is nil if the
+	// attempt waits for its response until its deadline.
+	takeRetry func() bool
+	method    string
+	host      string
+	path      string
+	query     string
+	header    http.Header
+	body      *body
 }
 
 // admissionRequest returns what the admission queue needs to know of the request.
--- a/internal/call/retry.go
+++ b/internal/call/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -71,7 +72,7 @@
 	if c.retriesLeft <= 0 {
 		return false
 	}
-	if !s.budgets.Withdraw(c.route, c.request.service) {
+	if !failure.retryTaken() && !s.budgets.Withdraw(c.route, c.request.service) {
 		s.counters.overBudget.Inc()
 		return false
 	}
@@ -85,6 +86,10 @@
 	return e != nil && e.Outcome == NotRun && e.Step != StepShed
 }
 
+// retryTaken reports whether the retry after an attempt has been taken from the budget
+// before the attempt was given up.
+func (e *Error) retryTaken() bool { return e != nil && errors.Is(e.Err, errPeerGone) }
+
 // allowsRetry reports whether a call may be attempted again after a failure: only
 // after 502 and 503, and only if the route is idempotent or the attempt was not
 // run.
