--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -15,6 +15,12 @@
 	ErrUnexpectedBytes = errUnexpectedBytes
 )
 
+// Limits on the waits of attempts at other daemons.
+const (
+	MaxConnWait    = maxConnWait
+	PeerWatchDelay = peerWatchDelay
+)
+
 // AdmissionQueue exports an admissionQueue to tests.
 type AdmissionQueue struct{ admission *admissionQueue }
 
@@ -69,6 +75,8 @@
 // TrackedConn is a connection of a transport.
 type TrackedConn = trackedConn
 
-func NewTrackedConn(conn net.Conn) *TrackedConn { return newTrackedConn(conn) }
+func NewTrackedConn(conn net.Conn) *TrackedConn {
+	return newTrackedConn(conn, "target", newSilentAddresses())
+}
 
 func (c *trackedConn) BeginRequest() { c.beginRequest() }
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -95,14 +95,18 @@
 	if s.inflight.isDraining() {
 		exclude = withHost(exclude, s.self.Host)
 	}
-	routeRequest := route.Request{Service: c.request.service, Exclude: exclude, Priority: c.request.priority, Repeatable: c.route.Idempotent}
-	choice, err := s.router.Choose(routeRequest)
+	choice, err := s.router.Choose(c.routeRequest(exclude))
 	if err != nil {
 		return route.Choice{}, s.fail(NotRun, StepPick, http.StatusServiceUnavailable, err)
 	}
 	return choice, nil
 }
 
+// routeRequest returns what the router needs to know of the call.
+func (c *outboundCall) routeRequest(exclude map[string]bool) route.Request {
+	return route.Request{Service: c.request.service, Exclude: exclude, Priority: c.request.priority, Repeatable: c.route.Idempotent}
+}
+
 func withHost(hosts map[string]bool, host string) map[string]bool {
 	extended := make(map[string]bool, len(hosts)+1)
 	for name := range hosts {
@@ -139,6 +143,9 @@
 	q := c.request
 	q.attempt = number
 	q.retries = route.NextHopRetries(c.retriesLeft)
+	if member.Host != s.self.Host {
+		s.allowGiveUp(&q, c, member.Host)
+	}
 	c.trace.sent(number, member.Host)
 	s.router.Begin(member.Host)
 	return func(ctx context.Context) (*targetResponse, *Error) {
@@ -168,9 +175,10 @@
 	q.header = s.peerHeader(q)
 	q.header.Set(HeaderTo, member.Host)
 	start := s.now()
-	response, failed, err := s.roundTrip(ctx, s.peerConns, member.CallsAddress, q, func() {}, nil)
+	response, failed, err := s.roundTripToPeer(ctx, q, member)
 	s.counters.peer.Update(s.now().Sub(start).Seconds())
 	if err != nil {
+		s.recordPeerFailure(ctx, member.CallsAddress, failed, err)
 		failure := &Error{
 			Outcome: sendOutcome(failed.mayHaveSent),
 			Step:    StepPeer,
@@ -195,6 +203,37 @@
 	return s.acceptPeerResponse(ctx, q, member.Host, response, load)
 }
 
+// roundTripToPeer is roundTrip to the daemon of another host. An attempt that may be
+// repeated waits only until that daemon is gone.
+func (s *Server) roundTripToPeer(ctx context.Context, q *request, member membership.Member) (*http.Response, sendFailure, error) {
+	if q.takeRetry == nil {
+		return s.roundTrip(ctx, s.peerConns, member.CallsAddress, q, func() {}, nil)
+	}
+	ctx, served, stop := s.watchPeer(ctx, q, member)
+	defer stop()
+	response, failed, err := s.roundTrip(ctx, s.peerConns, member.CallsAddress, q, func() {}, nil)
+	if err == nil && !served() {
+		_ = response.Body.Close()
+		return nil, sendFailure{mayHaveSent: true}, errPeerGone
+	}
+	return response, failed, err
+}
+
+// recordPeerFailure records an attempt that got no response from another daemon. One
+// that waited for a byte of it until its deadline shows that the connections to that
+// daemon may be dead.
+func (s *Server) recordPeerFailure(ctx context.Context, address string, failed sendFailure, err error) {
+	if errors.Is(err, errConnWait) {
+		s.counters.connTimeouts.Inc()
+	}
+	if errors.Is(err, errPeerGone) {
+		s.counters.peersGone.Inc()
+	}
+	if failed.unanswered && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		s.peerConns.silent.record(address, failed.acquired, time.Now())
+	}
+}
+
 func (s *Server) acceptPeerResponse(ctx context.Context, q *request, host string, response *http.Response, load *route.Load) (*targetResponse, *Error) {
 	status := response.StatusCode
 	result, err := newTargetResponse(response, func(complete bool) {
