The wait for a connection needs no trace and no set of hosts of its own

The limit on the wait for a connection put a second trace beside that of the writes on each request to another daemon, and net/http/httptrace joins the two by reflection. The tracker of the writes asks instead, and the hosts to leave out are put together only when the limit has passed.

--- a/internal/call/conn_wait.go
+++ b/internal/call/conn_wait.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net/http/httptrace"
+	"maps"
 	"time"
 )
 
@@ -20,22 +20,17 @@
 var errConnWait = errors.New("no connection to the host in time")
 
 // limitConnWait returns a context under which a request is cancelled if it has no
-// connection after a limit and mayGiveUp then reports true. A connection that comes
-// later is closed before a byte of the request is written. stop must be called once
+// connection after a limit and mayGiveUp then reports true. admit must be called when
+// it gets one, and reports whether the request may use it. stop must be called once
 // the request has ended.
-func limitConnWait(ctx context.Context, limit time.Duration, mayGiveUp func() bool) (limited context.Context, stop func() bool) {
+func limitConnWait(ctx context.Context, limit time.Duration, mayGiveUp func() bool) (limited context.Context, admit, stop func() bool) {
 	ctx, wait := newGiveUp(ctx)
 	timer := time.AfterFunc(limit, func() {
 		if mayGiveUp() {
 			wait.because(errConnWait)
 		}
 	})
-	gotConn := func(info httptrace.GotConnInfo) {
-		if !wait.serve() {
-			_ = info.Conn.Close()
-		}
-	}
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: gotConn}), timer.Stop
+	return ctx, wait.serve, timer.Stop
 }
 
 // connWaitLimit returns the limit on the wait for a connection of a call that has
@@ -50,15 +45,22 @@
 	if q.key != "" {
 		return
 	}
-	exclude := withHost(c.failedHosts, host)
-	if s.inflight.isDraining() {
-		exclude[s.self.Host] = true
-	}
-	elsewhere := c.routeRequest(exclude)
+	failedHosts := maps.Clone(c.failedHosts)
 	if c.refusals < c.route.Refusals || c.retriesLeft > 0 {
-		q.mayGoElsewhere = func() bool { return q.body.resendable() && s.router.HasTarget(elsewhere) }
+		q.mayGoElsewhere = func() bool {
+			return q.body.resendable() && s.router.HasTarget(c.routeRequest(s.excludedHosts(failedHosts, host)))
+		}
 	}
 	if c.route.Idempotent && c.retriesLeft > 0 {
 		q.takeRetry = func() bool { return q.mayGoElsewhere() && s.budgets.Withdraw(c.route, c.request.service) }
 	}
 }
+
+// excludedHosts returns the hosts on which an attempt after that on a host is not made.
+func (s *Server) excludedHosts(failedHosts map[string]bool, host string) map[string]bool {
+	exclude := withHost(failedHosts, host)
+	if s.inflight.isDraining() {
+		exclude[s.self.Host] = true
+	}
+	return exclude
+}
--- a/internal/call/peer_watch.go
+++ b/internal/call/peer_watch.go
@@ -20,7 +20,7 @@
 // called when a response has come, stop when the attempt has ended.
 func (s *Server) watchPeer(ctx context.Context, q *request, member membership.Member) (watched context.Context, served func() bool, stop func()) {
 	watched, attempt := newGiveUp(ctx)
-	ended, end := context.WithCancel(watched)
+	ended := make(chan struct{})
 	timer := time.AfterFunc(peerWatchDelay, func() {
 		if s.awaitPeerGone(ended, q, member) {
 			attempt.because(errPeerGone)
@@ -28,20 +28,21 @@
 	})
 	return watched, attempt.serve, func() {
 		timer.Stop()
-		end()
+		close(ended)
 	}
 }
 
 // awaitPeerGone waits until the daemon of an attempt is gone and the call can be made
-// elsewhere, and reports whether that came before ctx ended.
-func (s *Server) awaitPeerGone(ctx context.Context, q *request, member membership.Member) bool {
+// elsewhere, and reports whether that came before ended was
+// closed.
+func (s *Server) awaitPeerGone(ended <-chan struct{}, q *request, member membership.Member) bool {
 	for {
 		changed := s.directory.Changed()
 		if peerGone(s.directory.View(), member) && q.takeRetry() {
 			return true
 		}
 		select {
-		case <-ctx.Done():
+		case <-ended:
 			return false
 		case <-changed:
 		}
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -225,7 +225,7 @@
 	}
 	if q.mayGoElsewhere != nil {
 		var stop func() bool
-		ctx, stop = limitConnWait(ctx, connWaitLimit(remaining), q.mayGoElsewhere)
+		ctx, tracker.admit, stop = limitConnWait(ctx, connWaitLimit(remaining), q.mayGoElsewhere)
 		defer stop()
 	}
 	response, err := transport.RoundTrip(out.WithContext(tracker.trace(ctx, onWrite)))
--- a/internal/call/transport.go
+++ b/internal/call/transport.go
@@ -230,6 +230,10 @@
 
 // writeTracker tracks whether bytes of one request were written to a connection.
 type writeTracker struct {
+	// admit reports whether the request may use a connection that it gets. It is nil
+	// if it may use any.
+	admit func() bool
+
 	mu        sync.Mutex
 	conns     []*trackedConn
 	offsets   []uint64
@@ -256,6 +260,9 @@
 	if ok {
 		offset = conn.beginRequest()
 	}
+	if t.admit != nil && !t.admit() {
+		_ = info.Conn.Close()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reused, t.idle, t.acquired = info.Reused, info.IdleTime, time.Now()
