--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -106,20 +106,32 @@
 	if !end.faultFree || run == nil || run.completed || end.at.Sub(request.at) >= request.deadline || c.brokenOffByTarget(run) {
 		return
 	}
-	// The stop of the daemon that took the request goes before that of the daemon
-	// beside the target.
-	for _, h := range []*host{request.host, run.host} {
-		if stoppedAt, found := c.stoppedAt[h]; !found || end.at.Sub(stoppedAt) > stopPeriod {
-			continue
-		}
-		if !c.abortable(request, run, h, end) {
-			c.addViolationLocked(RequestLost, request.id, "its run at %s was broken off and answered with status %d %s; daemon beside the target: %s",
-				run.instance, status, c.timing(request.host, request, end), c.timing(run.host, request, end))
-		}
-		return
+	if c.lostInStop(request, run, end) {
+		c.addViolationLocked(RequestLost, request.id, "its run at %s was broken off and answered with status %d %s; daemon beside the target: %s",
+			run.instance, status, c.timing(request.host, request, end), c.timing(run.host, request, end))
+	}
+}
+
+// lostInStop reports whether a stop broke off an execution that it should have let
+// end. The stop of the daemon that took the request goes before that of the daemon
+// beside the target.
+func (c *checker) lostInStop(request *sentRequest, run *targetRun, end requestEnd) bool {
+	switch {
+	case c.inStop(request.host, end):
+		return !c.abortable(request, run, request.host, end) && !c.abortedBesideTarget(request, run, end)
+	case c.inStop(run.host, end):
+		return !c.abortable(request, run, run.host, end)
+	default:
+		return false
 	}
 }
 
+// inStop reports whether a request ended in the stop of a host's daemon.
+func (c *checker) inStop(h *host, end requestEnd) bool {
+	stoppedAt, found := c.stoppedAt[h]
+	return found && end.at.Sub(stoppedAt) <= stopPeriod
+}
+
 // latestRun returns the execution of a request that started last, nil if there is
 // none.
 func (r *sentRequest) latestRun() *targetRun {
@@ -143,11 +155,22 @@
 	if !found || request.at.After(stoppedAt.Add(abortableSendTime)) {
 		return false
 	}
-	workedUntil := run.endedAt
-	if workedUntil.IsZero() {
-		workedUntil = end.at
+	return !run.workedUntil(end).Before(stoppedAt.Add(stopGrace - abortPeriod))
+}
+
+// abortedBesideTarget reports whether the stop of the daemon beside the target may
+// have broken off an execution that may not be repeated, in its abort period and not
+// after it.
+func (c *checker) abortedBesideTarget(request *sentRequest, run *targetRun, end requestEnd) bool {
+	return !request.idempotent && c.abortable(request, run, run.host, end) && !run.workedUntil(end).After(c.stoppedAt[run.host].Add(stopGrace))
+}
+
+// workedUntil returns when the target stopped working on a request that has ended.
+func (r *targetRun) workedUntil(end requestEnd) time.Time {
+	if r.endedAt.IsZero() {
+		return end.at
 	}
-	return !workedUntil.Before(stoppedAt.Add(stopGrace - abortPeriod))
+	return r.endedAt
 }
 
 // timing describes when a request was sent and ended, in a stop of a host's daemon
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -28,6 +28,8 @@
 	targetExited float64
 	completed    bool
 	fault        bool
+	// nonIdempotent requests may not be repeated.
+	nonIdempotent bool
 	// status is that of the daemon's own response, 0 if the connection was closed.
 	status int
 }
@@ -43,7 +45,7 @@
 	if e.targetDaemonStopped != 0 {
 		c.stoppedAt[targetHost] = at(e.targetDaemonStopped)
 	}
-	request := &sentRequest{id: "r", host: h, deadline: 25 * time.Second, idempotent: true, at: at(e.sent)}
+	request := &sentRequest{id: "r", host: h, deadline: 25 * time.Second, idempotent: !e.nonIdempotent, at: at(e.sent)}
 	c.requests[request.id] = request
 	if e.ran {
 		run := &targetRun{host: targetHost, instance: "i", completed: e.completed}
@@ -102,6 +104,39 @@
 	}
 }
 
+func TestRequestLostInTwoStops(t *testing.T) {
+	allowed := endedRequest{sent: 1, ended: 4, ran: true, targetDaemonStopped: -1.5, status: http.StatusBadGateway, nonIdempotent: true}
+	for name, c := range map[string]struct {
+		change func(*endedRequest)
+		lost   bool
+	}{
+		"in the abort period of the target's daemon":               {func(*endedRequest) {}, false},
+		"sent as late as is allowed":                               {func(e *endedRequest) { e.sent = 1.5 }, false},
+		"sent later":                                               {func(e *endedRequest) { e.sent = 1.6 }, true},
+		"before the abort period of the target's daemon":           {func(e *endedRequest) { e.targetDaemonStopped = -0.9 }, true},
+		"before the abort period, answered in it":                  {func(e *endedRequest) { e.worked = 3.4 }, true},
+		"after the grace time of the target's daemon":              {func(e *endedRequest) { e.sent, e.targetDaemonStopped = 0.5, -2.1 }, true},
+		"the target's daemon has no SIGTERM":                       {func(e *endedRequest) { e.targetDaemonStopped = 0 }, true},
+		"the target's daemon got SIGTERM later":                    {func(e *endedRequest) { e.targetDaemonStopped = 0.5 }, true},
+		"the request may be repeated":                              {func(e *endedRequest) { e.nonIdempotent = false }, true},
+		"the connection is closed in place of an answer":           {func(e *endedRequest) { e.status = 0 }, true},
+		"the target completed it, and the connection is closed":    {func(e *endedRequest) { e.worked, e.completed, e.status = 3.9, true, 0 }, true},
+		"in the abort periods of both, sent late for the target's": {func(e *endedRequest) { e.sent, e.ended = 2.9, 5.1 }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request := allowed
+			c.change(&request)
+			violations := request.violations()
+			if !c.lost {
+				assert.Equal(t, len(violations), 0, "%v", violations)
+				return
+			}
+			assert.Equal(t, len(violations), 1)
+			assert.Equal(t, violations[0].Rule, RequestLost)
+		})
+	}
+}
+
 func TestStopThatOutlastsGraceIsReported(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
