TestPausedHomeRunsNoKeyTwice checks what the callers were told

The test noted which keys had been refused and never looked at it, so that a request that ran after each of its attempts had been refused as not run passed. It also noted only the last attempt of each key.

Change, stricter only: such a key must not have run before it is tried again; a key with a response must have run exactly once; at least one key has a response.

Not run against a broken variant.

--- a/cmd/mulberrybank/e2e_test.go
+++ b/cmd/mulberrybank/e2e_test.go
@@ -89,7 +89,8 @@
 
 // TestPausedHomeRunsNoKeyTwice pauses a host, which is the home of some keys,
 // while callers make attempts with new keys, resumes it and has them retry. No
-// key may run twice.
+// key may run twice, none may run while each attempt was refused as not run, and one
+// with a response has run.
 func TestPausedHomeRunsNoKeyTwice(t *testing.T) {
 	m := newMesh(t)
 	m.publish()
@@ -97,15 +98,17 @@
 	paused := m.hosts[3]
 	signal(t, paused.daemon, syscall.SIGSTOP)
 	const keys = 12
-	refused := map[string]bool{}
+	refused, answered := map[string]bool{}, map[string]bool{}
 	var all []string
 	for range keys {
 		key := newKey()
 		all = append(all, key)
+		refused[key] = true
 		for _, h := range m.hosts[:2] {
 			got, err := m.call(h, orderPath, key, time.Second)
-			refused[key] = err == nil && got.outcome == "not-run"
+			refused[key] = refused[key] && err == nil && got.outcome == "not-run"
 			if err == nil && got.status == http.StatusOK {
+				answered[key] = true
 				break
 			}
 		}
@@ -115,12 +118,20 @@
 		m.awaitTargets(h, len(m.hosts))
 	}
 	for _, key := range all {
+		if refused[key] {
+			assert.Equal(t, m.runCount(key), 0, "key %s ran, but each attempt was refused", key)
+		}
 		for _, h := range m.hosts {
-			_, _ = m.call(h, orderPath, key, callTimeout)
+			got, err := m.call(h, orderPath, key, callTimeout)
+			if err == nil && got.status == http.StatusOK {
+				answered[key] = true
+			}
 		}
 		runs := m.runCount(key)
 		assert.Assert(t, runs <= 1, "key %s ran %d times", key, runs)
+		assert.Assert(t, runs == 1 || !answered[key], "key %s has a response and did not run", key)
 	}
+	assert.Assert(t, len(answered) > 0)
 	m.checkTimeline()
 }
 
