Membership: two methods named isStale no longer share a name

A lease called an announcement stale that a later one superseded; Membership calls its own view stale when its links are probably at fault. The method of the lease is now isSuperseded, as its comment said. No change of behaviour; the tests of the package pass, also with -race.

--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	if l.isStale(a) {
+	if l.isSuperseded(a) {
 		return fmt.Errorf("%w: %w: instance %q sequence %d", ErrAnnouncementRefused, ErrStaleAnnouncement, a.Instance, a.Sequence)
 	}
 	if state == Draining {
@@ -132,10 +132,10 @@
 	return nil
 }
 
-// isStale reports whether an announcement was superseded: by a later one of
+// isSuperseded reports whether an announcement was superseded: by a later one of
 // the same instance, or by one of a later instance. The order of arrival does
 // not count.
-func (l *lease) isStale(a Announcement) bool {
+func (l *lease) isSuperseded(a Announcement) bool {
 	if a.instanceID() == l.lastAnnouncement.instanceID() {
 		return a.Sequence > 0 && a.Sequence <= l.lastAnnouncement.Sequence
 	}
