--- a/cmd/mulberrybank/e2e_test.go
+++ b/cmd/mulberrybank/e2e_test.go
@@ -195,7 +195,8 @@
 		}
 		m.saveEvents(h)
 		signal(t, h.daemon, syscall.SIGTERM)
-		status := exitStatus(t, h.daemon)
+		stopped := h.daemon
+		status := exitStatus(t, stopped)
 		m.startDaemon(h)
 		m.awaitVersion(h, version)
 		for _, other := range m.hosts {
@@ -204,6 +205,7 @@
 		close(done)
 		callers.Wait()
 		assert.Equal(t, status, 0)
+		assertOrderlyStop(t, stopped)
 		assert.Assert(t, total.Load() > 0)
 		assert.Equal(t, failed.Load(), int64(0), "of %d calls, first failure: %v", total.Load(), firstFailure.Load())
 	}
--- a/cmd/mulberrybank/mesh_test.go
+++ b/cmd/mulberrybank/mesh_test.go
@@ -408,6 +408,16 @@
 	return process.ProcessState.ExitCode()
 }
 
+// assertOrderlyStop checks in the log of a daemon that its stop aborted no call.
+func assertOrderlyStop(t *testing.T, daemon *exec.Cmd) {
+	t.Helper()
+	text, err := os.ReadFile(daemon.Stdout.(*os.File).Name())
+	assert.NilError(t, err)
+	log := string(text)
+	assert.Assert(t, strings.Contains(log, "shutdown completed"))
+	assert.Assert(t, !strings.Contains(log, "stop timeout"))
+}
+
 func signal(t *testing.T, process *exec.Cmd, s syscall.Signal) {
 	t.Helper()
 	assert.NilError(t, process.Process.Signal(s))
