A follower defers its first table together with its source

What callers could see: after a start of all daemons a daemon served for a moment under a configuration that had been replaced, as it had only passed through it on its source. On the users' platform, whose log hands out the newest record first, this needs a log that does not.

Cause: a daemon that reads the log defers its first table until it has reached the end of what the log holds. To its followers it sent the offset that it had applied so far, and they deferred theirs to that offset only. Those that pulled did not defer at all.

Change: while its first table is deferred a daemon sends the offset at which it will be activated, without a digest. Followers, pulls and probes all defer to what the peer sent. No field is added; older daemons take the offset as before.

--- a/internal/distribute/catchup.go
+++ b/internal/distribute/catchup.go
@@ -32,7 +32,7 @@
 		return catchUpResponse{}, err
 	}
 	d.compareDigest(requester.Host, offset, digest)
-	own, ownDigest := d.enforcer.Position()
+	own, ownDigest := d.activationPosition()
 	return catchUpResponse{
 		Snapshot:   snap,
 		Records:    records,
--- a/internal/distribute/failure_test.go
+++ b/internal/distribute/failure_test.go
@@ -406,6 +406,37 @@
 	})
 }
 
+// TestFollowersDeferTheFirstTableWithTheirSource guards against followers that activate
+// a replaced configuration which their source has only passed through.
+func TestFollowersDeferTheFirstTableWithTheirSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		hosts := m.zone("greater-accra", "a", 4)
+		m.start(hosts...)
+		time.Sleep(10 * time.Second)
+		source := m.nodes[hosts[0]]
+		for _, host := range hosts {
+			if m.nodes[host].dist.Source() == logSource.String() {
+				source = m.nodes[host]
+			}
+		}
+		source.enforcer.DeferFirstTable(4)
+		for _, part := range [][]string{{"1", "2"}, {"3", "4"}} {
+			offset, _ := source.enforcer.Position()
+			var records []platform.Record
+			for _, payload := range part {
+				offset++
+				records = append(records, platform.Record{Offset: offset, Payload: []byte(payload)})
+			}
+			assert.NilError(t, source.dist.applyRecords(nil, records))
+			m.waitFor(offset, 30*time.Second)
+			for _, host := range hosts {
+				assert.Equal(t, m.nodes[host].enforcer.Table() != nil, offset == 4, host)
+			}
+		}
+	})
+}
+
 func TestSilentExchangeIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := stableRegions(t, 4)
--- a/internal/distribute/messages.go
+++ b/internal/distribute/messages.go
@@ -26,8 +26,10 @@
 type update struct {
 	Records  []platform.Record
 	Snapshot *snapshot
-	Offset   uint64
-	// Digest is empty if Offset has not changed.
+	// Offset is the applied offset of the sender or, while its first table is
+	// deferred, the offset at which that is activated.
+	Offset uint64
+	// Digest is empty if Offset has not changed or has not been reached.
 	Digest []byte
 	// UpToDateAt is when the sender's state was last the newest of the log, by
 	// the receiver's clock; zero if it never was.
--- a/internal/distribute/probe.go
+++ b/internal/distribute/probe.go
@@ -57,7 +57,7 @@
 	if d.now().Sub(response.UpToDateAt) > d.timing.ReaderMaxAge {
 		return fmt.Errorf("probe %s: %w", source, errStale)
 	}
-	return d.applyRecords(response.Snapshot, response.Records)
+	return d.applyCatchUp(response)
 }
 
 // checkSource returns why a peer cannot be followed, nil if it can.
--- a/internal/distribute/pull.go
+++ b/internal/distribute/pull.go
@@ -125,7 +125,7 @@
 		if response.RetryAfter > 0 {
 			return response.Alternatives, &shedError{retryAfter: response.RetryAfter}
 		}
-		if err := d.applyRecords(response.Snapshot, response.Records); err != nil {
+		if err := d.applyCatchUp(response); err != nil {
 			return nil, err
 		}
 		d.compareDigest(address, response.Offset, response.Digest)
@@ -135,3 +135,10 @@
 		}
 	}
 }
+
+// applyCatchUp applies what a peer sent. The first table is not activated before this
+// daemon has caught up with that peer.
+func (d *Distributor) applyCatchUp(response catchUpResponse) error {
+	d.enforcer.DeferFirstTable(response.Offset)
+	return d.applyRecords(response.Snapshot, response.Records)
+}
--- a/internal/distribute/serve_follower.go
+++ b/internal/distribute/serve_follower.go
@@ -71,7 +71,7 @@
 		}
 		last = next
 		sent = offsetAfter(next, sent)
-		if sent < next.Offset {
+		if applied, _ := d.enforcer.Position(); sent < applied {
 			continue
 		}
 		if !d.waitForUpdate(ctx, ticker, positionChanged, summariesChanged) {
@@ -110,7 +110,7 @@
 	if err != nil {
 		return update{}, err
 	}
-	offset, digest := d.enforcer.Position()
+	offset, digest := d.activationPosition()
 	return update{
 		Snapshot:   snap,
 		Records:    records,
@@ -122,6 +122,17 @@
 	}, nil
 }
 
+// activationPosition returns the offset that a peer has to reach before it activates
+// its first table, and the digest there, nil while this daemon has not reached it.
+func (d *Distributor) activationPosition() (offset uint64, digest []byte) {
+	activation := d.enforcer.ActivationOffset()
+	applied, digest := d.enforcer.Position()
+	if applied < activation {
+		return activation, nil
+	}
+	return applied, digest
+}
+
 // offsetAfter returns the offset of a follower after an update.
 func offsetAfter(message update, before uint64) uint64 {
 	if message.Snapshot != nil {
@@ -135,7 +146,7 @@
 
 // deltaUpdate omits what the last message already contained.
 func deltaUpdate(next, last update) update {
-	if next.Offset == last.Offset {
+	if next.Offset == last.Offset && last.Digest != nil {
 		next.Digest = nil
 	}
 	if slices.Equal(next.Path, last.Path) {
--- a/internal/enforce/enforce.go
+++ b/internal/enforce/enforce.go
@@ -134,6 +134,14 @@
 	}
 }
 
+// ActivationOffset returns the applied offset or, while the first table is deferred,
+// the offset at which it is activated.
+func (e *Enforcer) ActivationOffset() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(e.machine.Offset(), e.deferUntil)
+}
+
 // Floor returns the lowest offset at which a table may be active.
 func (e *Enforcer) Floor() uint64 {
 	e.mu.Lock()
