--- a/internal/call/conn_wait.go
+++ b/internal/call/conn_wait.go
@@ -24,13 +24,13 @@
 // it gets one, and reports whether the request may use it. stop must be called once
 // the request has ended.
 func limitConnWait(ctx context.Context, limit time.Duration, mayGiveUp func() bool) (limited context.Context, admit, stop func() bool) {
-	ctx, wait := newGiveUp(ctx)
+	ctx, wait := newWaitCanceller(ctx)
 	timer := time.AfterFunc(limit, func() {
 		if mayGiveUp() {
-			wait.because(errConnWait)
+			wait.cancelWith(errConnWait)
 		}
 	})
-	return ctx, wait.serve, timer.Stop
+	return ctx, wait.settle, timer.Stop
 }
 
 // connWaitLimit returns the limit on the wait for a connection of a call that has
--- a/internal/call/peer_watch.go
+++ b/internal/call/peer_watch.go
@@ -19,14 +19,14 @@
 // knows that its daemon is gone and the call can be made elsewhere. served must be
 // called when a response has come, stop when the attempt has ended.
 func (s *Server) watchPeer(ctx context.Context, q *request, member membership.Member) (watched context.Context, served func() bool, stop func()) {
-	watched, attempt := newGiveUp(ctx)
+	watched, attempt := newWaitCanceller(ctx)
 	ended := make(chan struct{})
 	timer := time.AfterFunc(peerWatchDelay, func() {
 		if s.awaitPeerGone(ended, q, member) {
-			attempt.because(errPeerGone)
+			attempt.cancelWith(errPeerGone)
 		}
 	})
-	return watched, attempt.serve, func() {
+	return watched, attempt.settle, func() {
 		timer.Stop()
 		close(ended)
 	}
