--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -134,23 +134,30 @@
 	}
 }
 
-func TestQueuedRequestDoesNotReachDrainingTarget(t *testing.T) {
-	m := newMesh(t, 1, config(oneSlot), nil)
-	n := m.nodes[0]
+// runAndQueue sends a call that hangs at the target of a node with one slot, and one
+// that is queued behind it. endRunning ends the first, queued gets the second's result.
+func runAndQueue(t *testing.T, n *node) (endRunning context.CancelFunc, queued <-chan result) {
 	n.setBehaviour(target.Behaviour{Hang: true})
 	running, endRunning := context.WithCancel(t.Context())
 	var tasks conc.WaitGroup
-	defer tasks.Wait()
-	defer endRunning()
+	t.Cleanup(tasks.Wait)
+	t.Cleanup(endRunning)
 	tasks.Go(func() { _, _ = n.do(t, running, http.MethodGet, lookups, nil) })
 	eventually(t, "a call runs", func() bool { return len(n.target.Runs()) == 1 })
-	queued := make(chan result, 1)
+	results := make(chan result, 1)
 	tasks.Go(func() {
 		got, err := n.do(t, t.Context(), http.MethodGet, lookups, nil)
 		assert.Check(t, err)
-		queued <- got
+		results <- got
 	})
 	eventually(t, "a call is queued", func() bool { return n.server.Load().Queued == 1 })
+	return endRunning, results
+}
+
+func TestQueuedRequestDoesNotReachDrainingTarget(t *testing.T) {
+	m := newMesh(t, 1, config(oneSlot), nil)
+	n := m.nodes[0]
+	endRunning, queued := runAndQueue(t, n)
 	n.setBehaviour(target.Behaviour{})
 	n.member.TargetState = membership.Draining
 	m.shareView()
@@ -165,20 +172,7 @@
 func TestDrainRefusesQueuedRequestsAtOnce(t *testing.T) {
 	m := newMesh(t, 1, config(oneSlot), nil)
 	n := m.nodes[0]
-	n.setBehaviour(target.Behaviour{Hang: true})
-	running, endRunning := context.WithCancel(t.Context())
-	var tasks conc.WaitGroup
-	defer tasks.Wait()
-	defer endRunning()
-	tasks.Go(func() { _, _ = n.do(t, running, http.MethodGet, lookups, nil) })
-	eventually(t, "a call runs", func() bool { return len(n.target.Runs()) == 1 })
-	queued := make(chan result, 1)
-	tasks.Go(func() {
-		got, err := n.do(t, t.Context(), http.MethodGet, lookups, nil)
-		assert.Check(t, err)
-		queued <- got
-	})
-	eventually(t, "a call is queued", func() bool { return n.server.Load().Queued == 1 })
+	_, queued := runAndQueue(t, n)
 	n.server.Drain()
 	got := <-queued
 	assert.Equal(t, got.outcome(), string(call.NotRun))
