--- a/internal/distribute/fakes_test.go
+++ b/internal/distribute/fakes_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,12 +20,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrybank/mulberrybank/internal/enforce"
+	"github.com/mulberrybank/mulberrybank/internal/idle"
 	"github.com/mulberrybank/mulberrybank/internal/logging"
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
 // fakeStateMachine hashes the payloads of the records.
@@ -179,7 +182,7 @@
 	return l.unavailable[l.host] || l.unavailable[""]
 }
 
-func (l *hostLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (platform.ReadResult, error) {
+func (l *hostLog) Read(ctx context.Context, stream string, from uint64, hold time.Duration) (platform.ReadResult, error) {
 	defer l.net.gate(l.host)
 	l.mu.Lock()
 	l.reads++
@@ -192,10 +195,13 @@
 			return platform.ReadResult{}, ctx.Err()
 		}
 	}
-	deadline := time.After(wait)
+	deadline := time.After(hold)
 	for {
 		result, changed, err := l.readNow(stream, from)
-		if err != nil || len(result.Records) > 0 || wait == 0 {
+		if err == nil {
+			err = l.transfer(ctx, result.Records)
+		}
+		if err != nil || len(result.Records) > 0 || hold == 0 {
 			return result, err
 		}
 		select {
@@ -208,6 +214,19 @@
 	}
 }
 
+// transfer takes as long as the link of the host takes for records.
+func (l *hostLog) transfer(ctx context.Context, records []platform.Record) error {
+	for _, record := range records {
+		for segment := range slices.Chunk(record.Payload, segmentBytes) {
+			if !wait.For(ctx, l.net.transferTime(len(segment))) {
+				return idle.Error(ctx, ctx.Err())
+			}
+			idle.Progress(ctx)
+		}
+	}
+	return nil
+}
+
 func (l *hostLog) readNow(stream string, from uint64) (platform.ReadResult, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -237,6 +256,10 @@
 	cut       map[string]bool
 	conns     map[*pipeConn]struct{}
 	paused    map[string]chan struct{}
+	// rate is how many bytes a second each host sends, 0 for no limit; linkFree is
+	// when a host has sent all that was written.
+	rate     int
+	linkFree map[string]time.Time
 }
 
 func newFakeNet() *fakeNet {
@@ -245,6 +268,49 @@
 		cut:       make(map[string]bool),
 		conns:     make(map[*pipeConn]struct{}),
 		paused:    make(map[string]chan struct{}),
+		linkFree:  make(map[string]time.Time),
+	}
+}
+
+// setRate limits how many bytes a second each host sends and reads from the log.
+func (n *fakeNet) setRate(bytesPerSecond int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rate = bytesPerSecond
+}
+
+// transferTime returns how long a number of bytes take over a link.
+func (n *fakeNet) transferTime(bytes int) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.rate == 0 {
+		return 0
+	}
+	return time.Duration(bytes) * time.Second / time.Duration(n.rate)
+}
+
+// segmentBytes is how much arrives at a time over a link with a rate.
+const segmentBytes = 1400
+
+// send delivers what a host writes, in segments if its link has a rate.
+func (n *fakeNet) send(host string, out *pipeBuffer, p []byte) {
+	if n.transferTime(1) == 0 {
+		out.change(func() { out.data = append(out.data, p...) })
+		return
+	}
+	for segment := range slices.Chunk(slices.Clone(p), segmentBytes) {
+		took := n.transferTime(len(segment))
+		n.mu.Lock()
+		now := time.Now()
+		if n.linkFree[host].Before(now) {
+			n.linkFree[host] = now
+		}
+		n.linkFree[host] = n.linkFree[host].Add(took)
+		due := n.linkFree[host].Sub(now)
+		n.mu.Unlock()
+		time.AfterFunc(due, func() {
+			out.change(func() { out.data = append(out.data, segment...) })
+		})
 	}
 }
 
@@ -426,7 +492,7 @@
 		return len(p), nil
 	default:
 	}
-	c.out.change(func() { c.out.data = append(c.out.data, p...) })
+	c.net.send(c.from, c.out, p)
 	return len(p), nil
 }
 
