Reads of the log are limited by silence, not as a whole

Cause: a read of the log might take 0.5 s beyond its wait, and 1 s in the client. A record of about 300 KB takes longer over a link of 7 Mbit/s that also carries calls, so the read was broken off after most of the record had arrived and began anew at its first byte. Every version is a whole record in the store, so a change of one timeout suffered as well.

Change: idle.WithTimeout in distribute, in both clients and in the read of the host records: the response has to begin in time and must not pause for longer than the timeout. ReadBody reads pieces of 4 KiB, because the reader of a chunked body returns only when the buffer is full.

--- a/internal/distribute/read.go
+++ b/internal/distribute/read.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/mulberrybank/mulberrybank/internal/idle"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
@@ -100,7 +101,7 @@
 // applyNewest applies the newest record of each key and returns the offset to
 // read from.
 func (d *Distributor) applyNewest(ctx context.Context, keyed platform.KeyedLog) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.timing.ReadTimeout)
+	ctx, cancel := idle.WithTimeout(ctx, d.timing.ReadTimeout, d.timing.ReadTimeout)
 	defer cancel()
 	d.counters.reads.Inc()
 	newest, next, err := keyed.Newest(ctx, platform.ConfigurationStream)
@@ -119,12 +120,12 @@
 }
 
 // readOnce reads a stream once, subject to the read limit and timeout of this
-// daemon.
+// daemon. The timeout limits silence, so a long record over a slow link is read whole.
 func (d *Distributor) readOnce(ctx context.Context, stream string, from uint64, wait time.Duration) (platform.ReadResult, error) {
 	if err := d.readLimiter.Wait(ctx); err != nil {
 		return platform.ReadResult{}, fmt.Errorf("wait for rate limit to read stream %s: %w", stream, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+d.timing.ReadTimeout)
+	ctx, cancel := idle.WithTimeout(ctx, wait+d.timing.ReadTimeout, d.timing.ReadTimeout)
 	defer cancel()
 	d.counters.reads.Inc()
 	result, err := d.log.Read(ctx, stream, from, wait)
--- a/internal/distribute/timing.go
+++ b/internal/distribute/timing.go
@@ -11,7 +11,8 @@
 	IdleTimeout time.Duration
 	// ReadWait is how long the log holds a read that finds no records.
 	ReadWait time.Duration
-	// ReadTimeout is how long a response of the log may take beyond ReadWait.
+	// ReadTimeout is how long a response of the log may take to begin beyond
+	// ReadWait, and how long it may pause.
 	ReadTimeout time.Duration
 	// ReaderMaxAge is how old the state of a zone's reader may be before it
 	// tries another source. FollowerMaxAge is the same for the other daemons,
--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -54,13 +54,17 @@
 // NewReader returns a reader that reports each read of data as progress to ctx.
 func NewReader(ctx context.Context, r io.Reader) io.Reader { return &reader{ctx: ctx, source: r} }
 
+// maxReadBytes limits one read, because some readers, like that of a chunked HTTP body,
+// return only when they have filled the whole buffer.
+const maxReadBytes = 4 << 10
+
 type reader struct {
 	ctx    context.Context
 	source io.Reader
 }
 
 func (r *reader) Read(p []byte) (int, error) {
-	n, err := r.source.Read(p)
+	n, err := r.source.Read(p[:min(len(p), maxReadBytes)])
 	if n > 0 {
 		Progress(r.ctx)
 	}
--- a/internal/membership/log_discovery.go
+++ b/internal/membership/log_discovery.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/mulberrybank/mulberrybank/internal/idle"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/wait"
@@ -23,7 +24,7 @@
 	// bridgeDiscoveryInterval is the time after which a bridge reads the log
 	// again, so that parts of the mesh that never had contact merge.
 	bridgeDiscoveryInterval = 30 * time.Second
-	// logCallTimeout bounds one call to the log.
+	// logCallTimeout bounds one write to the log and the silence of one read.
 	logCallTimeout = 2 * time.Second
 	// deleteRecordTimeout bounds the last call of a host that shuts down, which
 	// must not prolong the shutdown while the log does not answer.
@@ -130,7 +131,7 @@
 
 // readHostRecords replaces hostsFromLog by the other hosts recorded in the log.
 func (m *Membership) readHostRecords(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, logCallTimeout)
+	ctx, cancel := idle.WithTimeout(ctx, logCallTimeout, logCallTimeout)
 	defer cancel()
 	records, _, err := m.options.HostLog.Newest(ctx, platform.HostStream)
 	if err != nil {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+
+	"github.com/mulberrybank/mulberrybank/internal/idle"
 )
 
 // Limits of the client.
@@ -33,7 +35,7 @@
 var _ Log = (*Client)(nil)
 
 // NewClient returns a client of the service at a base URL. timeout limits each
-// request; a read may take its wait in addition. If transport is nil, the client
+// append and each pause of a read, which may take its wait in addition. If transport is nil, the client
 // creates its own.
 func NewClient(baseURL string, timeout time.Duration, transport http.RoundTripper) *Client {
 	if transport == nil {
@@ -62,7 +64,7 @@
 		return 0, c.wrapError("append", stream, classifyAppendError(err), err)
 	}
 	wire := &AppendAnswer{}
-	status, err := readResponse(response, wire)
+	status, err := readResponse(ctx, response, wire)
 	switch {
 	case status == http.StatusServiceUnavailable:
 		return 0, c.wrapError("append", stream, ErrRefused, &StatusError{Status: status})
@@ -80,7 +82,7 @@
 // one. If the offset has expired, the error is an *ExpiredError and the result
 // contains the oldest and the next offset.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (ReadResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	ctx, cancel := WithReadTimeout(ctx, wait, c.timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.readURL(stream, from, wait), nil)
 	if err != nil {
@@ -88,10 +90,10 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return ReadResult{}, c.wrapError("read", stream, nil, err)
+		return ReadResult{}, c.wrapError("read", stream, nil, idle.Error(ctx, err))
 	}
 	wire := &ReadAnswer{}
-	status, err := readResponse(response, wire)
+	status, err := readResponse(ctx, response, wire)
 	if err != nil {
 		return ReadResult{}, c.wrapError("read", stream, nil, err)
 	}
@@ -142,9 +144,9 @@
 }
 
 // readResponse reads the whole body and decodes it if the status is 200 or 410.
-func readResponse(response *http.Response, into proto.Message) (int, error) {
+func readResponse(ctx context.Context, response *http.Response, into proto.Message) (int, error) {
 	defer func() { _ = response.Body.Close() }()
-	body, err := ReadBody(response, maxResponseBytes)
+	body, err := ReadBody(ctx, response, maxResponseBytes)
 	if err != nil {
 		return response.StatusCode, err
 	}
