Connections between daemons are silent only when no byte arrives

A long record over a slow link takes longer, and what had arrived was thrown away. A probe of the log threw away what it had read, too.

Change: a connection reports each read; streams, pulls and probes end after the same times without a byte. A probe of the log applies what it read.

The link of the test's mesh now sends a segment of each connection in turn.

--- a/internal/distribute/client.go
+++ b/internal/distribute/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/mulberrybank/mulberrybank/internal/idle"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 )
 
@@ -48,22 +49,26 @@
 	return l.decode.update(message), nil
 }
 
+func (l *clientLink) OnReceive(notify func()) { l.conn.OnReceive(notify) }
+
 func (l *clientLink) Close() { _ = l.conn.Close() }
 
 // region returns the region of the parent.
 func (l *clientLink) region() string { return l.conn.Peer.Region }
 
-// catchUp requests once from a peer what this daemon is missing.
+// catchUp requests once from a peer what this daemon is missing. It reports what
+// arrives as progress to ctx.
 func (d *Distributor) catchUp(ctx context.Context, address string, offset uint64, digest []byte) (catchUpResponse, error) {
 	conn, err := d.dialer.Dial(ctx, trafficKind, address)
 	if err != nil {
 		return catchUpResponse{}, fmt.Errorf("catch up: %w", err)
 	}
 	defer conn.Close()
+	conn.OnReceive(func() { idle.Progress(ctx) })
 	request := &CatchUpRequest{Offset: offset, Digest: digest}
 	response, err := NewDRPCDistributeClient(conn).CatchUp(ctx, request)
 	if err != nil {
-		return catchUpResponse{}, fmt.Errorf("catch up from %s: %w", conn.Peer.Host, err)
+		return catchUpResponse{}, fmt.Errorf("catch up from %s: %w", conn.Peer.Host, idle.Error(ctx, err))
 	}
 	return catchUpFromWire(response, d.now()), nil
 }
@@ -79,7 +84,7 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("exchange summaries with %s: %w", conn.Peer.Host, err)
 	}
-	return &exchangeLink{stream: stream, decode: newDecoder(d.now), closeConn: func() { _ = conn.Close() }}, nil
+	return &exchangeLink{stream: stream, decode: newDecoder(d.now), onReceive: conn.OnReceive, closeConn: func() { _ = conn.Close() }}, nil
 }
 
 // exchangeStream is either end of an exchange over DRPC.
@@ -92,6 +97,7 @@
 type exchangeLink struct {
 	stream    exchangeStream
 	decode    *wireDecoder
+	onReceive func(func())
 	closeConn func()
 }
 
@@ -107,4 +113,6 @@
 	return l.decode.region(message), nil
 }
 
+func (l *exchangeLink) OnReceive(notify func()) { l.onReceive(notify) }
+
 func (l *exchangeLink) Close() { l.closeConn() }
--- a/internal/distribute/exchange.go
+++ b/internal/distribute/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/mulberrybank/mulberrybank/internal/idle"
 	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
 
@@ -88,11 +89,12 @@
 // exchangeSummaries sends the summaries of this region in one goroutine and
 // receives those of others in another one. Both ends of an exchange run it.
 func (d *Distributor) exchangeSummaries(parent context.Context, stream summaryLink) error {
+	parent, cancelIdle := idle.WithTimeout(parent, exchangeIdleTimeout, exchangeIdleTimeout)
+	defer cancelIdle()
 	ctx, cancel := context.WithCancelCause(parent)
 	stop := context.AfterFunc(ctx, stream.Close)
 	defer stop()
-	idleTimer := time.AfterFunc(exchangeIdleTimeout, func() { cancel(errIdleTimeout) })
-	defer idleTimer.Stop()
+	stream.OnReceive(func() { idle.Progress(ctx) })
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	tasks.Go(func() { cancel(d.sendSummaries(ctx, stream)) })
@@ -102,7 +104,7 @@
 			cancel(streamError(err))
 			return context.Cause(ctx)
 		}
-		idleTimer.Reset(exchangeIdleTimeout)
+		idle.Progress(ctx)
 		d.summaries.merge([]RegionSummary{summary})
 	}
 }
--- a/internal/distribute/fakes_test.go
+++ b/internal/distribute/fakes_test.go
@@ -256,10 +256,9 @@
 	cut       map[string]bool
 	conns     map[*pipeConn]struct{}
 	paused    map[string]chan struct{}
-	// rate is how many bytes a second each host sends, 0 for no limit; linkFree is
-	// when a host has sent all that was written.
-	rate     int
-	linkFree map[string]time.Time
+	// rate is how many bytes a second each host sends, 0 for no limit.
+	rate  int
+	links map[string]*fakeLink
 }
 
 func newFakeNet() *fakeNet {
@@ -268,7 +267,7 @@
 		cut:       make(map[string]bool),
 		conns:     make(map[*pipeConn]struct{}),
 		paused:    make(map[string]chan struct{}),
-		linkFree:  make(map[string]time.Time),
+		links:     make(map[string]*fakeLink),
 	}
 }
 
@@ -292,26 +291,56 @@
 // segmentBytes is how much arrives at a time over a link with a rate.
 const segmentBytes = 1400
 
-// send delivers what a host writes, in segments if its link has a rate.
+// fakeLink is the link of one host. It sends a segment of each connection in turn.
+type fakeLink struct {
+	net   *fakeNet
+	mu    sync.Mutex
+	turns []*pipeBuffer
+	left  map[*pipeBuffer][]byte
+}
+
+// send delivers what a host writes to a connection.
 func (n *fakeNet) send(host string, out *pipeBuffer, p []byte) {
 	if n.transferTime(1) == 0 {
 		out.change(func() { out.data = append(out.data, p...) })
 		return
 	}
-	for segment := range slices.Chunk(slices.Clone(p), segmentBytes) {
-		took := n.transferTime(len(segment))
-		n.mu.Lock()
-		now := time.Now()
-		if n.linkFree[host].Before(now) {
-			n.linkFree[host] = now
-		}
-		n.linkFree[host] = n.linkFree[host].Add(took)
-		due := n.linkFree[host].Sub(now)
-		n.mu.Unlock()
-		time.AfterFunc(due, func() {
-			out.change(func() { out.data = append(out.data, segment...) })
-		})
+	n.mu.Lock()
+	link := n.links[host]
+	if link == nil {
+		link = &fakeLink{net: n, left: make(map[*pipeBuffer][]byte)}
+		n.links[host] = link
 	}
+	n.mu.Unlock()
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	idle := len(link.turns) == 0
+	if len(link.left[out]) == 0 {
+		link.turns = append(link.turns, out)
+	}
+	link.left[out] = append(link.left[out], p...)
+	if idle {
+		link.sendNext()
+	}
+}
+
+// sendNext sends the next segment. The caller holds mu.
+func (l *fakeLink) sendNext() {
+	out := l.turns[0]
+	segment := l.left[out][:min(segmentBytes, len(l.left[out]))]
+	time.AfterFunc(l.net.transferTime(len(segment)), func() {
+		out.change(func() { out.data = append(out.data, segment...) })
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.turns = l.turns[1:]
+		l.left[out] = l.left[out][len(segment):]
+		if len(l.left[out]) > 0 {
+			l.turns = append(l.turns, out)
+		}
+		if len(l.turns) > 0 {
+			l.sendNext()
+		}
+	})
 }
 
 // pause stops a host from reading and writing until resume is called.
--- a/internal/distribute/follow.go
+++ b/internal/distribute/follow.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/mulberrybank/mulberrybank/internal/idle"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/wait"
 )
@@ -34,18 +35,19 @@
 // followStream sends acknowledgements in one goroutine and receives updates in
 // another.
 func (d *Distributor) followStream(parent context.Context, selector *sourceSelector, source Source, stream upstreamLink) error {
+	parent, cancelIdle := idle.WithTimeout(parent, d.timing.IdleTimeout, d.timing.IdleTimeout)
+	defer cancelIdle()
 	ctx, cancel := context.WithCancelCause(parent)
 	stop := context.AfterFunc(ctx, stream.Close)
 	defer stop()
-	idleTimer := time.AfterFunc(d.timing.IdleTimeout, func() { cancel(errIdleTimeout) })
-	defer idleTimer.Stop()
+	stream.OnReceive(func() { idle.Progress(ctx) })
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	tasks.Go(func() { cancel(d.sendAcks(ctx, stream)) })
 	for {
 		message, err := stream.Recv()
 		if err == nil {
-			idleTimer.Reset(d.timing.IdleTimeout)
+			idle.Progress(ctx)
 			err = d.applyUpdate(source, message)
 		}
 		if err != nil {
--- a/internal/distribute/messages.go
+++ b/internal/distribute/messages.go
@@ -70,6 +70,8 @@
 type link[Out, In any] interface {
 	Send(message Out) error
 	Recv() (In, error)
+	// OnReceive calls a function for each part of a message that arrives.
+	OnReceive(func())
 	// Close closes the connection without waiting for the peer.
 	Close()
 }
--- a/internal/distribute/metrics.go
+++ b/internal/distribute/metrics.go
@@ -4,6 +4,8 @@
 	"errors"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/mulberrybank/mulberrybank/internal/idle"
 )
 
 // counters holds the metrics of this package.
@@ -45,7 +47,7 @@
 func causeLabel(err error) string {
 	var shed *shedError
 	switch {
-	case errors.Is(err, errIdleTimeout):
+	case errors.Is(err, idle.ErrTimeout):
 		return "silent"
 	case errors.Is(err, errStreamEnded):
 		return "ended"
--- a/internal/distribute/probe.go
+++ b/internal/distribute/probe.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/mulberrybank/mulberrybank/internal/idle"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 )
 
@@ -31,20 +32,25 @@
 	return false
 }
 
-// probeLog reads the log once without waiting.
+// probeLog reads the log once without waiting and applies what it returns, so that no
+// record has to be transferred again.
 func (d *Distributor) probeLog(ctx context.Context, _ Source) error {
 	offset, _ := d.enforcer.Position()
-	_, err := d.readOnce(ctx, platform.ConfigurationStream, offset+1, 0)
+	result, err := d.readOnce(ctx, platform.ConfigurationStream, offset+1, 0)
 	var expired *platform.ExpiredError
 	if errors.As(err, &expired) {
 		return nil
 	}
-	return err
+	if err != nil {
+		return err
+	}
+	d.deferFirstTable(result)
+	return d.applyRecords(nil, result.Records)
 }
 
 // probePeer catches up from a peer and checks that it may be followed.
 func (d *Distributor) probePeer(ctx context.Context, source Source) error {
-	ctx, cancel := context.WithTimeout(ctx, d.timing.PullTimeout)
+	ctx, cancel := idle.WithTimeout(ctx, d.timing.PullTimeout, d.timing.PullTimeout)
 	defer cancel()
 	offset, digest := d.enforcer.Position()
 	response, err := d.catchUp(ctx, source.Address, offset, digest)
--- a/internal/distribute/pull.go
+++ b/internal/distribute/pull.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/idle"
 )
 
 // Timing of pulls from peers that are ahead.
@@ -101,7 +103,7 @@
 // pull requests records from a peer until this daemon has caught up with it. If
 // the peer sheds the request, the alternatives that it names are asked instead.
 func (d *Distributor) pull(ctx context.Context, candidate pullCandidate) error {
-	ctx, cancel := context.WithTimeout(ctx, d.timing.PullTimeout)
+	ctx, cancel := idle.WithTimeout(ctx, d.timing.PullTimeout, d.timing.PullTimeout)
 	defer cancel()
 	d.counters.pulls.Inc()
 	alternatives, err := d.pullFrom(ctx, candidate.address)
--- a/internal/distribute/read.go
+++ b/internal/distribute/read.go
@@ -56,8 +56,8 @@
 	offset, _ := d.enforcer.Position()
 	cursor = max(cursor, offset+1)
 	result, err := d.readOnce(ctx, platform.ConfigurationStream, cursor, d.timing.ReadWait)
-	if err == nil && result.Next > 0 {
-		d.enforcer.DeferFirstTable(result.Next - 1)
+	if err == nil {
+		d.deferFirstTable(result)
 	}
 	var expired *platform.ExpiredError
 	if errors.As(err, &expired) {
@@ -81,6 +81,14 @@
 	return cursor, nil
 }
 
+// deferFirstTable defers the first table until this daemon has applied all that the log
+// held at a read.
+func (d *Distributor) deferFirstTable(result platform.ReadResult) {
+	if result.Next > 0 {
+		d.enforcer.DeferFirstTable(result.Next - 1)
+	}
+}
+
 // resumeAfterExpiry continues after the records at the cursor have expired:
 // with the newest record of each key if the log keeps them, otherwise from a
 // snapshot.
--- a/internal/distribute/serve_follower.go
+++ b/internal/distribute/serve_follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/mulberrybank/mulberrybank/internal/idle"
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 )
 
@@ -24,27 +25,29 @@
 		return fmt.Errorf("serve follower %s: %w", child.Host, &shedError{retryAfter: shedRetryAfter})
 	}
 	defer d.followers.remove(follower)
+	parent, cancelIdle := idle.WithTimeout(parent, d.timing.IdleTimeout, d.timing.IdleTimeout)
+	defer cancelIdle()
 	ctx, cancel := context.WithCancelCause(parent)
 	stop := context.AfterFunc(ctx, stream.Close)
 	defer stop()
+	stream.OnReceive(func() { idle.Progress(ctx) })
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { cancel(d.receiveAcks(follower, stream, cancel)) })
+	tasks.Go(func() { cancel(d.receiveAcks(ctx, follower, stream)) })
 	err = d.sendUpdates(ctx, first.Offset, stream)
 	cancel(err)
 	return fmt.Errorf("serve follower %s: %w", child.Host, context.Cause(ctx))
 }
 
-// receiveAcks receives acknowledgements and ends the stream when they cease.
-func (d *Distributor) receiveAcks(f *follower, stream downstreamLink, cancel context.CancelCauseFunc) error {
-	idleTimer := time.AfterFunc(d.timing.IdleTimeout, func() { cancel(errIdleTimeout) })
-	defer idleTimer.Stop()
+// receiveAcks receives acknowledgements until the stream fails. Each is progress of ctx,
+// which ends when they cease.
+func (d *Distributor) receiveAcks(ctx context.Context, f *follower, stream downstreamLink) error {
 	for {
 		message, err := stream.Recv()
 		if err != nil {
 			return streamError(err)
 		}
-		idleTimer.Reset(d.timing.IdleTimeout)
+		idle.Progress(ctx)
 		d.followers.recordAck(f, message)
 		d.summaries.merge(message.Retired)
 		d.compareDigest(f.identity.Host, message.Offset, message.Digest)
--- a/internal/distribute/server.go
+++ b/internal/distribute/server.go
@@ -47,7 +47,12 @@
 
 func (s *server) Exchange(stream DRPCDistribute_ExchangeStream) error {
 	ctx := stream.Context()
-	end := &exchangeLink{stream: stream, decode: newDecoder(s.distributor.now), closeConn: func() { peer.CloseConn(ctx) }}
+	end := &exchangeLink{
+		stream:    stream,
+		decode:    newDecoder(s.distributor.now),
+		onReceive: func(notify func()) { peer.OnReceive(ctx, notify) },
+		closeConn: func() { peer.CloseConn(ctx) },
+	}
 	return s.distributor.exchangeSummaries(ctx, end)
 }
 
@@ -69,4 +74,6 @@
 	return l.decode.ack(message), nil
 }
 
+func (l *serverLink) OnReceive(notify func()) { peer.OnReceive(l.stream.Context(), notify) }
+
 func (l *serverLink) Close() { peer.CloseConn(l.stream.Context()) }
--- a/internal/distribute/source_selector.go
+++ b/internal/distribute/source_selector.go
@@ -16,9 +16,6 @@
 
 // Errors that end the use of a source.
 var (
-	// errIdleTimeout reports that no message arrived on an open connection in
-	// time.
-	errIdleTimeout = errors.New("no message received before the idle timeout")
 	// errStreamEnded reports that the peer closed the stream.
 	errStreamEnded = errors.New("peer closed the stream")
 	// errLoop reports that the peer receives its records from this daemon.
--- a/internal/distribute/timing.go
+++ b/internal/distribute/timing.go
@@ -7,7 +7,7 @@
 type Timing struct {
 	// HeartbeatInterval is the time between messages on an idle stream.
 	HeartbeatInterval time.Duration
-	// IdleTimeout is how long a stream may go without a message.
+	// IdleTimeout is how long a stream may go without any byte of a message.
 	IdleTimeout time.Duration
 	// ReadWait is how long the log holds a read that finds no records.
 	ReadWait time.Duration
@@ -21,7 +21,8 @@
 	FollowerMaxAge time.Duration
 	// ReselectInterval is how often a daemon checks for a better source.
 	ReselectInterval time.Duration
-	// PullTimeout limits one request to another daemon.
+	// PullTimeout is how long a request to another daemon may go without any byte
+	// of its response.
 	PullTimeout time.Duration
 	// MaxLogBackOff limits the back-off after the log has failed.
 	MaxLogBackOff time.Duration
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -13,8 +13,13 @@
 	*drpcconn.Conn
 	// Peer identifies the daemon at the other end.
 	Peer Identity
+	raw  *notifyingConn
 }
 
+// OnReceive calls a function for each part of a message that arrives. It replaces the
+// function set before.
+func (c *Conn) OnReceive(notify func()) { c.raw.onReceive.Store(&notify) }
+
 // DialFunc opens a TCP or TLS connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -51,8 +56,9 @@
 		return nil, fmt.Errorf("peer handshake with %s: %w", address, err)
 	}
 	class := TrafficClass{Kind: kind, Scope: ScopeOf(d.self, remote)}
-	counted := d.traffic.WrapConn(writeDeadlineConn{raw}, class)
-	return &Conn{Conn: drpcconn.New(counted), Peer: remote}, nil
+	notifying := &notifyingConn{Conn: writeDeadlineConn{raw}}
+	counted := d.traffic.WrapConn(notifying, class)
+	return &Conn{Conn: drpcconn.New(counted), Peer: remote, raw: notifying}, nil
 }
 
 // exchangeHello sends the Hello message of this daemon and returns what the daemon
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -75,8 +75,9 @@
 		return
 	}
 	class := TrafficClass{Kind: kind, Scope: ScopeOf(s.self, remote)}
-	ctx = withConn(WithIdentity(ctx, remote), raw)
-	err = drpcserver.New(s.mux).ServeOne(ctx, s.traffic.WrapConn(writeDeadlineConn{raw}, class))
+	notifying := &notifyingConn{Conn: writeDeadlineConn{raw}}
+	ctx = withConn(WithIdentity(ctx, remote), notifying)
+	err = drpcserver.New(s.mux).ServeOne(ctx, s.traffic.WrapConn(notifying, class))
 	if err != nil && ctx.Err() == nil {
 		s.log.WithError(err).Debugf("connection from host %s closed", remote.Host)
 	}
