Long records are compressed between daemons

With the limits on silence alone a record of 4,000 routes still was not on all daemons of a mesh with links of 7 Mbit/s after 4 s (TestLongRecordOverSlowLinksIsActiveInTime), and in one hop took up to 1.25 s: a parent sends the same long record to each follower over its one small link.

Change: a daemon that says so in the message that opens a stream, or in a catch-up request, gets records of 2 KiB and more compressed with zstd. The batch that was compressed last is kept, so that all followers cost one compression. Other daemons get and send plain records as before, so builds may be mixed.

--- a/internal/distribute/client.go
+++ b/internal/distribute/client.go
@@ -35,10 +35,15 @@
 	conn   *peer.Conn
 	stream DRPCDistribute_FollowClient
 	decode *wireDecoder
+	// opened is set once the first message was sent.
+	opened bool
 }
 
 func (l *clientLink) Send(message ack) error {
-	return l.stream.Send(ackToWire(message, l.decode.now()))
+	wire := ackToWire(message, l.decode.now())
+	wire.AcceptsCompressed = !l.opened
+	l.opened = true
+	return l.stream.Send(wire)
 }
 
 func (l *clientLink) Recv() (update, error) {
@@ -46,7 +51,7 @@
 	if err != nil {
 		return update{}, err
 	}
-	return l.decode.update(message), nil
+	return l.decode.update(message)
 }
 
 func (l *clientLink) OnReceive(notify func()) { l.conn.OnReceive(notify) }
@@ -65,12 +70,16 @@
 	}
 	defer conn.Close()
 	conn.OnReceive(func() { idle.Progress(ctx) })
-	request := &CatchUpRequest{Offset: offset, Digest: digest}
+	request := &CatchUpRequest{Offset: offset, Digest: digest, AcceptsCompressed: true}
 	response, err := NewDRPCDistributeClient(conn).CatchUp(ctx, request)
 	if err != nil {
 		return catchUpResponse{}, fmt.Errorf("catch up from %s: %w", conn.Peer.Host, idle.Error(ctx, err))
 	}
-	return catchUpFromWire(response, d.now()), nil
+	decoded, err := catchUpFromWire(response, d.now())
+	if err != nil {
+		return catchUpResponse{}, fmt.Errorf("catch up from %s: %w", conn.Peer.Host, err)
+	}
+	return decoded, nil
 }
 
 // openExchange dials a daemon of another region to exchange summaries.
--- a/internal/distribute/distribute.go
+++ b/internal/distribute/distribute.go
@@ -81,6 +81,7 @@
 	followers         *followers
 	summaries         *regionSummaries
 	diverged          *divergedPeers
+	recordEncoder     recordEncoder
 	logStoppedOnce    sync.Once
 }
 
--- a/internal/distribute/encoding.go
+++ b/internal/distribute/encoding.go
@@ -1,10 +1,6 @@
 package distribute
 
-import (
-	"time"
-
-	"github.com/mulberrybank/mulberrybank/internal/platform"
-)
+import "time"
 
 // Times are sent as ages, so that the clocks of two daemons need not agree.
 
@@ -41,9 +37,9 @@
 	}
 }
 
-func updateToWire(message update, now time.Time) *FollowAnswer {
+func updateToWire(message update, records encodedRecords, now time.Time) *FollowAnswer {
 	return &FollowAnswer{
-		Records:     platform.RecordsToWire(message.Records),
+		Records:     records.plain,
 		Snapshot:    snapshotToWire(message.Snapshot),
 		Offset:      message.Offset,
 		Digest:      shortDigest(message.Digest),
@@ -52,6 +48,8 @@
 		PathChanged: message.Path != nil,
 		Stopped:     message.Stopped,
 		Regions:     regionsToWire(message.Regions, now),
+
+		CompressedRecords: records.compressed,
 	}
 }
 
@@ -69,9 +67,9 @@
 	return &snapshot{Offset: wire.GetOffset(), Digest: wire.GetDigest(), State: wire.GetState()}
 }
 
-func catchUpToWire(response catchUpResponse, now time.Time) *CatchUpAnswer {
+func catchUpToWire(response catchUpResponse, records encodedRecords, now time.Time) *CatchUpAnswer {
 	return &CatchUpAnswer{
-		Records:      platform.RecordsToWire(response.Records),
+		Records:      records.plain,
 		Snapshot:     snapshotToWire(response.Snapshot),
 		Offset:       response.Offset,
 		Digest:       response.Digest,
@@ -80,12 +78,18 @@
 		AgeMs:        ageToWire(response.UpToDateAt, now),
 		Path:         response.Path,
 		Stopped:      response.Stopped,
+
+		CompressedRecords: records.compressed,
 	}
 }
 
-func catchUpFromWire(wire *CatchUpAnswer, now time.Time) catchUpResponse {
+func catchUpFromWire(wire *CatchUpAnswer, now time.Time) (catchUpResponse, error) {
+	records, err := recordsFromWire(wire.GetRecords(), wire.GetCompressedRecords())
+	if err != nil {
+		return catchUpResponse{}, err
+	}
 	return catchUpResponse{
-		Records:      platform.RecordsFromWire(wire.GetRecords()),
+		Records:      records,
 		Snapshot:     snapshotFromWire(wire.GetSnapshot()),
 		Offset:       wire.GetOffset(),
 		Digest:       wire.GetDigest(),
@@ -94,7 +98,7 @@
 		UpToDateAt:   ageFromWire(wire.GetAgeMs(), now),
 		Path:         wire.GetPath(),
 		Stopped:      wire.GetStopped(),
-	}
+	}, nil
 }
 
 func zonesToWire(zones []ZoneSummary, now time.Time) []*ZoneSummaryMessage {
@@ -158,9 +162,13 @@
 	}
 }
 
-func (d *wireDecoder) update(wire *FollowAnswer) update {
+func (d *wireDecoder) update(wire *FollowAnswer) (update, error) {
+	records, err := recordsFromWire(wire.GetRecords(), wire.GetCompressedRecords())
+	if err != nil {
+		return update{}, err
+	}
 	message := update{
-		Records:    platform.RecordsFromWire(wire.GetRecords()),
+		Records:    records,
 		Snapshot:   snapshotFromWire(wire.GetSnapshot()),
 		Offset:     wire.GetOffset(),
 		Digest:     wire.GetDigest(),
@@ -171,7 +179,7 @@
 	if wire.GetPathChanged() {
 		message.Path = append([]string{}, wire.GetPath()...)
 	}
-	return message
+	return message, nil
 }
 
 func (d *wireDecoder) zones(wire []*ZoneSummaryMessage) []ZoneSummary {
--- a/internal/distribute/server.go
+++ b/internal/distribute/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 
 	"storj.io/drpc/drpcmux"
 
@@ -29,7 +30,7 @@
 	if !ok {
 		return errNoIdentity
 	}
-	end := &serverLink{stream: stream, decode: newDecoder(s.distributor.now)}
+	end := &serverLink{stream: stream, decode: newDecoder(s.distributor.now), records: &s.distributor.recordEncoder}
 	return s.distributor.serveFollower(stream.Context(), child, end)
 }
 
@@ -42,7 +43,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return catchUpToWire(response, s.distributor.now()), nil
+	records, err := s.distributor.recordEncoder.encode(response.Records, request.GetAcceptsCompressed())
+	if err != nil {
+		return nil, err
+	}
+	return catchUpToWire(response, records, s.distributor.now()), nil
 }
 
 func (s *server) Exchange(stream DRPCDistribute_ExchangeStream) error {
@@ -58,12 +63,20 @@
 
 // serverLink is the parent's end of a stream over DRPC.
 type serverLink struct {
-	stream DRPCDistribute_FollowStream
-	decode *wireDecoder
+	stream  DRPCDistribute_FollowStream
+	decode  *wireDecoder
+	records *recordEncoder
+	// compressed is set once the follower has said that it accepts compressed
+	// records.
+	compressed atomic.Bool
 }
 
 func (l *serverLink) Send(message update) error {
-	return l.stream.Send(updateToWire(message, l.decode.now()))
+	records, err := l.records.encode(message.Records, l.compressed.Load())
+	if err != nil {
+		return err
+	}
+	return l.stream.Send(updateToWire(message, records, l.decode.now()))
 }
 
 func (l *serverLink) Recv() (ack, error) {
@@ -71,6 +84,9 @@
 	if err != nil {
 		return ack{}, err
 	}
+	if message.GetAcceptsCompressed() {
+		l.compressed.Store(true)
+	}
 	return l.decode.ack(message), nil
 }
 
