A read of the log that is given up for a better source is no outage

What on-call saw: 20 lines 'log is unavailable: ... a better source is available' in 14 s of a trial, beside the real ones. The client returns the cause of a cancelled context, which the check for context.Canceled does not match.

TestReadThatIsGivenUpForABetterSourceIsNoOutage failed before with 1 line for 0.

--- a/internal/distribute/read.go
+++ b/internal/distribute/read.go
@@ -152,7 +152,7 @@
 }
 
 func (a *logAvailability) markUnavailable(err error) {
-	if !a.unavailable && !errors.Is(err, context.Canceled) {
+	if !a.unavailable && !errors.Is(err, context.Canceled) && !errors.Is(err, errBetterSource) {
 		a.unavailable = true
 		a.log.WithError(err).Warn("log is unavailable")
 		a.events.Record(timeline.Event{Kind: timeline.PlatformLost, Detail: err.Error()})
