The rate that a target names is kept by the daemon beside it

Cause: nothing read the limit; the header only passed through. Class: a promise of the platform that no part of the product had.

Change: the adapter reads the limit into call.TargetNotice. All requests to a target, those of other daemons, retries, hedges and calls between services, pass the admission queue of the daemon beside it, so the limit is a token bucket there and holds for all daemons together, whatever they know of each other. A queued request gets a slot when the bucket allows it; waits are estimated with the rate. A limit belongs to the instance that named it and ends when a response names none; a target that takes nothing is still asked once in 2 s. An invalid number changes nothing. Loads report the slots that a limited target can use, and the router compares targets by those.

After a restart of the daemon the limit is learned from the first response: up to the target's slots may pass before.

--- a/internal/call/admission.go
+++ b/internal/call/admission.go
@@ -27,6 +27,8 @@
 	slots   int
 	queue   int
 	timeout time.Duration
+	// instance is the target process that runs the request.
+	instance string
 }
 
 // admissionRequest is what an admissionQueue needs to know of a request.
@@ -79,6 +81,10 @@
 	workspaces []string
 	// limits are those of the latest request.
 	limits admissionLimits
+	// rate is the limit that the target has named, and wake the timer that grants
+	// slots once it allows another request, nil while it is not set.
+	rate rateLimiter
+	wake *time.Timer
 	// serviceTime is the moving mean of the time that a request holds a slot, and
 	// serviceTimes the same by priority.
 	serviceTime  time.Duration
@@ -122,8 +128,9 @@
 		return nil, errDraining
 	}
 	a.limits = limits
+	a.rate.reset(limits.instance)
 	a.grantSlots()
-	if a.busy < limits.slots && a.queued == 0 {
+	if a.busy < limits.slots && a.queued == 0 && a.rate.take(a.now()) {
 		a.busy++
 		return nil, nil
 	}
@@ -138,9 +145,30 @@
 	}
 	w := &waiter{admissionRequest: request, enqueued: a.now(), position: a.waitersAhead(request) + 1, done: make(chan struct{})}
 	a.enqueue(w)
+	a.grantSlots()
 	return w, nil
 }
 
+// setRateLimit replaces the limit on the rate of an instance of the target. It reports
+// whether that changed the limit.
+func (a *admissionQueue) setRateLimit(instance string, limit RateLimit) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if instance != a.rate.instance || limit == a.rate.limit {
+		return false
+	}
+	a.rate.set(limit, a.now())
+	a.grantSlots()
+	return true
+}
+
+// rateLimit returns the limit that the target has named.
+func (a *admissionQueue) rateLimit() RateLimit {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.rate.limit
+}
+
 // serviceTimeOf returns the mean time that a request of a priority holds a slot.
 func (a *admissionQueue) serviceTimeOf(priority int) time.Duration {
 	if known, found := a.serviceTimes[priority]; found {
@@ -291,13 +319,18 @@
 	return mean + time.Duration(serviceTimeWeight*float64(sample-mean))
 }
 
-// grantSlots gives free slots to waiters in turn and refuses those that can no
-// longer meet their deadline.
+// grantSlots gives free slots to waiters in turn, as the rate limit allows, and refuses
+// those that can no longer meet their deadline.
 func (a *admissionQueue) grantSlots() {
 	for a.busy < a.limits.slots && a.queued > 0 {
+		if !a.rate.take(a.now()) {
+			a.grantSlotsLater()
+			return
+		}
 		w := a.dequeue()
 		a.recordWait(w)
 		if a.now().Add(a.serviceTimeOf(w.priority)).After(w.deadline) {
+			a.rate.giveBack()
 			w.finish(errDeadlineTooSoon)
 			continue
 		}
@@ -306,6 +339,19 @@
 	}
 }
 
+// grantSlotsLater grants slots once the rate limit allows another request.
+func (a *admissionQueue) grantSlotsLater() {
+	if a.wake != nil {
+		return
+	}
+	a.wake = time.AfterFunc(a.rate.delay(a.now()), func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.wake = nil
+		a.grantSlots()
+	})
+}
+
 // dequeue removes and returns the first waiter of the workspace whose turn it is.
 func (a *admissionQueue) dequeue() *waiter {
 	workspace := a.workspaces[0]
@@ -320,7 +366,7 @@
 func (a *admissionQueue) load() route.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return route.Load{Busy: a.busy, Slots: a.limits.slots, Queued: a.queued}
+	return route.Load{Busy: a.busy, Slots: a.rate.usableSlots(a.limits.slots, a.serviceTime), Queued: a.queued}
 }
 
 // loadFor returns the load that is reported in the response to a call of a
--- a/internal/call/admission_wait.go
+++ b/internal/call/admission_wait.go
@@ -53,7 +53,7 @@
 
 // expectedPositionWait returns the expected wait per position in the queue.
 func (a *admissionQueue) expectedPositionWait(queuePriority int) time.Duration {
-	least := a.serviceTime / time.Duration(max(a.limits.slots, 1))
+	least := max(a.serviceTime/time.Duration(max(a.limits.slots, 1)), a.rate.interval())
 	known := a.positionWaits[queuePriority]
 	if known == nil {
 		return least
--- a/internal/call/dialect.go
+++ b/internal/call/dialect.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"errors"
 	"net/http"
 	"time"
 )
@@ -30,6 +31,11 @@
 	ResponseMismatched
 )
 
+// TargetNotice is what a response says about the target itself.
+type TargetNotice struct {
+	RateLimit RateLimit
+}
+
 // Dialect adapts requests and responses to the headers that the target of this
 // host uses.
 type Dialect interface {
@@ -37,4 +43,11 @@
 	Prepare(header http.Header, request TargetRequest)
 	// Classify returns the class of a response to a request.
 	Classify(request TargetRequest, status int, header http.Header) ResponseClass
+	// Notice returns what a response that is not mismatched says about the instance
+	// that the request was meant for. The error wraps ErrNoNotice if it says nothing
+	// that can be used.
+	Notice(status int, header http.Header) (TargetNotice, error)
 }
+
+// ErrNoNotice is wrapped by the error of a response without a usable TargetNotice.
+var ErrNoNotice = errors.New("response has no usable notice of its target")
--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -38,6 +38,21 @@
 	return a.admission.acquire(ctx, request, admissionLimits{slots: slots, queue: queue, timeout: timeout})
 }
 
+// SetRateLimit sets the limit that an instance has named.
+func (a *AdmissionQueue) SetRateLimit(instance string, limit RateLimit) {
+	a.admission.setRateLimit(instance, limit)
+}
+
+// AcquireFor takes a slot for a request to an instance of the target.
+func (a *AdmissionQueue) AcquireFor(ctx context.Context, instance string, deadline time.Time, slots, queue int) error {
+	request := admissionRequest{workspace: "huts", deadline: deadline}
+	limits := admissionLimits{slots: slots, queue: queue, timeout: time.Until(deadline), instance: instance}
+	return a.admission.acquire(ctx, request, limits)
+}
+
+// UsableSlots returns the slots that are reported to callers.
+func (a *AdmissionQueue) UsableSlots() int { return a.admission.load().Slots }
+
 // Release frees the slot of a request that succeeded.
 func (a *AdmissionQueue) Release(held time.Duration) { a.ReleaseAs(held, true) }
 
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -61,9 +61,11 @@
 	return admissionRequest{workspace: q.workspace, priority: q.priority, late: q.late, deadline: q.deadline, objective: q.objective}
 }
 
-// limits returns the admission limits for the request to the local target.
-func (q *request) limits(self membership.Member) admissionLimits {
+// limits returns the admission limits for the request to an instance of the local
+// target.
+func (q *request) limits(self membership.Member, instance string) admissionLimits {
 	allowed := admissionLimitsOf(q.service, self.Slots)
+	allowed.instance = instance
 	if q.freeSlotOnly {
 		allowed.queue = 0
 	}
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -136,6 +136,7 @@
 		peerConns:       newTransports(options.DialPeers, options.PeerConnections, maxPeerHeadBytes),
 	}
 	s.budgets.RegisterMetrics(options.Metrics)
+	options.Metrics.NewGauge(`mulberrybank_target_rate_limit`, s.targetRateLimit)
 	options.Metrics.NewGauge(`mulberrybank_calls_in_progress`, func() float64 { return float64(s.InProgress()) })
 	return s
 }
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -57,7 +57,7 @@
 	if address == "" {
 		return nil, s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errNoLocalTarget), false
 	}
-	if failure := s.admit(ctx, q, self); failure != nil {
+	if failure := s.admit(ctx, q, self, instance); failure != nil {
 		return nil, failure, false
 	}
 	start := s.now()
@@ -140,7 +140,11 @@
 	if s.dialect == nil {
 		return nil
 	}
-	switch s.dialect.Classify(sent, response.StatusCode, response.Header) {
+	class := s.dialect.Classify(sent, response.StatusCode, response.Header)
+	if class != ResponseMismatched {
+		s.recordNotice(sent.Instance, response)
+	}
+	switch class {
 	case ResponseNotRun:
 		_ = response.Body.Close()
 		return s.fail(NotRun, StepShed, http.StatusServiceUnavailable, fmt.Errorf("%w: status %d", errTargetNotRun, response.StatusCode))
@@ -171,9 +175,9 @@
 
 // admit waits for a slot of the local target. After a nil error the slot must be
 // released.
-func (s *Server) admit(ctx context.Context, q *request, self membership.Member) *Error {
+func (s *Server) admit(ctx context.Context, q *request, self membership.Member, instance string) *Error {
 	start := s.now()
-	err := s.admission.acquire(ctx, q.admissionRequest(), q.limits(self))
+	err := s.admission.acquire(ctx, q.admissionRequest(), q.limits(self, instance))
 	s.counters.queue.Update(s.now().Sub(start).Seconds())
 	if errors.Is(err, errDraining) {
 		s.counters.refused.Inc()
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -13,6 +13,9 @@
 // loadHalfLife is the half-life of a reported load.
 const loadHalfLife = time.Second
 
+// usableSlotsTTL is how long a report of the usable slots holds.
+const usableSlotsTTL = 2 * time.Second
+
 // maxReportedLoad bounds each number of a reported load.
 const maxReportedLoad = 1 << 20
 
@@ -20,7 +23,8 @@
 type Load struct {
 	// Busy is the number of running requests.
 	Busy int
-	// Slots is the number of requests that may run concurrently.
+	// Slots is the number of requests that may run concurrently, less than the target
+	// announced if it limits its rate.
 	Slots int
 	// Queued is the number of requests that wait for a slot.
 	Queued int
@@ -60,7 +64,10 @@
 	// otherLoad is the load that other daemons put on the target, as of loadAt.
 	otherLoad int
 	loadAt    time.Time
-	usedAt    time.Time
+	// usableSlots is the number of slots that the target could use then, 0 when
+	// unknown.
+	usableSlots int
+	usedAt      time.Time
 
 	// successCount and failureCount are decayed as of outcomesAt.
 	successCount float64
@@ -96,6 +103,15 @@
 func (h *hostStats) recordLoad(load Load, now time.Time) {
 	h.otherLoad = max(load.Busy+load.Queued-(h.outstanding-1), 0)
 	h.loadAt = now
+	h.usableSlots = load.Slots
+}
+
+// slots returns how many of a target's slots are usable. A report of fewer expires.
+func (h *hostStats) slots(announced int, now time.Time) int {
+	if h.usableSlots > 0 && now.Sub(h.loadAt) < usableSlotsTTL {
+		return min(announced, h.usableSlots)
+	}
+	return announced
 }
 
 // decay is 1 at age 0 and halves with each halfLife.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -201,11 +201,11 @@
 func (r *Router) newCandidate(member membership.Member, request Request, now time.Time) candidate {
 	service := request.Service
 	weight := slowStartWeight(member, service, now)
-	slots := float64(slotCount(member, service))
 	stats, found := r.hosts[member.Host]
 	if !found {
 		return candidate{member: member, weight: weight}
 	}
+	slots := float64(stats.slots(slotCount(member, service), now))
 	return candidate{
 		member:      member,
 		utilization: stats.load(now) / (slots * weight),
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -28,6 +28,7 @@
 	headerNotExecuted = "Not-Executed"
 	headerCaller      = "Caller-Service"
 	headerDeadline    = "Deadline-Ms"
+	headerRateLimit   = "Server-Limit"
 )
 
 // heartbeatInterval is the time between two heartbeats, and heartbeatTimeout bounds
@@ -56,14 +57,18 @@
 	// CloseDelimited sends a response without Content-Length that ends when the
 	// connection is closed.
 	CloseDelimited bool
+	// RateLimit is the rate limit that responses name, empty for none.
+	RateLimit string
 }
 
 // Run is one executed request.
 type Run struct {
-	ID     string
-	Header http.Header
-	Path   string
-	Body   string
+	// Started is when the execution began.
+	Started time.Time
+	ID      string
+	Header  http.Header
+	Path    string
+	Body    string
 }
 
 // Caller returns the service in the Caller-Service header.
@@ -245,7 +250,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	run := Run{ID: r.Header.Get(headerRequestID), Header: r.Header.Clone(), Path: r.RequestURI, Body: string(body)}
+	run := Run{Started: time.Now(), ID: r.Header.Get(headerRequestID), Header: r.Header.Clone(), Path: r.RequestURI, Body: string(body)}
 	behaviour, ok := u.startRun(run)
 	if !ok {
 		w.Header().Set(headerNotExecuted, "1")
@@ -307,6 +312,9 @@
 	}
 	w.Header().Set(headerRequestID, id)
 	w.Header().Set(headerSignature, u.options.ID+"."+id)
+	if behaviour.RateLimit != "" {
+		w.Header().Set(headerRateLimit, behaviour.RateLimit)
+	}
 	w.WriteHeader(status)
 	_, _ = w.Write(text)
 }
