A target that says in its responses that it leaves gets no further request

What callers would see: requests that reach a target which has said in its responses that it leaves, and that ends soon (DRAIN).

Cause: only heartbeats and deregistrations ended the use of a target; the notice in responses passed through unread.

Change: the adapter reads it into call.TargetNotice. The first such response of an instance sets the target of this host to draining, as a heartbeat that says so does: the daemon beside it refuses further and queued requests as not run, so that all daemons are bound, and the others learn of it through the membership. The instance is remembered as departed: a later heartbeat that says 'ready' does not bring it back, a new instance is ready as usual.

What the daemon does not know after a restart of its own, it learns from heartbeats or from the next response.

--- a/internal/call/dialect.go
+++ b/internal/call/dialect.go
@@ -34,6 +34,8 @@
 // TargetNotice is what a response says about the target itself.
 type TargetNotice struct {
 	RateLimit RateLimit
+	// Leaving says that the target shuts down and is to get no further requests.
+	Leaving bool
 }
 
 // Dialect adapts requests and responses to the headers that the target of this
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -50,6 +50,9 @@
 	// Dialect adapts requests to the target; nil if the target uses the mesh's own
 	// headers.
 	Dialect Dialect
+	// OnTargetLeaving is called when a response of the target says that the instance
+	// leaves; nil for nothing to do.
+	OnTargetLeaving func(instance string)
 	// Keys is nil if calls with idempotency keys are not supported.
 	Keys   IdempotencyKeys
 	Router *route.Router
@@ -101,7 +104,11 @@
 	now             func() time.Time
 	sampleThreshold uint64
 
-	admission   *admissionQueue
+	admission *admissionQueue
+	// leavingTarget is the target that has said that it leaves.
+	leavingTarget   leavingTarget
+	onTargetLeaving func(instance string)
+
 	inflight    *inflight
 	callLimit   *callLimiter
 	targetConns *targetTransports
@@ -130,6 +137,7 @@
 		now:             options.Now,
 		sampleThreshold: sampleThresholdOf(options.SampleRatio),
 		admission:       newAdmissionQueue(options.Now),
+		onTargetLeaving: options.OnTargetLeaving,
 		inflight:        newInflight(),
 		callLimit:       newCallLimiter(options.MaxCalls),
 		targetConns:     newTargetTransports(options.Dial, options.TargetConnections, options.Now),
@@ -157,6 +165,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.OnTargetLeaving == nil {
+		o.OnTargetLeaving = func(string) {}
+	}
 	if o.TargetConnections <= 0 {
 		o.TargetConnections = DefaultTargetConnections
 	}
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -157,6 +157,16 @@
 	return slices.ContainsFunc(l.departedInstances, func(d departedInstance) bool { return d.matches(id) })
 }
 
+// leave records that an instance leaves and reports whether it is the announced one.
+func (l *lease) leave(instance string, now time.Time) bool {
+	if l.state == NoTarget || l.announcement.Instance != instance {
+		return false
+	}
+	l.recordDeparture(l.announcement.instanceID(), now)
+	l.state = Draining
+	return true
+}
+
 // withdraw ends the lease and reports whether it was held.
 func (l *lease) withdraw(now time.Time) bool {
 	if l.state == NoTarget || !l.withdrawnAt.IsZero() {
--- a/internal/membership/lease_test.go
+++ b/internal/membership/lease_test.go
@@ -122,3 +122,21 @@
 	assert.NilError(t, l.renew(again, now))
 	assert.Equal(t, l.effectiveState(), Draining)
 }
+
+func TestInstanceThatLeavesDoesNotBecomeReadyAgain(t *testing.T) {
+	now := time.Now()
+	announce := func(instance string, sequence uint64) Announcement {
+		return Announcement{Service: "railway/status", Address: "10.0.0.1:1", Slots: 1, State: "ready", Instance: instance, StartedUnixMs: 1, Sequence: sequence}
+	}
+	var l lease
+	assert.Assert(t, !l.leave("i-1", now), "an instance left before it was announced")
+	assert.NilError(t, l.renew(announce("i-1", 1), now))
+	assert.Assert(t, !l.leave("i-0", now), "an instance that is not announced left")
+	assert.Equal(t, l.effectiveState(), Ready)
+	assert.Assert(t, l.leave("i-1", now))
+	assert.Equal(t, l.effectiveState(), Draining)
+	assert.NilError(t, l.renew(announce("i-1", 2), now))
+	assert.Equal(t, l.effectiveState(), Draining)
+	assert.NilError(t, l.renew(announce("i-2", 1), now))
+	assert.Equal(t, l.effectiveState(), Ready)
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -142,6 +142,17 @@
 	return m.lease.announcement, state, state != NoTarget
 }
 
+// RecordTargetLeaving sets the target of this host to draining, for good, if it is
+// still the given instance.
+func (m *Membership) RecordTargetLeaving(instance string) {
+	m.mu.Lock()
+	found := m.lease.leave(instance, time.Now())
+	m.mu.Unlock()
+	if found {
+		m.updateSelf(nil)
+	}
+}
+
 // Drain sets the target of this host to draining: it takes no new work.
 func (m *Membership) Drain() { m.setDrained(true) }
 
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -29,6 +29,7 @@
 	headerCaller      = "Caller-Service"
 	headerDeadline    = "Deadline-Ms"
 	headerRateLimit   = "Server-Limit"
+	headerLeaving     = "Server-Leaving"
 )
 
 // heartbeatInterval is the time between two heartbeats, and heartbeatTimeout bounds
@@ -59,6 +60,8 @@
 	CloseDelimited bool
 	// RateLimit is the rate limit that responses name, empty for none.
 	RateLimit string
+	// Leaving makes responses say that the upstream leaves.
+	Leaving bool
 }
 
 // Run is one executed request.
@@ -315,6 +318,9 @@
 	if behaviour.RateLimit != "" {
 		w.Header().Set(headerRateLimit, behaviour.RateLimit)
 	}
+	if behaviour.Leaving {
+		w.Header().Set(headerLeaving, "1")
+	}
 	w.WriteHeader(status)
 	_, _ = w.Write(text)
 }
