--- a/internal/membership/log_discovery_test.go
+++ b/internal/membership/log_discovery_test.go
@@ -1,13 +1,16 @@
 package membership
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrybank/mulberrybank/internal/peer"
@@ -104,6 +107,43 @@
 	})
 }
 
+// TestOddLogRecordsHideNoLiveHost starts daemons whose log holds records of another
+// writer that no daemon would write.
+func TestOddLogRecordsHideNoLiveHost(t *testing.T) {
+	encode := func(message *Entry) []byte {
+		payload, err := proto.Marshal(message)
+		assert.NilError(t, err)
+		return payload
+	}
+	odd := [][]byte{
+		nil,
+		[]byte("{}"),
+		bytes.Repeat([]byte{0xff}, 1<<10),
+		// Groups of an unknown field, each within the one before.
+		bytes.Repeat([]byte{0xfb, 0x01}, 200_000),
+		encode(&Entry{}),
+		encode(&Entry{Host: "odd-port", Zone: "zone-0", Region: "region-0", ControlAddress: "127.0.0.1:99999"}),
+		encode(&Entry{Host: "odd-address", Zone: "zone-1", Region: "region-1", ControlAddress: "no address"}),
+		encode(&Entry{Zone: "zone-2", Region: "region-2", ControlAddress: "127.0.0.1:0"}),
+		encode(&Entry{
+			Host: "odd-numbers", Zone: "zone-0", Region: "region-0", ControlAddress: "odd-numbers",
+			Incarnation: math.MaxUint64, Counter: math.MaxUint64, State: math.MaxUint32, Slots: math.MaxUint32,
+			TargetState: math.MaxUint32, LogDistanceMs: math.MaxUint32, InForce: math.MaxUint64, GoneSeconds: math.MaxUint32,
+		}),
+	}
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		log := &hostLog{}
+		for i, payload := range odd {
+			assert.NilError(t, log.Put(t.Context(), platform.HostStream, fmt.Sprintf("odd-%d", i), payload))
+		}
+		const zones, perZone = 3, 4
+		m.startWithLog(log, zones, perZone)
+		m.waitUntil(20*time.Second, "complete", knowsAll(zones*perZone))
+	})
+}
+
 // TestStaleLogRecordsHideNoLiveHost starts daemons whose log holds ten records
 // of gone hosts for each live one.
 func TestStaleLogRecordsHideNoLiveHost(t *testing.T) {
