--- a/cmd/mulberrybank/platform_test.go
+++ b/cmd/mulberrybank/platform_test.go
@@ -421,6 +421,46 @@
 	}
 }
 
+func TestStaleRefusalIsNoPromiseForAnotherRequest(t *testing.T) {
+	f := startFleet(t)
+	fourth := f.hosts[3]
+	f.await("the service ledger is reachable from side-4", func() bool {
+		got, err := f.send(fourth, http.MethodGet, "/lookup/ledger/1", "")
+		return err == nil && got.status == http.StatusOK
+	})
+	for _, staleID := range []string{"", "an earlier request"} {
+		f.setLedgerBehaviour(upstream.Behaviour{StaleRefusal: true, StaleID: staleID})
+		got, err := f.send(fourth, http.MethodPost, "/charge/1", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, got.status, http.StatusBadGateway, "id %q", staleID)
+		runs, _ := f.findRuns(got.id)
+		assert.Equal(t, len(runs), 1, "id %q", staleID)
+	}
+}
+
+func TestResponseThatEndsEarlyIsNoSuccess(t *testing.T) {
+	const responseBytes = 150
+	f := startFleet(t)
+	fourth := f.hosts[3]
+	f.await("the service ledger is reachable from side-4", func() bool {
+		got, err := f.send(fourth, http.MethodGet, "/lookup/ledger/1", "")
+		return err == nil && got.status == http.StatusOK
+	})
+	whole := 0
+	for prefix := 1; prefix <= responseBytes; prefix++ {
+		f.setLedgerBehaviour(upstream.Behaviour{ResponsePrefix: prefix})
+		got, err := f.send(fourth, http.MethodPost, "/charge/1", "x")
+		if err == nil && got.status == http.StatusOK {
+			assert.Equal(t, got.body, "answer to "+got.id+" x", "%d bytes", prefix)
+			whole++
+		}
+		runs, _ := f.findRuns(got.id)
+		assert.Assert(t, len(runs) <= 1, "%d bytes", prefix)
+	}
+	assert.Assert(t, whole > 0, "no response was whole")
+	assert.Assert(t, whole < responseBytes/2, "%d responses were whole", whole)
+}
+
 func (f *fleet) setLedgerBehaviour(behaviour upstream.Behaviour) {
 	for _, h := range f.hosts {
 		if h.service == "ledger" {
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -58,6 +58,13 @@
 	// CloseDelimited sends a response without Content-Length that ends when the
 	// connection is closed.
 	CloseDelimited bool
+	// StaleRefusal executes the request and sends the refusal of an earlier request
+	// in place of the response, with the ID of that request unless it is empty.
+	StaleRefusal bool
+	StaleID      string
+	// ResponsePrefix, if it is above 0, is the number of bytes of the response after
+	// which the connection is closed.
+	ResponsePrefix int
 	// RateLimit is the rate limit that responses name, empty for none.
 	RateLimit string
 	// Leaving makes responses say that the upstream leaves.
@@ -249,6 +256,7 @@
 		return
 	}
 	if instance := r.Header.Get(headerInstance); instance != "" && instance != u.options.ID {
+		w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 		w.Header().Set("Instance-Id", u.options.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -256,6 +264,7 @@
 	run := Run{Started: time.Now(), ID: r.Header.Get(headerRequestID), Header: r.Header.Clone(), Path: r.RequestURI, Body: string(body)}
 	behaviour, ok := u.startRun(run)
 	if !ok {
+		w.Header().Set(headerRequestID, run.ID)
 		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -333,6 +342,11 @@
 		return append(fmt.Appendf([]byte(head), "Content-Length: %d\r\n\r\n", length), text...)
 	}
 	switch {
+	case b.StaleRefusal:
+		return staleRefusal(b.StaleID)
+	case b.ResponsePrefix > 0:
+		whole := withContentLength(len(text))
+		return whole[:min(b.ResponsePrefix, len(whole))]
 	case b.DuplicateResponse:
 		return withContentLength(len(text))
 	case b.TruncateResponse:
@@ -344,6 +358,15 @@
 	}
 }
 
+// staleRefusal returns the refusal of an earlier request, or of one without an ID.
+func staleRefusal(id string) []byte {
+	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n", headerNotExecuted)
+	if id != "" {
+		refusal += fmt.Sprintf("%s: %s\r\n", headerRequestID, id)
+	}
+	return []byte(refusal + "Content-Length: 0\r\n\r\n")
+}
+
 // writeRaw writes a response to the connection and closes the connection. If
 // duplicate is true, it first reads the next request and writes the same response to
 // it without executing it.
