A target that starts again under its name can leave again

A target may start again under the name that it had; its second departure would not have been noticed in its responses.

Change: the server remembers nothing; the membership tells one start from another and ignores what is no news. TestInstanceThatLeavesDoesNotBecomeReadyAgain covers a second start. The mesh of two tests of internal/distribute is made in one place.

--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -50,8 +50,8 @@
 	// Dialect adapts requests to the target; nil if the target uses the mesh's own
 	// headers.
 	Dialect Dialect
-	// OnTargetLeaving is called when a response of the target says that the instance
-	// leaves; nil for nothing to do.
+	// OnTargetLeaving is called for each response of the target that says that the
+	// instance leaves; nil for nothing to do.
 	OnTargetLeaving func(instance string)
 	// Keys is nil if calls with idempotency keys are not supported.
 	Keys   IdempotencyKeys
@@ -103,12 +103,9 @@
 	counters        counters
 	now             func() time.Time
 	sampleThreshold uint64
-
-	admission *admissionQueue
-	// leavingTarget is the target that has said that it leaves.
-	leavingTarget   leavingTarget
 	onTargetLeaving func(instance string)
 
+	admission   *admissionQueue
 	inflight    *inflight
 	callLimit   *callLimiter
 	targetConns *targetTransports
--- a/internal/call/target_notice.go
+++ b/internal/call/target_notice.go
@@ -2,29 +2,10 @@
 
 import (
 	"net/http"
-	"sync"
 
 	"github.com/sirupsen/logrus"
 )
 
-// leavingTarget remembers the instance of the target that has said that it leaves.
-type leavingTarget struct {
-	mu       sync.Mutex
-	instance string
-}
-
-// record reports whether an instance says for the first time that it leaves. One
-// without a name always does.
-func (l *leavingTarget) record(instance string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if instance != "" && instance == l.instance {
-		return false
-	}
-	l.instance = instance
-	return true
-}
-
 // recordNotice applies what a response of the target says about the target itself. The
 // daemon beside a target sends it all its requests, so a limit that is kept here is kept
 // for all callers.
@@ -41,8 +22,7 @@
 			"per_second": notice.RateLimit.PerSecond,
 		}).Info("rate limit of the target changed")
 	}
-	if notice.Leaving && s.leavingTarget.record(instance) {
-		s.log.WithField("instance", instance).Info("target leaves, as its response says")
+	if notice.Leaving {
 		s.onTargetLeaving(instance)
 	}
 }
--- a/internal/distribute/nearest_region_test.go
+++ b/internal/distribute/nearest_region_test.go
@@ -12,19 +12,7 @@
 // reads it, and that another region takes over when its reader hangs.
 func TestNearestRegionReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := threeRegions(t, 3)
-		m.options.Timing = FastTiming
-		for host, member := range m.members {
-			member.LogRTT = 41 * time.Millisecond
-			if member.Region == "ashanti" {
-				member.LogRTT = 2 * time.Millisecond
-			}
-			m.members[host] = member
-		}
-		m.log.add("1")
-		m.startAll()
-		m.waitFor(1, 10*time.Second)
-		time.Sleep(20 * time.Second)
+		m := nearestRegionMesh(t, 3, "ashanti")
 		readers := m.logReaders()
 		assert.Equal(t, len(readers), 1, "%v read the log", readers)
 		assert.Equal(t, m.members[readers[0]].Region, "ashanti")
--- a/internal/distribute/slow_link_test.go
+++ b/internal/distribute/slow_link_test.go
@@ -30,14 +30,14 @@
 	return payload.String()
 }
 
-// nearestRegionMesh returns a mesh in which one region reads the log, after all
-// daemons have applied the first record.
-func nearestRegionMesh(t *testing.T, perZone int) *mesh {
+// nearestRegionMesh returns a mesh in which only a region that is nearest to the log
+// reads it, after all daemons have applied the first record.
+func nearestRegionMesh(t *testing.T, perZone int, nearest string) *mesh {
 	m := threeRegions(t, perZone)
 	m.options.Timing = FastTiming
 	for host, member := range m.members {
 		member.LogRTT = 41 * time.Millisecond
-		if member.Region == "greater-accra" {
+		if member.Region == nearest {
 			member.LogRTT = 2 * time.Millisecond
 		}
 		m.members[host] = member
@@ -51,7 +51,7 @@
 
 func TestLongRecordOverSlowLinksIsActiveInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := nearestRegionMesh(t, 13)
+		m := nearestRegionMesh(t, 13, "greater-accra")
 		m.net.setRate(slowLink)
 		start := time.Now()
 		last := m.log.add(longRecord(4000))
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -157,9 +157,10 @@
 	return slices.ContainsFunc(l.departedInstances, func(d departedInstance) bool { return d.matches(id) })
 }
 
-// leave records that an instance leaves and reports whether it is the announced one.
+// leave records that an instance leaves. It reports whether that is news of the
+// announced one.
 func (l *lease) leave(instance string, now time.Time) bool {
-	if l.state == NoTarget || l.announcement.Instance != instance {
+	if l.state == NoTarget || l.state == Draining || l.announcement.Instance != instance {
 		return false
 	}
 	l.recordDeparture(l.announcement.instanceID(), now)
--- a/internal/membership/lease_test.go
+++ b/internal/membership/lease_test.go
@@ -139,4 +139,12 @@
 	assert.Equal(t, l.effectiveState(), Draining)
 	assert.NilError(t, l.renew(announce("i-2", 1), now))
 	assert.Equal(t, l.effectiveState(), Ready)
+
+	// A later start under the name that it had leaves by itself.
+	again := announce("i-1", 1)
+	again.StartedUnixMs = 2
+	assert.NilError(t, l.renew(again, now))
+	assert.Equal(t, l.effectiveState(), Ready)
+	assert.Assert(t, l.leave("i-1", now))
+	assert.Equal(t, l.effectiveState(), Draining)
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -146,9 +146,10 @@
 // still the given instance.
 func (m *Membership) RecordTargetLeaving(instance string) {
 	m.mu.Lock()
-	found := m.lease.leave(instance, time.Now())
+	changed := m.lease.leave(instance, time.Now())
 	m.mu.Unlock()
-	if found {
+	if changed {
+		m.log.WithField("instance", instance).Info("target leaves, as its response says")
 		m.updateSelf(nil)
 	}
 }
