Tests of rate limits share their bound and how they count

duplicates showed the same constants and function in internal/call and cmd/mulberrybank. The bound is unchanged: 1.5 times the limit and 5 more in 4 s; it is rounded down to whole requests.

--- a/cmd/mulberrybank/notice_test.go
+++ b/cmd/mulberrybank/notice_test.go
@@ -2,36 +2,15 @@
 
 import (
 	"net/http"
-	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrybank/mulberrybank/internal/call/ratetest"
 	"github.com/mulberrybank/mulberrybank/internal/standin/upstream"
 )
 
-// The bound on the requests that an upstream gets in any rateWindow, as a multiple of
-// its rate limit and a number of requests more.
-const (
-	rateWindow     = 4 * time.Second
-	maxExcess      = 1.5
-	excessRequests = 5
-)
-
-// mostInWindow returns the largest number of runs that began within rateWindow.
-func mostInWindow(runs []upstream.Run) int {
-	slices.SortFunc(runs, func(a, b upstream.Run) int { return a.Started.Compare(b.Started) })
-	most, first := 0, 0
-	for i := range runs {
-		for runs[i].Started.Sub(runs[first].Started) >= rateWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 func TestRateLimitOfUpstreamIsKeptByAllDaemonsTogether(t *testing.T) {
 	const rateLimit = 2
 	f := startFleet(t)
@@ -42,9 +21,13 @@
 			_, _ = f.send(h, http.MethodGet, "/lookup/1", "")
 		}
 	}
-	most := mostInWindow(limited.upstream.Runs())
+	var times []time.Time
+	for _, run := range limited.upstream.Runs() {
+		times = append(times, run.Started)
+	}
+	most := ratetest.MostInWindow(times)
 	assert.Assert(t, most > 0, "the limited upstream got nothing")
-	assert.Assert(t, float64(most) <= maxExcess*rateLimit*rateWindow.Seconds()+excessRequests, "%d in a window", most)
+	assert.Assert(t, most <= ratetest.Allowed(rateLimit), "%d in a window", most)
 }
 
 func TestUpstreamThatLeavesGetsNoFurtherRequest(t *testing.T) {
--- a/internal/call/rate_limit_test.go
+++ b/internal/call/rate_limit_test.go
@@ -12,28 +12,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/call/ratetest"
 )
 
-// The bound on the requests that a target gets: in any window at most maxExcess times
-// its limit and excessRequests more.
-const (
-	limitWindow    = 4 * time.Second
-	maxExcess      = 1.5
-	excessRequests = 5
-)
-
-// mostInWindow returns the largest number of times, in order, within limitWindow.
-func mostInWindow(times []time.Time) int {
-	most, first := 0, 0
-	for i := range times {
-		for times[i].Sub(times[first]) >= limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // sentRequests collects when requests got a slot.
 type sentRequests struct {
 	mu    sync.Mutex
@@ -80,8 +61,8 @@
 				offer(a, "i-1", time.Second, time.Millisecond, work, slots)
 				a.SetRateLimit("i-1", call.RateLimit{Limited: true, PerSecond: rate})
 				times := offer(a, "i-1", duration, 2*time.Millisecond, work, slots)
-				most := mostInWindow(times)
-				assert.Assert(t, float64(most) <= maxExcess*rate*limitWindow.Seconds()+excessRequests, "%d in a window", most)
+				most := ratetest.MostInWindow(times)
+				assert.Assert(t, most <= ratetest.Allowed(rate), "%d in a window", most)
 				assert.Assert(t, float64(len(times)) >= 0.9*rate*duration.Seconds(), "%d in all", len(times))
 			})
 		})
