--- a/internal/distribute/record_batch_test.go
+++ b/internal/distribute/record_batch_test.go
@@ -60,3 +60,20 @@
 	_, err = recordsFromWire(nil, []byte("no frame"))
 	assert.ErrorContains(t, err, "decompress records")
 }
+
+// BenchmarkLongRecord encodes and decodes a record as long as a configuration of 1,600
+// routes.
+func BenchmarkLongRecord(b *testing.B) {
+	records := []platform.Record{{Offset: 1, Payload: []byte(longRecord(1600))}}
+	compressed := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		encoded, err := compressRecords(records)
+		assert.NilError(b, err)
+		_, err = recordsFromWire(encoded.plain, encoded.compressed)
+		assert.NilError(b, err)
+		compressed = len(encoded.compressed)
+	}
+	b.ReportMetric(float64(len(records[0].Payload)), "bytes")
+	b.ReportMetric(float64(compressed), "bytes-compressed")
+}
