The cost of choosing a target does not grow with the number of targets

Change: a Router keeps an index of each service that is called: its targets by locality, as they are for each class of calls (priority, repeatable). It changes with the service's part of the view, with what calls show of a host, and when that expires (a heap of times); a choice draws a few targets from it. Refused, ejected and leaving targets are in sets of their own, so a choice takes as long when most targets are full. Reported failure rates are compared over all targets at most every 100 ms, and only while any is above 0.

What differs: the lowest failure rate, against which others are measured, takes in targets that the call excludes; and the mean service time those that it excludes.

The fake directory of the tests returned the same slice with changed members; a view never changes, so it returns a copy now.

--- a/internal/route/errors.go
+++ b/internal/route/errors.go
@@ -35,23 +35,6 @@
 	Latest, Earliest time.Duration
 }
 
-// newAllFullError returns the error for candidates that have all refused calls.
-func newAllFullError(candidates []candidate, now time.Time) *AllFullError {
-	e := &AllFullError{}
-	for _, c := range candidates {
-		if !c.full {
-			continue
-		}
-		age := now.Sub(c.refusedAt)
-		if e.Targets == 0 || age < e.Latest {
-			e.Host, e.Latest = c.member.Host, age
-		}
-		e.Earliest = max(e.Earliest, age)
-		e.Targets++
-	}
-	return e
-}
-
 func (e *AllFullError) Error() string {
 	return fmt.Sprintf("%v: %d refused calls in the last %s, the latest %s ago by %s", ErrAllFull, e.Targets,
 		e.Earliest.Round(time.Millisecond), e.Latest.Round(time.Millisecond), e.Host)
--- a/internal/route/failures.go
+++ b/internal/route/failures.go
@@ -1,9 +1,6 @@
 package route
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// trackerHalfLife is the half-life of the counts of a FailureTracker.
@@ -13,6 +10,8 @@
 	// failureRateMargin is by how much the failure rate of a target must exceed
 	// the lowest one before calls go elsewhere.
 	failureRateMargin = 0.15
+	// negligibleFailureRate is a decayed failure rate that counts as 0.
+	negligibleFailureRate = 0.001
 	// reportHalfLife is the half-life of a reported failure rate for repeatable
 	// calls. For other calls it is nonRepeatableFactor times as long, so that they
 	// return to the target later.
@@ -62,6 +61,9 @@
 
 // decayed returns the reported rate, decayed by the age of the report.
 func (f failureReport) decayed(now time.Time, repeatable bool) float64 {
+	if f.rate == 0 {
+		return 0
+	}
 	halfLife := reportHalfLife
 	if !repeatable {
 		halfLife *= nonRepeatableFactor
@@ -69,16 +71,10 @@
 	return f.rate * decay(now.Sub(f.at), halfLife)
 }
 
-// ejectFailing marks targets as ejected whose failure rate is far above the
-// lowest. When all fail at a similar rate, the cause is a common one.
-func ejectFailing(candidates []candidate) {
-	lowest := math.Inf(1)
-	for _, c := range candidates {
-		lowest = min(lowest, c.failureRate)
-	}
-	for i := range candidates {
-		if candidates[i].failureRate >= lowest+failureRateMargin {
-			candidates[i].ejected = true
-		}
+// forget drops a rate that has decayed to nothing, and reports whether one is left.
+func (f *failureReport) forget(now time.Time) bool {
+	if f.decayed(now, false) < negligibleFailureRate {
+		f.rate = 0
 	}
+	return f.rate > 0
 }
--- a/internal/route/outcome.go
+++ b/internal/route/outcome.go
@@ -84,10 +84,9 @@
 		return
 	}
 	now := r.now()
+	t := r.targets[name]
 	if result.Load != nil {
-		stats.recordLoad(*result.Load, now)
-		stats.recordServiceTime(result.Priority, result.Load.ServiceTime, now)
-		stats.reportedFailures = failureReport{rate: result.Load.FailureRate, at: now}
+		r.recordReport(t, stats, result, now)
 	}
 	stats.outstanding = max(stats.outstanding-1, 0)
 	stats.recordFull(result, now)
@@ -98,6 +97,23 @@
 	if stats.recordOutcome(result.Outcome, now) {
 		r.counters.ejections.Inc()
 	}
+	if t != nil {
+		t.index.classify(t, now)
+	}
+}
+
+// recordReport records what a host reported with a response. The target is nil if no
+// index holds it.
+func (r *Router) recordReport(t *target, stats *hostStats, result Result, now time.Time) {
+	load := result.Load
+	stats.recordLoad(*load, now)
+	stats.reportedFailures = failureReport{rate: load.FailureRate, at: now}
+	if t == nil {
+		stats.recordServiceTime(result.Priority, load.ServiceTime, now)
+		return
+	}
+	t.index.recordServiceTime(t, stats, result.Priority, load.ServiceTime, now)
+	t.index.failuresKnown = t.index.failuresKnown || load.FailureRate > 0
 }
 
 // recordOutcome counts one outcome and ejects the host when most of its recent
@@ -120,7 +136,7 @@
 
 // leaving reports whether the host refused work because it is leaving and the
 // directory has had no newer state of it since.
-func (h *hostStats) leaving(member membership.Member, now time.Time) bool {
+func (h *hostStats) leaving(member *membership.Member, now time.Time) bool {
 	return now.Before(h.leavingUntil) && !member.Version.After(h.leavingVersion)
 }
 
@@ -148,34 +164,47 @@
 // whose count would otherwise stay just below ejectFailures.
 const ejectTolerance = 0.5
 
-// excludeEjected drops ejected targets, or none when more than
-// maxEjectedFraction of them are ejected.
-func (r *Router) excludeEjected(candidates []candidate) []candidate {
-	kept := make([]candidate, 0, len(candidates))
-	for _, c := range candidates {
-		if !c.ejected {
-			kept = append(kept, c)
-		}
-	}
-	ejected := len(candidates) - len(kept)
-	if float64(ejected) > maxEjectedFraction*float64(len(candidates)) {
-		r.counters.ejectionsSuspended.Inc()
-		return candidates
-	}
-	return kept
-}
-
-// evictIdleHosts drops hosts without calls for hostIdleTimeout.
+// evictIdleHosts drops hosts and services without calls for hostIdleTimeout.
 func (r *Router) evictIdleHosts(now time.Time) {
 	if now.Sub(r.evictedAt) < hostIdleTimeout {
 		return
 	}
 	r.evictedAt = now
+	for name, ix := range r.services {
+		if now.Sub(ix.usedAt) > hostIdleTimeout {
+			ix.sync(nil, now)
+			delete(r.services, name)
+		}
+	}
 	for name, stats := range r.hosts {
 		if stats.outstanding == 0 && now.Sub(stats.usedAt) > hostIdleTimeout {
-			delete(r.hosts, name)
+			r.evict(name, now)
+		}
+	}
+}
+
+func (r *Router) evict(name string, now time.Time) {
+	t := r.targets[name]
+	if t != nil {
+		t.index.setTier(t, closed)
+	}
+	delete(r.hosts, name)
+	if t != nil {
+		t.index.classify(t, now)
+	}
+}
+
+// nextExpiry returns when what is known of a host next expires, zero if nothing does.
+func (h *hostStats) nextExpiry(now time.Time) (next time.Time) {
+	if h == nil {
+		return next
+	}
+	for _, until := range []time.Time{h.leavingUntil, h.ejectedUntil, h.fullUntil} {
+		if until.After(now) && (next.IsZero() || until.Before(next)) {
+			next = until
 		}
 	}
+	return next
 }
 
 // recordFull records a refusal as full, and resets the backoff when a call of
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -45,7 +45,11 @@
 	mu    sync.Mutex
 	rand  Rand
 	hosts map[string]*hostStats
-	// evictedAt is when idle hosts were last evicted.
+	// services holds the indexes of the services that were called, targets their
+	// targets by host.
+	services map[string]*serviceIndex
+	targets  map[string]*target
+	// evictedAt is when idle hosts and services were last evicted.
 	evictedAt time.Time
 }
 
@@ -67,6 +71,8 @@
 		rand:      options.Rand,
 		counters:  newCounters(options.Metrics),
 		hosts:     make(map[string]*hostStats),
+		services:  make(map[string]*serviceIndex),
+		targets:   make(map[string]*target),
 	}
 }
 
@@ -100,127 +106,94 @@
 // ErrAllFull when all have recently refused calls of this priority as full.
 func (r *Router) Choose(request Request) (Choice, error) {
 	chosen, freeSlotOnly, err := r.pick(request)
-	return Choice{Member: chosen.member, FreeSlotOnly: freeSlotOnly}, err
+	if err != nil {
+		return Choice{}, err
+	}
+	return Choice{Member: *chosen.member, FreeSlotOnly: freeSlotOnly}, nil
 }
 
 // PickWithSpareSlots is Pick for optional work: it also fails with ErrNoTarget
 // when the chosen target has no spare slots.
 func (r *Router) PickWithSpareSlots(service *publish.Service, exclude map[string]bool) (membership.Member, error) {
 	chosen, _, err := r.pick(Request{Service: service, Exclude: exclude})
-	if err == nil && chosen.utilization >= spareUtilization {
+	if err != nil {
+		return membership.Member{}, err
+	}
+	if chosen.utilization >= spareUtilization {
 		return membership.Member{}, ErrNoTarget
 	}
-	return chosen.member, err
+	return *chosen.member, nil
 }
 
 // HasTarget reports whether a reachable target may take a call that has not recently
 // refused calls of its priority as full.
 func (r *Router) HasTarget(request Request) bool {
-	members := r.directory.View().ByService[request.Service.Name]
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	healthy, _ := r.candidates(members, request, r.now())
-	return len(excludeFull(healthy)) > 0
+	now := r.now()
+	ix := r.indexOf(request.Service.Name, now)
+	s, found := r.newSelection(ix, ix.classOf(request.class(), now), healthy, request, now)
+	return found && s.anyNotFull()
 }
 
 func (r *Router) pick(request Request) (candidate, bool, error) {
-	members := r.directory.View().ByService[request.Service.Name]
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	healthy, fallback := r.candidates(members, request, now)
-	if len(healthy) == 0 {
-		healthy = fallback
+	ix := r.indexOf(request.Service.Name, now)
+	class := ix.classOf(request.class(), now)
+	s, found := r.newSelection(ix, class, healthy, request, now)
+	if !found {
+		s, found = r.newSelection(ix, class, fallback, request, now)
 	}
-	if len(healthy) == 0 {
+	if !found {
 		r.counters.noTarget.Inc()
-		return candidate{}, false, &NoTargetError{Known: len(members), Excluded: len(request.Exclude)}
+		return candidate{}, false, &NoTargetError{Known: len(ix.members), Excluded: len(request.Exclude)}
 	}
-	r.setRelativeServiceTimes(healthy, request.Priority, now)
-	ejectFailing(healthy)
-	chosen, freeSlotOnly, ok := r.chooseByLocality(r.excludeEjected(healthy))
-	if !ok {
+	if s.withEjected {
+		r.counters.ejectionsSuspended.Inc()
+	}
+	if s.empty() {
 		r.counters.allFull.Inc()
-		return candidate{}, false, newAllFullError(healthy, now)
+		return candidate{}, false, s.allFull()
 	}
+	chosen, freeSlotOnly := s.chooseByLocality()
 	return chosen, freeSlotOnly, nil
 }
 
+func (q Request) class() callClass {
+	return callClass{priority: q.Priority, repeatable: q.Repeatable}
+}
+
 // candidate is a target that may take a call.
 type candidate struct {
-	member membership.Member
+	member *membership.Member
 	// utilization is the estimated load per slot: at 1 all slots are busy.
 	utilization float64
 	// relativeServiceTime compares the service time of the target with the mean
-	// of all candidates, which is 1.
+	// of the healthy targets, which is 1.
 	relativeServiceTime float64
 	// weight is the slow-start weight, 1 for a warm target.
 	weight float64
-	// failureRate is the fraction of requests that the target failed recently.
-	failureRate float64
-	ejected     bool
-	// full is set when the target has recently refused a call of this priority,
-	// refusedAt is when it last refused any call.
-	full      bool
-	refusedAt time.Time
-}
-
-// candidates returns the reachable targets, and as a fallback those that are
-// suspect, unreachable, or refused work because they are leaving.
-func (r *Router) candidates(members []membership.Member, request Request, now time.Time) (healthy, fallback []candidate) {
-	healthy = make([]candidate, 0, len(members))
-	for _, member := range members {
-		if request.Exclude[member.Host] || !acceptsCalls(member) {
-			continue
-		}
-		c := r.newCandidate(member, request, now)
-		if member.Reachability == membership.Reachable && !r.leaving(member, now) {
-			healthy = append(healthy, c)
-		} else {
-			fallback = append(fallback, c)
-		}
-	}
-	return healthy, fallback
-}
-
-// leaving reports whether a host refused work because it is leaving.
-func (r *Router) leaving(member membership.Member, now time.Time) bool {
-	stats, found := r.hosts[member.Host]
-	return found && stats.leaving(member, now)
-}
-
-// acceptsCalls reports whether the target accepts new calls according to its daemon.
-func acceptsCalls(member membership.Member) bool {
-	if member.State != membership.Alive {
-		return false
-	}
-	return member.TargetState == membership.Cold || member.TargetState == membership.Ready
 }
 
 // newCandidate combines the membership of a target with the stats of its host.
-func (r *Router) newCandidate(member membership.Member, request Request, now time.Time) candidate {
-	service := request.Service
-	weight := slowStartWeight(member, service, now)
-	stats, found := r.hosts[member.Host]
+func (r *Router) newCandidate(t *target, request Request, now time.Time) candidate {
+	c := candidate{member: t.member, relativeServiceTime: 1, weight: slowStartWeight(t.member, request.Service, now)}
+	stats, found := r.hosts[t.member.Host]
 	if !found {
-		return candidate{member: member, weight: weight}
-	}
-	slots := float64(stats.slots(slotCount(member, service), now))
-	return candidate{
-		member:      member,
-		utilization: stats.load(now) / (slots * weight),
-		weight:      weight,
-		failureRate: stats.reportedFailures.decayed(now, request.Repeatable),
-		ejected:     now.Before(stats.ejectedUntil),
-		full:        stats.full(request.Priority, now),
-		refusedAt:   stats.refusedAt,
+		return c
 	}
+	slots := float64(stats.slots(slotCount(t.member, request.Service), now))
+	c.utilization = stats.load(now) / (slots * c.weight)
+	c.relativeServiceTime = t.index.relativeServiceTime(stats, request.Priority, now)
+	return c
 }
 
 // defaultSlots is assumed when neither the member nor the service gives a slot count.
 const defaultSlots = 1
 
-func slotCount(member membership.Member, service *publish.Service) int {
+func slotCount(member *membership.Member, service *publish.Service) int {
 	switch {
 	case member.Slots > 0:
 		return member.Slots
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,7 +27,8 @@
 func (d *directory) Changed() <-chan struct{} { return nil }
 
 func (d *directory) View() *membership.View {
-	return &membership.View{ByService: map[string][]membership.Member{service.Name: d.members}}
+	// A view never changes, so each is a copy of the members.
+	return &membership.View{ByService: map[string][]membership.Member{service.Name: slices.Clone(d.members)}}
 }
 
 // readyMember returns a member that accepts calls.
--- a/internal/route/service_time.go
+++ b/internal/route/service_time.go
@@ -25,43 +25,42 @@
 	at   time.Time
 }
 
-func (h *hostStats) recordServiceTime(priority int, mean time.Duration, now time.Time) {
+// recordServiceTime reports whether there was a time to record.
+func (h *hostStats) recordServiceTime(priority int, mean time.Duration, now time.Time) bool {
 	if mean <= 0 {
-		return
+		return false
 	}
 	if h.serviceTimes == nil {
 		h.serviceTimes = make(map[int]serviceTimeReport)
 	}
 	h.serviceTimes[priority] = serviceTimeReport{mean: mean, at: now}
+	return true
 }
 
-// setRelativeServiceTimes compares the service times of targets for calls of a
-// priority with their harmonic mean, which a few slow targets hardly change: 1 is
-// the mean, 2 twice as long. Targets without a report get 1.
-func (r *Router) setRelativeServiceTimes(candidates []candidate, priority int, now time.Time) {
-	rates, reports := 0.0, 0
-	for _, c := range candidates {
-		if report, found := r.serviceTimeOf(c, priority); found {
-			rates += 1 / report.mean.Seconds()
-			reports++
-		}
+// recordServiceTime records the time that the host of a target reported for calls of
+// a priority.
+func (ix *serviceIndex) recordServiceTime(t *target, stats *hostStats, priority int, mean time.Duration, now time.Time) {
+	previous, found := stats.serviceTimes[priority]
+	if !stats.recordServiceTime(priority, mean, now) || t.tier != healthy {
+		return
 	}
-	for i := range candidates {
-		candidates[i].relativeServiceTime = 1
-		if report, found := r.serviceTimeOf(candidates[i], priority); found {
-			relative := report.mean.Seconds() * rates / float64(reports)
-			candidates[i].relativeServiceTime = 1 + (relative-1)*decay(now.Sub(report.at), serviceTimeHalfLife)
-		}
+	if found {
+		ix.addRate(priority, previous.mean, -1)
 	}
+	ix.addRate(priority, mean, 1)
 }
 
-func (r *Router) serviceTimeOf(c candidate, priority int) (serviceTimeReport, bool) {
-	stats := r.hosts[c.member.Host]
-	if stats == nil {
-		return serviceTimeReport{}, false
-	}
+// relativeServiceTime compares the service time of a host for calls of a priority with
+// the harmonic mean of all, which a few slow targets hardly change: 1 is the mean, 2
+// twice as long. It is 1 for a host without a report.
+func (ix *serviceIndex) relativeServiceTime(stats *hostStats, priority int, now time.Time) float64 {
 	report, found := stats.serviceTimes[priority]
-	return report, found
+	total := ix.rates[priority]
+	if !found || total.count == 0 {
+		return 1
+	}
+	relative := report.mean.Seconds() * total.sum / float64(total.count)
+	return 1 + (relative-1)*decay(now.Sub(report.at), serviceTimeHalfLife)
 }
 
 // cost is the expected latency of a call at a target, relative to other targets.
