Nested calls get a slot before new calls of their priority

They waited behind new calls of the same priority with five times their work, and were judged by the mean time of both.

Change: a call from the address of the daemon's own target is nested. Its rank comes before that of new calls of its priority, on every daemon; service times, waits and refusals are kept by rank.

--- a/internal/call/admission.go
+++ b/internal/call/admission.go
@@ -34,8 +34,8 @@
 // admissionRequest is what an admissionQueue needs to know of a request.
 type admissionRequest struct {
 	workspace string
-	// priority is the priority of the route, 0 the highest.
-	priority int
+	// rank is the rank of the request's call, 0 the highest.
+	rank int
 	// late says that half of the objective had passed when the call arrived.
 	late     bool
 	deadline time.Time
@@ -45,12 +45,12 @@
 }
 
 // queuePriority orders the requests of one workspace, the lowest value first: by
-// priority, and within a priority those that are not late first.
+// rank, and within a rank those that are not late first.
 func (r admissionRequest) queuePriority() int {
 	if r.late {
-		return 2*r.priority + 1
+		return 2*r.rank + 1
 	}
-	return 2 * r.priority
+	return 2 * r.rank
 }
 
 // waiter is one request in the queue.
@@ -86,7 +86,7 @@
 	rate rateLimiter
 	wake *time.Timer
 	// serviceTime is the moving mean of the time that a request holds a slot, and
-	// serviceTimes the same by priority.
+	// serviceTimes the same by rank.
 	serviceTime  time.Duration
 	serviceTimes map[int]time.Duration
 	// positionWaits holds the recent wait per position in the queue, by
@@ -169,9 +169,9 @@
 	return a.rate.limit
 }
 
-// serviceTimeOf returns the mean time that a request of a priority holds a slot.
-func (a *admissionQueue) serviceTimeOf(priority int) time.Duration {
-	if known, found := a.serviceTimes[priority]; found {
+// serviceTimeOf returns the mean time that a request of a rank holds a slot.
+func (a *admissionQueue) serviceTimeOf(rank int) time.Duration {
+	if known, found := a.serviceTimes[rank]; found {
 		return known
 	}
 	return a.serviceTime
@@ -299,13 +299,13 @@
 // release frees a slot that was held for a time. The time of a failed request
 // counts only if it is above the mean: a target that fails immediately is not a
 // fast one.
-func (a *admissionQueue) release(priority int, held time.Duration, succeeded bool) {
+func (a *admissionQueue) release(rank int, held time.Duration, succeeded bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.busy--
-	if succeeded || held > a.serviceTimeOf(priority) {
+	if succeeded || held > a.serviceTimeOf(rank) {
 		a.serviceTime = movingMean(a.serviceTime, held)
-		a.serviceTimes[priority] = movingMean(a.serviceTimes[priority], held)
+		a.serviceTimes[rank] = movingMean(a.serviceTimes[rank], held)
 	}
 	a.grantSlots()
 }
@@ -329,7 +329,7 @@
 		}
 		w := a.dequeue()
 		a.recordWait(w)
-		if a.now().Add(a.serviceTimeOf(w.priority)).After(w.deadline) {
+		if a.now().Add(a.serviceTimeOf(w.rank)).After(w.deadline) {
 			a.rate.giveBack()
 			w.finish(errDeadlineTooSoon)
 			continue
@@ -362,20 +362,19 @@
 }
 
 // load returns the load of the target without the values that depend on the
-// priority of a call.
+// rank of a call.
 func (a *admissionQueue) load() route.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return route.Load{Busy: a.busy, Slots: a.rate.usableSlots(a.limits.slots, a.serviceTime), Queued: a.queued}
 }
 
-// loadFor returns the load that is reported in the response to a call of a
-// priority.
-func (a *admissionQueue) loadFor(priority int) route.Load {
+// loadFor returns the load that is reported in the response to a call of a rank.
+func (a *admissionQueue) loadFor(rank int) route.Load {
 	load := a.load()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	load.ServiceTime = a.serviceTimes[priority]
+	load.ServiceTime = a.serviceTimes[rank]
 	load.FailureRate = a.failures.Rate(a.now())
 	return load
 }
--- a/internal/call/admission_wait.go
+++ b/internal/call/admission_wait.go
@@ -25,7 +25,7 @@
 // end by its deadline and to wait no longer than its objective allows.
 func (a *admissionQueue) canMeetDeadline(request admissionRequest) bool {
 	wait := time.Duration(a.waitersAhead(request)+1) * a.expectedPositionWait(request.queuePriority())
-	if !a.now().Add(wait + a.serviceTimeOf(request.priority)).Before(request.deadline) {
+	if !a.now().Add(wait + a.serviceTimeOf(request.rank)).Before(request.deadline) {
 		return false
 	}
 	return request.objective <= 0 || wait <= a.objectiveWait(request)
@@ -35,7 +35,7 @@
 func (a *admissionQueue) maxWait(request admissionRequest) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	remaining := request.deadline.Sub(a.now()) - a.serviceTimeOf(request.priority)
+	remaining := request.deadline.Sub(a.now()) - a.serviceTimeOf(request.rank)
 	if request.objective > 0 {
 		remaining = min(remaining, a.objectiveWait(request))
 	}
@@ -48,7 +48,7 @@
 	if request.late {
 		return least
 	}
-	return max(request.objective-a.serviceTimeOf(request.priority), least)
+	return max(request.objective-a.serviceTimeOf(request.rank), least)
 }
 
 // expectedPositionWait returns the expected wait per position in the queue.
--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -19,16 +19,18 @@
 	headerObjective = "Mulberry-Objective"
 	// headerLate is "1" if half of the objective had passed when the call arrived.
 	headerLate = "Mulberry-Late"
+	// headerNested is "1" if the call was made by a target for a request that it runs.
+	headerNested = "Mulberry-Nested"
 	// headerFreeSlotOnly is "1" if the request must not wait for a slot.
 	headerFreeSlotOnly = "Mulberry-Free-Slot"
-	// headerServiceTime is the mean time that a request of the call's priority
+	// headerServiceTime is the mean time that a request of the call's rank
 	// holds a slot of the responding daemon's target, such as "250ms".
 	headerServiceTime = "Mulberry-Took"
 	// headerFailureRate is the fraction of recent requests, from 0 to 1, that the
 	// responding daemon's target failed. It is left out if 0.
 	headerFailureRate = "Mulberry-Failing"
-	// unknownPriority is the priority of a request that could not be parsed.
-	unknownPriority = -1
+	// unknownRank is the rank of a request that could not be parsed.
+	unknownRank = -1
 	// serviceTimeResolution is the resolution of headerServiceTime.
 	serviceTimeResolution = time.Millisecond
 	// defaultDeadline is the deadline of calls to routes without one.
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -104,7 +104,7 @@
 
 // routeRequest returns what the router needs to know of the call.
 func (c *outboundCall) routeRequest(exclude map[string]bool) route.Request {
-	return route.Request{Service: c.request.service, Exclude: exclude, Priority: c.request.priority, Repeatable: c.route.Idempotent}
+	return route.Request{Service: c.request.service, Exclude: exclude, Priority: c.request.rank(), Repeatable: c.route.Idempotent}
 }
 
 func withHost(hosts map[string]bool, host string) map[string]bool {
@@ -158,14 +158,14 @@
 
 func (s *Server) attemptLocal(ctx context.Context, q *request, member membership.Member) (*targetResponse, *Error) {
 	result, failure := s.serveTarget(ctx, q)
-	load := s.admission.loadFor(q.priority)
+	load := s.admission.loadFor(q.rank())
 	if failure != nil {
-		s.router.Done(s.self.Host, route.Result{Outcome: routeOutcomeOfError(failure), Priority: q.priority, Version: member.Version, Load: &load})
+		s.router.Done(s.self.Host, route.Result{Outcome: routeOutcomeOfError(failure), Priority: q.rank(), Version: member.Version, Load: &load})
 		return nil, failure
 	}
 	result.host, result.attempt = s.self.Host, q.attempt
 	result.onRelease(func(complete bool) {
-		s.router.Done(s.self.Host, route.Result{Outcome: result.routeOutcome(complete), Priority: q.priority, Load: &load})
+		s.router.Done(s.self.Host, route.Result{Outcome: result.routeOutcome(complete), Priority: q.rank(), Load: &load})
 	})
 	return result, nil
 }
@@ -197,7 +197,7 @@
 	load := parseLoad(response.Header)
 	if failure := readError(member.Host, response); failure != nil {
 		_ = response.Body.Close()
-		s.router.Done(member.Host, route.Result{Outcome: routeOutcomeOfError(failure), Priority: q.priority, Version: member.Version, Load: load})
+		s.router.Done(member.Host, route.Result{Outcome: routeOutcomeOfError(failure), Priority: q.rank(), Version: member.Version, Load: load})
 		return nil, failure
 	}
 	return s.acceptPeerResponse(ctx, q, member.Host, response, load)
@@ -237,7 +237,7 @@
 func (s *Server) acceptPeerResponse(ctx context.Context, q *request, host string, response *http.Response, load *route.Load) (*targetResponse, *Error) {
 	status := response.StatusCode
 	result, err := newTargetResponse(response, func(complete bool) {
-		s.router.Done(host, route.Result{Outcome: routeOutcomeOfStatus(status, complete), Priority: q.priority, Load: load})
+		s.router.Done(host, route.Result{Outcome: routeOutcomeOfStatus(status, complete), Priority: q.rank(), Load: load})
 	})
 	if err != nil {
 		return nil, &Error{Outcome: Unknown, Step: StepAnswer, Peer: host, Status: statusOf(ctx, err), Err: err}
@@ -277,6 +277,9 @@
 	if q.late {
 		header.Set(headerLate, "1")
 	}
+	if q.nested {
+		header.Set(headerNested, "1")
+	}
 	if q.freeSlotOnly {
 		header.Set(headerFreeSlotOnly, "1")
 	}
--- a/internal/call/peer.go
+++ b/internal/call/peer.go
@@ -17,7 +17,7 @@
 	q, failure := s.parsePeerRequest(w, r)
 	if failure != nil {
 		s.logInvalidRequest(r.Header, failure)
-		s.writePeerError(w, r.Header.Get(HeaderCall), unknownPriority, failure)
+		s.writePeerError(w, r.Header.Get(HeaderCall), unknownRank, failure)
 		return
 	}
 	defer setConnDeadlines(w, q.deadline, q.body)()
@@ -28,10 +28,10 @@
 		s.logRequestFailed(q, failure)
 		q.body.stopReading(w)
 		closeIfDisconnected(ctx, w)
-		s.writePeerError(w, q.id, q.priority, failure.reported())
+		s.writePeerError(w, q.id, q.rank(), failure.reported())
 		return
 	}
-	s.setPeerHeaders(w.Header(), q.id, q.priority)
+	s.setPeerHeaders(w.Header(), q.id, q.rank())
 	q.body.enableFullDuplex(w)
 	if err := result.relay(w); err != nil {
 		s.counters.truncated.Inc()
@@ -40,16 +40,16 @@
 	}
 }
 
-func (s *Server) writePeerError(w http.ResponseWriter, id string, priority int, failure *Error) {
-	s.setPeerHeaders(w.Header(), id, priority)
+func (s *Server) writePeerError(w http.ResponseWriter, id string, rank int, failure *Error) {
+	s.setPeerHeaders(w.Header(), id, rank)
 	writeError(w, id, failure)
 }
 
 // setPeerHeaders sets the headers that every response to another daemon carries.
-func (s *Server) setPeerHeaders(header http.Header, id string, priority int) {
+func (s *Server) setPeerHeaders(header http.Header, id string, rank int) {
 	header.Set(HeaderCall, id)
 	header.Set(HeaderPeer, s.self.Host)
-	load := s.admission.loadFor(priority)
+	load := s.admission.loadFor(rank)
 	header.Set(HeaderLoad, load.String())
 	if load.ServiceTime > 0 {
 		header.Set(headerServiceTime, load.ServiceTime.Round(serviceTimeResolution).String())
@@ -143,6 +143,7 @@
 		priority:     priority,
 		objective:    objective,
 		late:         r.Header.Get(headerLate) != "",
+		nested:       r.Header.Get(headerNested) != "",
 		freeSlotOnly: r.Header.Get(headerFreeSlotOnly) != "",
 		retries:      retries,
 		method:       r.Method,
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -62,7 +62,7 @@
 	}
 	start := s.now()
 	succeeded := false
-	release := sync.OnceFunc(func() { s.admission.release(q.priority, s.now().Sub(start), succeeded) })
+	release := sync.OnceFunc(func() { s.admission.release(q.rank(), s.now().Sub(start), succeeded) })
 	// The target may have begun to drain while the request was queued.
 	if failure := s.targetError(q, s.directory.View().Self); failure != nil {
 		release()
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -28,7 +28,7 @@
 	Slots int
 	// Queued is the number of requests that wait for a slot.
 	Queued int
-	// ServiceTime is the mean time that a request of the call's priority holds a
+	// ServiceTime is the mean time that a request of the call's rank holds a
 	// slot, 0 when unknown. It is not part of the text form.
 	ServiceTime time.Duration
 	// FailureRate is the fraction of recent requests, from 0 to 1, that the target
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -81,7 +81,8 @@
 	Service *publish.Service
 	// Exclude holds hosts that must not be chosen.
 	Exclude map[string]bool
-	// Priority of the call, 0 the highest.
+	// Priority orders calls by urgency, 0 the highest. A host that refused a call as
+	// full is full for calls that are no more urgent.
 	Priority int
 	// Repeatable reports whether the call may run on another target after a failure.
 	Repeatable bool
