Attempts after full hosts have a budget

Cause: a call that a host refused as full went to up to three more, without a limit over all calls.

Change: each daemon has a budget of one further attempt for two calls to a service, with a burst of 20. While few hosts are full nearly every call may try another; while most are, calls are refused at once, as not run. Without budget a call also does not probe other regions for a free slot. The count of daemons for the retry budget is taken once for each view, not for each call.

--- a/internal/call/metrics.go
+++ b/internal/call/metrics.go
@@ -16,6 +16,7 @@
 	aborted    *metrics.Counter
 	retries    *metrics.Counter
 	overBudget *metrics.Counter
+	mostFull   *metrics.Counter
 	hedges     *metrics.Counter
 	admitted   *metrics.Counter
 	refused    *metrics.Counter
@@ -52,6 +53,7 @@
 		aborted:      set.GetOrCreateCounter(`mulberrybank_calls_aborted_total`),
 		retries:      set.GetOrCreateCounter(`mulberrybank_call_retries_total`),
 		hedges:       set.GetOrCreateCounter(`mulberrybank_call_hedges_total`),
+		mostFull:     set.GetOrCreateCounter(`mulberrybank_call_full_hosts_over_budget_total`),
 		overBudget:   set.GetOrCreateCounter(`mulberrybank_call_retries_over_budget_total`),
 		admitted:     set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="admitted"}`),
 		refused:      set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="refused"}`),
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -95,7 +95,9 @@
 	if s.inflight.isDraining() {
 		exclude = withHost(exclude, s.self.Host)
 	}
-	choice, err := s.router.Choose(c.routeRequest(exclude))
+	wanted := c.routeRequest(exclude)
+	wanted.NearOnly = !s.budgets.AllowsFull(c.request.service)
+	choice, err := s.router.Choose(wanted)
 	if err != nil {
 		return route.Choice{}, s.fail(NotRun, StepPick, http.StatusServiceUnavailable, err)
 	}
--- a/internal/call/retry.go
+++ b/internal/call/retry.go
@@ -71,14 +71,17 @@
 	retryLimitReached retryDecision = "no retries left"
 	// retryOverBudget means that the retry budget of the service is used up.
 	retryOverBudget retryDecision = "retry budget used up"
+	// retryMostFull means that so many hosts of the service have refused calls as full
+	// lately that another attempt would hardly find a free one.
+	retryMostFull retryDecision = "budget for attempts after full hosts used up"
 	// retryCallEnded means that the call ended during the wait before the attempt.
 	retryCallEnded retryDecision = "call has ended"
 )
 
 // decideRetry decides whether another attempt is allowed, and takes it from the
-// limits of the call. The first retries after refusals are bounded by the route
-// alone; all others by the retries left to the call and by the retry budget. A nil
-// failure stands for a call that the target shed.
+// limits of the call. The first retries after refusals are bounded by the route and,
+// if the host was full, by the budget for those; all others by the retries left to the
+// call and by the retry budget. A nil failure stands for a call that the target shed.
 func (s *Server) decideRetry(c *outboundCall, failure *Error) retryDecision {
 	if !c.request.body.resendable() {
 		return retryBodyGone
@@ -89,6 +92,10 @@
 	if c.request.deadline.Sub(s.now()) < minRetryTime {
 		return retryTooLate
 	}
+	if failure.isFull() && !s.budgets.WithdrawFull(c.request.service) && !c.request.freeSlotOnly {
+		s.counters.mostFull.Inc()
+		return retryMostFull
+	}
 	if failure.failedBeforeTarget() && c.refusals < c.route.Refusals {
 		c.refusals++
 		return retryAllowed
@@ -110,6 +117,9 @@
 	return e != nil && e.Outcome == NotRun && e.Step != StepShed
 }
 
+// isFull reports whether a daemon refused an attempt because its target was full.
+func (e *Error) isFull() bool { return e != nil && e.Outcome == NotRun && e.Step == StepAdmit }
+
 // retryTaken reports whether the retry after an attempt has been taken from the budget
 // before the attempt was given up.
 func (e *Error) retryTaken() bool { return e != nil && errors.Is(e.Err, errPeerGone) }
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -24,6 +24,12 @@
 	// topPriorityReserve is the part of the burst that is reserved for calls of the
 	// highest priority seen for the service.
 	topPriorityReserve = 0.25
+	// fullRatio is the part of the calls to a service that may be sent to one more
+	// host after a full one. While few hosts are full nearly every call may; while
+	// most are, further attempts would cost all daemons more than they find.
+	fullRatio = 0.5
+	// fullBurst is the number of such attempts that may exceed that at once.
+	fullBurst = 20
 )
 
 // Budgets holds the retry budget of each service, a token bucket that is filled
@@ -40,15 +46,21 @@
 
 	mu     sync.Mutex
 	tokens map[string]float64
+	// fullTokens holds the further attempts that each service may have after full
+	// hosts.
+	fullTokens map[string]float64
 	// topPriority is the highest priority of calls seen for each service.
 	topPriority map[string]int
+	// counted is the view whose daemons were counted last.
+	counted *membership.View
+	daemons int
 }
 
 // NewBudgets returns the budgets of services that have had no calls. A slack is
 // divided equally among the daemons of the directory that have not left; with a
 // ratio no route adds more than ratioMargin of it for each call.
 func NewBudgets(slack, ratio float64, directory membership.Directory) *Budgets {
-	return &Budgets{slack: slack, ratio: ratio, directory: directory, tokens: make(map[string]float64), topPriority: make(map[string]int)}
+	return &Budgets{slack: slack, ratio: ratio, directory: directory, tokens: make(map[string]float64), fullTokens: make(map[string]float64), topPriority: make(map[string]int)}
 }
 
 // Deposit counts one call of a route to a service.
@@ -64,6 +76,35 @@
 	}
 	tokens := b.balance(service.Name) + fraction
 	b.tokens[service.Name] = min(tokens, b.burst())
+	b.fullTokens[service.Name] = min(b.fullBalance(service.Name)+fullRatio, fullBurst)
+}
+
+// WithdrawFull reports whether one more attempt after a full host is allowed now, and
+// counts it.
+func (b *Budgets) WithdrawFull(service *publish.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	tokens := b.fullBalance(service.Name)
+	if tokens < 1 {
+		return false
+	}
+	b.fullTokens[service.Name] = tokens - 1
+	return true
+}
+
+// AllowsFull reports whether WithdrawFull would allow an attempt now.
+func (b *Budgets) AllowsFull(service *publish.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fullBalance(service.Name) >= 1
+}
+
+func (b *Budgets) fullBalance(service string) float64 {
+	tokens, found := b.fullTokens[service]
+	if !found {
+		return fullBurst
+	}
+	return tokens
 }
 
 // Withdraw reports whether one more retry is allowed now, and counts it.
@@ -113,13 +154,22 @@
 	if b.slack <= 0 || b.directory == nil {
 		return defaultBurst
 	}
-	daemons := 0
-	for _, member := range b.directory.View().Members {
+	return b.slack / float64(max(b.countDaemons(), 1))
+}
+
+// countDaemons returns the number of daemons that have not left.
+func (b *Budgets) countDaemons() int {
+	view := b.directory.View()
+	if view == b.counted {
+		return b.daemons
+	}
+	b.counted, b.daemons = view, 0
+	for _, member := range view.Members {
 		if member.State != membership.Left {
-			daemons++
+			b.daemons++
 		}
 	}
-	return b.slack / float64(max(daemons, 1))
+	return b.daemons
 }
 
 // nextHopDivisor divides the retries left to a call to get those of the next hop.
--- a/internal/route/budget_test.go
+++ b/internal/route/budget_test.go
@@ -38,6 +38,30 @@
 	})
 }
 
+// Over any sequence of calls, further attempts after full hosts stay within a fraction
+// of the calls plus a burst, and some are allowed.
+func TestFullHostsAreRetriedWithinBudget(t *testing.T) {
+	const burst, fraction = 20, 0.5
+	rapid.Check(t, func(t *rapid.T) {
+		service := &publish.Service{Name: "huts/registry"}
+		budgets := route.NewBudgets(0, 0, nil)
+		calls, retries, denied := 0, 0, 0
+		for _, call := range rapid.SliceOfN(rapid.Bool(), 0, 200).Draw(t, "calls") {
+			switch {
+			case call:
+				calls++
+				budgets.Deposit(&publish.Route{}, service)
+			case budgets.WithdrawFull(service):
+				retries++
+			default:
+				denied++
+			}
+			assert.Assert(t, float64(retries) <= burst+fraction*float64(calls)+1e-9)
+		}
+		assert.Assert(t, denied == 0 || retries >= burst)
+	})
+}
+
 // attempts counts the attempts at the last of several hops when all attempts fail.
 func attempts(left, hops int) int {
 	if hops == 0 {
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -37,7 +37,7 @@
 		s.router.counters.remote.Inc()
 		return s.leastCost(otherRegion), false
 	}
-	if s.sizes[otherRegion] == 0 || near.weightedUtilization() < crossRegionUtilization {
+	if s.sizes[otherRegion] == 0 || s.request.NearOnly || near.weightedUtilization() < crossRegionUtilization {
 		return near, false
 	}
 	other := s.leastCost(otherRegion)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -86,6 +86,8 @@
 	Priority int
 	// Repeatable reports whether the call may run on another target after a failure.
 	Repeatable bool
+	// NearOnly rules out targets that should be tried only for a free slot.
+	NearOnly bool
 }
 
 // Choice is the target for the next attempt of a call.
