Requests of one priority get a slot as they are due, not as they came

Change: requests of one priority wait in the order of arrival plus objective, so a call with an objective of 120 ms, such as those that a running request makes, passes a new one with 600 ms that came less than 480 ms before, and none starves. Service times, waits per position and refusals are kept by priority and class of objective (a factor of four each): calls of 29 ms were refused for a mean of 150 ms, and the router compared the times of hosts by whichever kind they had reported last.

TestCallsAreServedAsTheyAreDue fails in a variant that keeps the order of arrival.

--- a/internal/call/admission.go
+++ b/internal/call/admission.go
@@ -34,8 +34,8 @@
 // admissionRequest is what an admissionQueue needs to know of a request.
 type admissionRequest struct {
 	workspace string
-	// rank is the rank of the request's call, 0 the highest.
-	rank int
+	// priority is the priority of the route, 0 the highest.
+	priority int
 	// late says that half of the objective had passed when the call arrived.
 	late     bool
 	deadline time.Time
@@ -45,18 +45,33 @@
 }
 
 // queuePriority orders the requests of one workspace, the lowest value first: by
-// rank, and within a rank those that are not late first.
+// priority, and within a priority those that are not late first. Requests of the same
+// value are ordered by when they are due.
 func (r admissionRequest) queuePriority() int {
 	if r.late {
-		return 2*r.rank + 1
+		return 2*r.priority + 1
 	}
-	return 2 * r.rank
+	return 2 * r.priority
+}
+
+// rank is the rank of the request among all.
+func (r admissionRequest) rank() int { return callRank(r.priority, r.objective) }
+
+// dueFrom returns when a request that arrives at a time is due: at the end of its
+// objective, or without one at its deadline.
+func (r admissionRequest) dueFrom(arrived time.Time) time.Time {
+	if r.objective > 0 {
+		return arrived.Add(r.objective)
+	}
+	return r.deadline
 }
 
 // waiter is one request in the queue.
 type waiter struct {
 	admissionRequest
 	enqueued time.Time
+	// due orders the waiters of one queuePriority.
+	due time.Time
 	// position is the number of waiters ahead on arrival, plus one.
 	position int
 	// done is closed when the waiter has left the queue; err is the result.
@@ -89,15 +104,14 @@
 	// serviceTimes the same by rank.
 	serviceTime  time.Duration
 	serviceTimes map[int]time.Duration
-	// positionWaits holds the recent wait per position in the queue, by
-	// queuePriority.
-	positionWaits map[int]*positionWait
+	// positionWaits holds the recent wait per position in the queue.
+	positionWaits map[waitClass]*positionWait
 	// failures tracks the fraction of requests that the target failed.
 	failures route.FailureTracker
 }
 
 func newAdmissionQueue(now func() time.Time) *admissionQueue {
-	return &admissionQueue{now: now, queues: make(map[string][]*waiter), serviceTimes: make(map[int]time.Duration), positionWaits: make(map[int]*positionWait)}
+	return &admissionQueue{now: now, queues: make(map[string][]*waiter), serviceTimes: make(map[int]time.Duration), positionWaits: make(map[waitClass]*positionWait)}
 }
 
 // acquire takes a slot, waiting for one if none is free. After a nil error the
@@ -143,7 +157,8 @@
 	if a.queued >= limits.queue && !a.evictFor(request) {
 		return nil, errQueueFull
 	}
-	w := &waiter{admissionRequest: request, enqueued: a.now(), position: a.waitersAhead(request) + 1, done: make(chan struct{})}
+	now := a.now()
+	w := &waiter{admissionRequest: request, enqueued: now, due: request.dueFrom(now), position: a.waitersAhead(request) + 1, done: make(chan struct{})}
 	a.enqueue(w)
 	a.grantSlots()
 	return w, nil
@@ -181,9 +196,10 @@
 // that arrives now.
 func (a *admissionQueue) waitersAhead(request admissionRequest) int {
 	count := 0
+	due := request.dueFrom(a.now())
 	for workspace, queue := range a.queues {
 		for _, other := range queue {
-			if workspace != request.workspace || other.queuePriority() <= request.queuePriority() {
+			if workspace != request.workspace || !other.isBehind(request.queuePriority(), due) {
 				count++
 			}
 		}
@@ -223,15 +239,23 @@
 	close(w.done)
 }
 
-// enqueue inserts a waiter into the queue of its workspace, behind waiters of the
-// same priority.
+// isBehind reports whether a request that arrives later, with a queuePriority and a
+// time at which it is due, goes before the waiter.
+func (w *waiter) isBehind(queuePriority int, due time.Time) bool {
+	if own := w.queuePriority(); own != queuePriority {
+		return own > queuePriority
+	}
+	return w.due.After(due)
+}
+
+// enqueue inserts a waiter into the queue of its workspace.
 func (a *admissionQueue) enqueue(w *waiter) {
 	if len(a.queues[w.workspace]) == 0 {
 		a.workspaces = append(a.workspaces, w.workspace)
 	}
 	queue := a.queues[w.workspace]
 	at := len(queue)
-	for at > 0 && queue[at-1].queuePriority() > w.queuePriority() {
+	for at > 0 && queue[at-1].isBehind(w.queuePriority(), w.due) {
 		at--
 	}
 	a.queues[w.workspace] = slices.Insert(queue, at, w)
@@ -329,7 +353,7 @@
 		}
 		w := a.dequeue()
 		a.recordWait(w)
-		if a.now().Add(a.serviceTimeOf(w.rank)).After(w.deadline) {
+		if a.now().Add(a.serviceTimeOf(w.rank())).After(w.deadline) {
 			a.rate.giveBack()
 			w.finish(errDeadlineTooSoon)
 			continue
--- a/internal/call/admission_wait.go
+++ b/internal/call/admission_wait.go
@@ -5,9 +5,16 @@
 	"time"
 )
 
+// waitClass holds requests that wait alike.
+type waitClass struct {
+	rank int
+	late bool
+}
+
+func (r admissionRequest) waitClass() waitClass { return waitClass{rank: r.rank(), late: r.late} }
+
 // positionWait is the moving mean of the wait per position in the queue, for
-// requests of one queuePriority. Requests of a higher priority that arrive later
-// push others back, so it may be far above the service time divided by the slots.
+// requests of one waitClass. More urgent requests that arrive later push others back, so it may be far above the service time divided by the slots.
 type positionWait struct {
 	mean    time.Duration
 	updated time.Time
@@ -24,8 +31,8 @@
 // canMeetDeadline reports whether a request that is enqueued now is expected to
 // end by its deadline and to wait no longer than its objective allows.
 func (a *admissionQueue) canMeetDeadline(request admissionRequest) bool {
-	wait := time.Duration(a.waitersAhead(request)+1) * a.expectedPositionWait(request.queuePriority())
-	if !a.now().Add(wait + a.serviceTimeOf(request.rank)).Before(request.deadline) {
+	wait := time.Duration(a.waitersAhead(request)+1) * a.expectedPositionWait(request.waitClass())
+	if !a.now().Add(wait + a.serviceTimeOf(request.rank())).Before(request.deadline) {
 		return false
 	}
 	return request.objective <= 0 || wait <= a.objectiveWait(request)
@@ -35,7 +42,7 @@
 func (a *admissionQueue) maxWait(request admissionRequest) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	remaining := request.deadline.Sub(a.now()) - a.serviceTimeOf(request.rank)
+	remaining := request.deadline.Sub(a.now()) - a.serviceTimeOf(request.rank())
 	if request.objective > 0 {
 		remaining = min(remaining, a.objectiveWait(request))
 	}
@@ -48,13 +55,13 @@
 	if request.late {
 		return least
 	}
-	return max(request.objective-a.serviceTimeOf(request.rank), least)
+	return max(request.objective-a.serviceTimeOf(request.rank()), least)
 }
 
 // expectedPositionWait returns the expected wait per position in the queue.
-func (a *admissionQueue) expectedPositionWait(queuePriority int) time.Duration {
+func (a *admissionQueue) expectedPositionWait(class waitClass) time.Duration {
 	least := max(a.serviceTime/time.Duration(max(a.limits.slots, 1)), a.rate.interval())
-	known := a.positionWaits[queuePriority]
+	known := a.positionWaits[class]
 	if known == nil {
 		return least
 	}
@@ -64,10 +71,10 @@
 
 // recordWait records how long a waiter waited per position.
 func (a *admissionQueue) recordWait(w *waiter) {
-	known := a.positionWaits[w.queuePriority()]
+	known := a.positionWaits[w.waitClass()]
 	if known == nil {
 		known = &positionWait{}
-		a.positionWaits[w.queuePriority()] = known
+		a.positionWaits[w.waitClass()] = known
 	}
 	now := a.now()
 	known.mean = movingMean(known.mean, now.Sub(w.enqueued)/time.Duration(max(w.position, 1)))
--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -19,8 +19,6 @@
 	headerObjective = "Mulberry-Objective"
 	// headerLate is "1" if half of the objective had passed when the call arrived.
 	headerLate = "Mulberry-Late"
-	// headerNested is "1" if the call was made by a target for a request that it runs.
-	headerNested = "Mulberry-Nested"
 	// headerFreeSlotOnly is "1" if the request must not wait for a slot.
 	headerFreeSlotOnly = "Mulberry-Free-Slot"
 	// headerServiceTime is the mean time that a request of the call's rank
--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -11,6 +11,7 @@
 	ParseDeadline = parseDeadline
 	ParseKey      = parseKey
 	SplitPath     = splitPath
+	CallRank      = callRank
 
 	ErrUnexpectedBytes = errUnexpectedBytes
 )
@@ -34,7 +35,7 @@
 
 // AcquireAs takes a slot for a request of a priority.
 func (a *AdmissionQueue) AcquireAs(ctx context.Context, workspace string, priority int, deadline time.Time, slots, queue int, timeout time.Duration) error {
-	request := admissionRequest{workspace: workspace, rank: priority, deadline: deadline}
+	request := admissionRequest{workspace: workspace, priority: priority, deadline: deadline}
 	return a.admission.acquire(ctx, request, admissionLimits{slots: slots, queue: queue, timeout: timeout})
 }
 
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -129,18 +128,6 @@
 	return in.Route.Objective > 0 && elapsed >= in.Route.Objective/2
 }
 
-// isNested reports whether a request comes from the target of this host, which then
-// makes it for a request that it runs.
-func (s *Server) isNested(r *http.Request) bool {
-	address, _ := s.target.TargetAddress()
-	from, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil || address == "" {
-		return false
-	}
-	at, _, err := net.SplitHostPort(address)
-	return err == nil && from == at
-}
-
 // responseMargin is how long before the timeout of its caller a call ends, so
 // that the response still arrives in time. It is at most
 // 1/responseMarginDivisor of the timeout.
@@ -166,7 +153,6 @@
 			priority:  in.Route.Priority,
 			objective: in.Route.Objective,
 			late:      s.isLate(in),
-			nested:    s.isNested(r),
 			config:    in.Config,
 			deadline:  deadline,
 			method:    r.Method,
--- a/internal/call/log.go
+++ b/internal/call/log.go
@@ -99,7 +99,6 @@
 		"call":     q.id,
 		"attempt":  q.attempt,
 		"priority": q.priority,
-		"nested":   q.nested,
 		"late":     q.late,
 		"busy":     load.Busy,
 		"slots":    load.Slots,
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -279,9 +279,6 @@
 	if q.late {
 		header.Set(headerLate, "1")
 	}
-	if q.nested {
-		header.Set(headerNested, "1")
-	}
 	if q.freeSlotOnly {
 		header.Set(headerFreeSlotOnly, "1")
 	}
--- a/internal/call/peer.go
+++ b/internal/call/peer.go
@@ -143,7 +143,6 @@
 		priority:     priority,
 		objective:    objective,
 		late:         r.Header.Get(headerLate) != "",
-		nested:       r.Header.Get(headerNested) != "",
 		freeSlotOnly: r.Header.Get(headerFreeSlotOnly) != "",
 		retries:      retries,
 		method:       r.Method,
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -34,8 +34,6 @@
 	objective time.Duration
 	// late says that half of the objective had passed when the call arrived.
 	late bool
-	// nested says that a target made the call for a request that it runs.
-	nested bool
 	// freeSlotOnly says that the request must not wait for a slot.
 	freeSlotOnly bool
 	config       *publish.Configuration
@@ -58,18 +56,12 @@
 	body      *body
 }
 
-// rank orders calls by urgency, 0 the highest: by priority, and within a priority
-// nested calls first, since work is lost in vain if they fail.
-func (q *request) rank() int {
-	if q.nested {
-		return 2 * q.priority
-	}
-	return 2*q.priority + 1
-}
+// rank is the rank of the request among all.
+func (q *request) rank() int { return callRank(q.priority, q.objective) }
 
 // admissionRequest returns what the admission queue needs to know of the request.
 func (q *request) admissionRequest() admissionRequest {
-	return admissionRequest{workspace: q.workspace, rank: q.rank(), late: q.late, deadline: q.deadline, objective: q.objective}
+	return admissionRequest{workspace: q.workspace, priority: q.priority, late: q.late, deadline: q.deadline, objective: q.objective}
 }
 
 // limits returns the admission limits for the request to an instance of the local
