A target that breaks its connections gets few requests

Cause: while a target is down or resets its connections, the daemon beside it sent it every request that came, and each ended as unknown: a request that must not be repeated failed, and each other daemon had to learn by three failures of its own.

Change: after three connections that broke in a row without a response, requests are refused as not run, so that they go elsewhere; one tries the target every 50 to 400 ms. A new instance starts afresh. Connections that the target dropped while idle do not count, as before.

TestBrokenTargetGetsFewRequests failed before (40 of 40 unknown).

--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -106,6 +106,7 @@
 	onTargetLeaving func(instance string)
 
 	admission   *admissionQueue
+	breaker     *targetBreaker
 	inflight    *inflight
 	callLimit   *callLimiter
 	targetConns *targetTransports
@@ -134,6 +135,7 @@
 		now:             options.Now,
 		sampleThreshold: sampleThresholdOf(options.SampleRatio),
 		admission:       newAdmissionQueue(options.Now),
+		breaker:         &targetBreaker{now: options.Now},
 		onTargetLeaving: options.OnTargetLeaving,
 		inflight:        newInflight(),
 		callLimit:       newCallLimiter(options.MaxCalls),
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -57,6 +57,9 @@
 	if address == "" {
 		return nil, s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errNoLocalTarget), false
 	}
+	if s.breaker.refuses(instance) {
+		return nil, s.brokenError(), false
+	}
 	if failure := s.admit(ctx, q, self, instance); failure != nil {
 		return nil, failure, false
 	}
@@ -68,15 +71,20 @@
 		release()
 		return nil, failure, false
 	}
+	if !s.breaker.admit(instance) {
+		release()
+		return nil, s.brokenError(), false
+	}
 	sent := TargetRequest{ID: q.id, Instance: instance}
 	response, failed, err := s.roundTrip(ctx, s.targetConns.current(), address, q, s.ranRecorder(q), s.headerRewriter(&sent))
 	s.counters.target.Update(s.now().Sub(start).Seconds())
 	s.logRequestRan(q, instance, statusOrNone(response), s.now().Sub(start))
 	if err != nil {
-		s.recordSendFailure(ctx, q, failed)
+		s.recordSendFailure(ctx, q, failed, instance)
 		release()
 		return nil, s.fail(sendOutcome(failed.mayHaveSent), StepTarget, statusOf(ctx, err), err), failed.mayHaveSent
 	}
+	s.breaker.recordResponse()
 	if failure := s.checkTargetResponse(sent, response); failure != nil {
 		s.admission.recordOutcome(true)
 		release()
@@ -95,12 +103,22 @@
 
 // recordSendFailure counts a request that got no response as failed by the target,
 // unless the caller disconnected or the target had dropped an idle connection.
-func (s *Server) recordSendFailure(ctx context.Context, q *request, failed sendFailure) {
+func (s *Server) recordSendFailure(ctx context.Context, q *request, failed sendFailure, instance string) {
 	if ctx.Err() == nil && failed.mayHaveSent && s.targetConns.reportFailure(failed.idle, failed.used) {
 		s.requestLogs.decision.WithFields(logrus.Fields{"call": q.id, "rested": failed.idle, "used": failed.used}).Info("connection broke after it was idle, not counted as a failure of the target")
 		return
 	}
 	s.admission.recordOutcome(!callerDisconnected(ctx))
+	if ctx.Err() == nil {
+		s.breaker.recordBroken(instance)
+	}
+}
+
+// brokenError returns the error of requests that are refused while the target breaks
+// its connections.
+func (s *Server) brokenError() *Error {
+	s.counters.refused.Inc()
+	return s.fail(NotRun, StepTarget, http.StatusServiceUnavailable, errTargetBroken)
 }
 
 // callerDisconnected reports whether a context ended other than by its deadline,
--- /dev/null
+++ b/internal/call/target_breaker_test.go
@@ -0,0 +1,61 @@
+package call_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+)
+
+// resettingListener accepts connections, reads from each once and resets it. It returns
+// its address.
+func resettingListener(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1<<10))
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		tasks.Wait()
+	})
+	return listener.Addr().String()
+}
+
+// A target that resets each connection gets a few requests only. The others are refused
+// as not run, so that even those that must not be repeated can go elsewhere.
+func TestBrokenTargetGetsFewRequests(t *testing.T) {
+	const calls, lost = 40, 8
+	m := newMesh(t, 1, config(nil), nil)
+	n := m.nodes[0]
+	address := resettingListener(t)
+	n.address.Store(&address)
+	unknown := 0
+	for range calls {
+		got := n.get(t, lookups)
+		if got.outcome() == "unknown" {
+			unknown++
+			continue
+		}
+		assert.Equal(t, got.outcome(), "not-run")
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	}
+	assert.Assert(t, unknown <= lost, "%d", unknown)
+	n.address.Store(nil)
+	eventually(t, "the target is used again", func() bool {
+		time.Sleep(10 * time.Millisecond)
+		return n.get(t, lookups).status == http.StatusOK
+	})
+}
