A request whose body arrives during the shutdown is not passed on

A call was checked against the shutdown before its body was read; one whose body took longer was passed on right before calls are aborted, and ended as unknown though it might not be repeated. It is refused as not run now.

TestRequestThatArrivesDuringShutdownDoesNotRun failed before (200, run).

--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -60,6 +60,11 @@
 		s.rejectCaller(w, in.ID, s.fail(NotRun, StepRequest, http.StatusBadRequest, err), writeErr)
 		return
 	}
+	if s.inflight.isShuttingDown() {
+		// The body took longer than the time in which calls are accepted.
+		s.rejectCaller(w, in.ID, s.stoppingError(), writeErr)
+		return
+	}
 	c := s.newOutboundCall(r, in, deadline, body)
 	defer setConnDeadlines(w, deadline, body)()
 	ctx, cancel := s.inflight.callContext(r.Context(), deadline)
--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -1,8 +1,10 @@
 package call_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
@@ -179,3 +181,30 @@
 	assert.Equal(t, got.step(), call.StepDrain)
 	assert.Equal(t, n.server.Load().Busy, 1)
 }
+
+// A request whose body arrives in full only after the shutdown has begun is refused as
+// not run: passed on this late, it could be cut off by the end of the process.
+func TestRequestThatArrivesDuringShutdownDoesNotRun(t *testing.T) {
+	m := newMesh(t, 1, config(withoutRetries), nil)
+	n := m.nodes[0]
+	conn, err := net.Dial("tcp", n.callers.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /"+lookups+" HTTP/1.1\r\nHost: mesh\r\nContent-Length: 10\r\n\r\nfirst")
+	assert.NilError(t, err)
+	eventually(t, "the call is in progress", func() bool { return n.server.InProgress() == 1 })
+	stop, endStop := context.WithTimeout(t.Context(), time.Minute)
+	defer endStop()
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { assert.Check(t, n.server.Shutdown(stop)) })
+	eventually(t, "calls are refused", func() bool { return n.get(t, lookups).step() == call.StepDrain })
+	_, err = io.WriteString(conn, "later")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, response.Header.Get(call.HeaderOutcome), string(call.NotRun))
+	assert.Equal(t, len(n.target.Runs()), 0)
+}
