Long responses leave a quarter of the host's link free

Change: bodies over 16 KB leave a host at three quarters of its link at most, all together, in chunks of 32 KB; the setting link_mbps gives its speed, 0 for no limit. Downloads that do not fit hold their slots longer, so the daemon beside the target refuses further ones by their priority.

Downloads lose what they took from the others. TestLongResponsesLeavePartOfLinkFree is new with the function.

--- a/cmd/mulberrybank/platform_test.go
+++ b/cmd/mulberrybank/platform_test.go
@@ -130,7 +130,7 @@
 		"listen_addrs.outbound": h.addr(outboundPort), "listen_addrs.inbound": h.addr(inboundPort),
 		"listen_addrs.ready": h.addr(readyPort), "listen_addrs.control": h.addr(heartbeatPort),
 		"port_range.0": strconv.Itoa(fleetControlPort), "port_range.1": strconv.Itoa(fleetAdminPort),
-		"cloud_platform.address": f.address, "bounds.budget_slack": "40", "bounds.retry_budget_ratio": "0.2", "limits.memory_mb": "284",
+		"cloud_platform.address": f.address, "bounds.budget_slack": "40", "bounds.retry_budget_ratio": "0.2", "limits.memory_mb": "284", "limits.link_mbps": "1000.0",
 		"bounds.grace_s": "6",
 	}
 	// In these tests, a daemon never starts together with all others for the
--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -69,7 +69,7 @@
 		return
 	}
 	c.request.body.enableFullDuplex(w)
-	if err := result.relay(w); err != nil {
+	if err := result.relay(ctx, w, s.pacer); err != nil {
 		c.trace.failed(s.fail(Unknown, StepAnswer, statusOf(ctx, err), err))
 		s.counters.truncated.Inc()
 		panic(http.ErrAbortHandler)
--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -88,6 +90,34 @@
 	return (&outboundCall{mayHaveRun: true}).finalError(last, last)
 }
 
+// NewPacer returns a pacer for a link of a speed.
+func NewPacer(linkMbps float64) *pacer { return newPacer(linkMbps) }
+
+// RelayBody relays a response with a body of a length.
+func RelayBody(ctx context.Context, pace *pacer, length int64) error {
+	response := &targetResponse{
+		status:  http.StatusOK,
+		length:  length,
+		body:    io.NopCloser(io.LimitReader(zeros{}, length)),
+		release: func(bool) {},
+	}
+	return response.relay(ctx, discardWriter{}, pace)
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// discardWriter is a response writer that drops the response.
+type discardWriter struct{}
+
+func (discardWriter) Header() http.Header { return http.Header{} }
+
+func (discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+
+func (discardWriter) WriteHeader(int) {}
+
 // TrackedConn is a connection of a transport.
 type TrackedConn = trackedConn
 
--- /dev/null
+++ b/internal/call/pacer_test.go
@@ -0,0 +1,48 @@
+package call_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/call"
+)
+
+// Long responses together leave a quarter of the link free, and a short one does not
+// wait behind them.
+func TestLongResponsesLeavePartOfLinkFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			linkMbps  = 8 // 1 MB/s
+			length    = 500_000
+			responses = 4
+			burst     = 64 << 10
+		)
+		pacer := call.NewPacer(linkMbps)
+		start := time.Now()
+		var tasks conc.WaitGroup
+		for range responses {
+			tasks.Go(func() { assert.Check(t, call.RelayBody(t.Context(), pacer, length)) })
+		}
+		tasks.Go(func() {
+			assert.Check(t, call.RelayBody(t.Context(), pacer, 8<<10))
+			assert.Check(t, time.Since(start) == 0)
+		})
+		tasks.Wait()
+		const least = (responses*length - burst) * time.Second / 750_000
+		took := time.Since(start)
+		assert.Assert(t, took >= least && took < least+least/10, "%s, at least %s", took, least)
+	})
+}
+
+// Without a known speed of the link nothing waits.
+func TestUnknownLinkIsNotPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		assert.NilError(t, call.RelayBody(t.Context(), call.NewPacer(0), 50<<20))
+		assert.Equal(t, time.Since(start), time.Duration(0))
+	})
+}
--- a/internal/call/peer.go
+++ b/internal/call/peer.go
@@ -33,7 +33,7 @@
 	}
 	s.setPeerHeaders(w.Header(), q.id, q.rank())
 	q.body.enableFullDuplex(w)
-	if err := result.relay(w); err != nil {
+	if err := result.relay(ctx, w, s.pacer); err != nil {
 		s.counters.truncated.Inc()
 		s.logResponseCut(q, err)
 		panic(http.ErrAbortHandler)
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -71,10 +72,10 @@
 // errResponseTruncated is the error of a response body that ended early.
 var errResponseTruncated = errors.New("response truncated")
 
-// relay writes the response to a client. After an error the connection of the
+// relay writes the response to a client, a long one at the pace of the link. After an error the connection of the
 // client must be aborted, so that the client cannot mistake a partial response for
 // a complete one.
-func (r *targetResponse) relay(w http.ResponseWriter) (err error) {
+func (r *targetResponse) relay(ctx context.Context, w http.ResponseWriter, pace *pacer) (err error) {
 	defer func() {
 		_ = r.body.Close()
 		r.release(err == nil)
@@ -88,14 +89,14 @@
 	}
 	declared := len(r.trailer)
 	w.WriteHeader(r.status)
-	if err := r.copyBody(w); err != nil {
+	if err := r.copyBody(ctx, w, pace); err != nil {
 		return err
 	}
 	r.writeTrailer(w, declared)
 	return nil
 }
 
-func (r *targetResponse) copyBody(w http.ResponseWriter) error {
+func (r *targetResponse) copyBody(ctx context.Context, w http.ResponseWriter, pace *pacer) error {
 	control := http.NewResponseController(w)
 	streamed := r.length < 0
 	if streamed {
@@ -105,6 +106,11 @@
 	defer copyBuffers.Put(pooled)
 	for {
 		n, err := r.body.Read(*pooled)
+		if n > 0 && paced(r.length) {
+			if paceErr := pace.wait(ctx, n); paceErr != nil {
+				return paceErr
+			}
+		}
 		if n > 0 {
 			if _, writeErr := w.Write((*pooled)[:n]); writeErr != nil {
 				return fmt.Errorf("write response: %w", writeErr)
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -77,6 +77,9 @@
 	// RetryRatio limits the retries of one service to a fraction of its calls over
 	// all daemons, 0 for the ratios of the routes.
 	RetryRatio float64
+	// LinkMbps is the speed of the host's link in Mbit/s, 0 if it is not known. Long
+	// responses leave a part of it free.
+	LinkMbps float64
 	// TargetConnections, PeerConnections and MaxCalls are limits; 0 means the
 	// default.
 	TargetConnections int
@@ -107,6 +110,7 @@
 
 	admission   *admissionQueue
 	breaker     *targetBreaker
+	pacer       *pacer
 	inflight    *inflight
 	callLimit   *callLimiter
 	targetConns *targetTransports
@@ -136,6 +140,7 @@
 		sampleThreshold: sampleThresholdOf(options.SampleRatio),
 		admission:       newAdmissionQueue(options.Now),
 		breaker:         &targetBreaker{now: options.Now},
+		pacer:           newPacer(options.LinkMbps),
 		onTargetLeaving: options.OnTargetLeaving,
 		inflight:        newInflight(),
 		callLimit:       newCallLimiter(options.MaxCalls),
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -136,6 +136,7 @@
 		Metrics:         d.metrics,
 		DialPeers:       dialPeers,
 		SampleRatio:     eventSampleRatio,
+		LinkMbps:        d.settings.LinkMbps,
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,7 +41,9 @@
 	// Snapshots is "on" when this daemon may write snapshots to the log.
 	Snapshots string `json:"snapshots" default:"on" form:"switch"`
 	// Memory is the memory limit of the process, 0B for no limit.
-	Memory   Size     `json:"memory" default:"0B" min:"0B" max:"1TiB"`
+	Memory Size `json:"memory" default:"0B" min:"0B" max:"1TiB"`
+	// LinkMbps is the speed of the host's link in Mbit/s, 0 if it is not known.
+	LinkMbps float64  `json:"link_mbps" default:"0" min:"0" max:"1000000"`
 	Log      Log      `json:"log"`
 	Admin    Admin    `json:"admin"`
 	Timeline Timeline `json:"timeline"`
