A view is updated by its changes

A change that can decide on other hosts (reports of unreachable hosts or silent zones, an address that two hosts claim, a dropped row, direct contact that overrides a report) still builds the view anew, as do many changes at once. Hosts that reached this daemon after they were reported as unreachable are reachable at the next view, not at the next change of any other host.

--- a/internal/admin/admintest/mesh.go
+++ b/internal/admin/admintest/mesh.go
@@ -176,7 +176,7 @@
 	other := membership.Member{
 		Host: "host-2", State: membership.Leaving, TargetState: membership.Draining, Reachability: membership.Suspect,
 	}
-	return &membership.View{Self: self, Members: map[string]membership.Member{"host-1": self, "host-2": other}}
+	return &membership.View{Self: self, Members: membership.NewMap(map[string]membership.Member{"host-1": self, "host-2": other})}
 }
 
 // Drain marks the target as drained.
--- a/internal/admin/state.go
+++ b/internal/admin/state.go
@@ -43,7 +43,7 @@
 // members responds with the daemons known here, sorted by host.
 func (s *Server) members(w http.ResponseWriter, _ *request) error {
 	response := Members{Members: []Member{}}
-	for _, member := range s.Directory.View().Members {
+	for _, member := range s.Directory.View().Members.All() {
 		response.Members = append(response.Members, fromMember(member))
 	}
 	slices.SortFunc(response.Members, func(a, b Member) int { return strings.Compare(a.Host, b.Host) })
--- a/internal/call/mesh_test.go
+++ b/internal/call/mesh_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -75,8 +74,7 @@
 // change replaces a member of the view and announces that.
 func (d *directory) change(member membership.Member) {
 	view := *d.View()
-	view.Members = maps.Clone(view.Members)
-	view.Members[member.Host] = member
+	view.Members = view.Members.With(member.Host, member)
 	d.view.Store(&view)
 	d.changed.Notify()
 }
@@ -325,10 +323,10 @@
 // shareView gives every daemon the same view of all hosts.
 func (m *mesh) shareView() {
 	for _, n := range m.nodes {
-		view := &membership.View{Self: n.member, Members: map[string]membership.Member{}, ByService: map[string][]membership.Member{}}
+		view := &membership.View{Self: n.member}
 		for _, other := range m.nodes {
-			view.Members[other.name] = other.member
-			view.ByService["railway/status"] = append(view.ByService["railway/status"], other.member)
+			view.Members = view.Members.With(other.name, other.member)
+			view.ByService = view.ByService.With("railway/status", append(view.ByService.At("railway/status"), other.member))
 		}
 		n.dir.view.Store(view)
 	}
@@ -338,8 +336,8 @@
 func (n *node) routeOnlyTo(other *node) {
 	n.dir.view.Store(&membership.View{
 		Self:      n.member,
-		Members:   map[string]membership.Member{n.name: n.member, other.name: other.member},
-		ByService: map[string][]membership.Member{"railway/status": {other.member}},
+		Members:   membership.NewMap(map[string]membership.Member{n.name: n.member, other.name: other.member}),
+		ByService: membership.NewMap(map[string][]membership.Member{"railway/status": {other.member}}),
 	})
 }
 
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return membership.Member{}, s.fail(NotRun, StepHome, http.StatusConflict, err)
 	}
-	member, found := s.directory.View().Members[host]
+	member, found := s.directory.View().Members.Get(host)
 	if !found || member.CallsAddress == "" && host != s.self.Host {
 		return membership.Member{}, s.fail(NotRun, StepHome, http.StatusServiceUnavailable, fmt.Errorf("%w: %s", errHomeUnknown, host))
 	}
--- a/internal/call/peer_wait_test.go
+++ b/internal/call/peer_wait_test.go
@@ -26,12 +26,12 @@
 func (n *node) routeOnlyToPeers() {
 	view := *n.dir.View()
 	var peers []membership.Member
-	for _, member := range view.ByService["railway/status"] {
+	for _, member := range view.ByService.At("railway/status") {
 		if member.Host != n.name {
 			peers = append(peers, member)
 		}
 	}
-	view.ByService = map[string][]membership.Member{"railway/status": peers}
+	view.ByService = membership.NewMap(map[string][]membership.Member{"railway/status": peers})
 	n.dir.view.Store(&view)
 }
 
--- a/internal/call/peer_watch.go
+++ b/internal/call/peer_watch.go
@@ -52,7 +52,7 @@
 // peerGone reports whether the daemon of a member, as it was when it was chosen, has
 // been replaced by another process or has become unreachable.
 func peerGone(view *membership.View, member membership.Member) bool {
-	current, found := view.Members[member.Host]
+	current, found := view.Members.Get(member.Host)
 	if !found || view.Stale {
 		return false
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -145,5 +145,5 @@
 	if d.enforcer.Table() == nil || d.stopping.Load() {
 		return false
 	}
-	return len(d.members.View().Members) > 1 || time.Since(d.started) > isolatedReadyDelay
+	return d.members.View().Members.Len() > 1 || time.Since(d.started) > isolatedReadyDelay
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -123,7 +123,7 @@
 	defer cancel()
 	for {
 		changed := d.members.Changed()
-		if len(d.members.View().Members) > 1 {
+		if d.members.View().Members.Len() > 1 {
 			wait.For(ctx, membersDelay)
 			return
 		}
--- a/internal/distribute/convergence.go
+++ b/internal/distribute/convergence.go
@@ -82,7 +82,7 @@
 // in total.
 func expectedDaemons(view *membership.View) (zones map[string]int, total int) {
 	zones = make(map[string]int)
-	for _, member := range view.Members {
+	for _, member := range view.Members.All() {
 		if member.State != membership.Left {
 			zones[member.Zone]++
 			total++
@@ -110,7 +110,7 @@
 			}
 		}
 	}
-	for _, member := range view.Members {
+	for _, member := range view.Members.All() {
 		if member.State != membership.Left && member.Reachability != membership.Reachable && member.AppliedOffset < offset {
 			byHost[member.Host] = LaggingHost{Host: member.Host, Offset: member.AppliedOffset, LastHeard: member.LastHeard}
 		}
--- a/internal/distribute/convergence_test.go
+++ b/internal/distribute/convergence_test.go
@@ -13,9 +13,9 @@
 // While a daemon changes its parent, both the old and the new parent count it;
 // the daemon that is behind must not be counted as having reached the offset.
 func TestDaemonCountedTwiceIsNotConfirmed(t *testing.T) {
-	view := &membership.View{Members: map[string]membership.Member{}}
+	view := &membership.View{}
 	for _, host := range []string{"h1", "h2", "h3"} {
-		view.Members[host] = membership.Member{Host: host, Zone: "za", Region: "r", State: membership.Alive}
+		view.Members = view.Members.With(host, membership.Member{Host: host, Zone: "za", Region: "r", State: membership.Alive})
 	}
 	zone := func(daemons, reached int) []ZoneSummary {
 		return []ZoneSummary{{Zone: "za", Region: "r", Daemons: daemons, Lowest: 7, Highest: 7, AtHighest: reached}}
--- a/internal/distribute/fakes_test.go
+++ b/internal/distribute/fakes_test.go
@@ -588,7 +588,7 @@
 func (d *fakeDirectory) set(self string, members map[string]membership.Member) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.view = &membership.View{Self: members[self], Members: members}
+	d.view = &membership.View{Self: members[self], Members: membership.NewMap(members)}
 }
 
 // eventLog records the events of a daemon.
--- a/internal/distribute/parents.go
+++ b/internal/distribute/parents.go
@@ -58,12 +58,12 @@
 	switch {
 	case rank >= readersPerZone:
 		list.addTreeParents(own, rank)
-	case rank >= 0 && len(view.Members) > 1:
+	case rank >= 0 && view.Members.Len() > 1:
 		list.addRegionReader(zones, view.Self)
 		list.addLog()
 	}
 	list.addOtherZones(zones, view.Self)
-	if len(view.Members) <= 1 {
+	if view.Members.Len() <= 1 {
 		list.addPeers(peers)
 	}
 	list.addLog()
@@ -75,12 +75,12 @@
 // different views never follow each other within a zone.
 func rankZones(view *membership.View) map[string][]membership.Member {
 	zones := make(map[string][]membership.Member)
-	for _, member := range view.Members {
+	for _, member := range view.Members.All() {
 		if canServe(member) || member.Host == view.Self.Host {
 			zones[member.Zone] = append(zones[member.Zone], member)
 		}
 	}
-	if _, ok := view.Members[view.Self.Host]; !ok {
+	if _, ok := view.Members.Get(view.Self.Host); !ok {
 		zones[view.Self.Zone] = append(zones[view.Self.Zone], view.Self)
 	}
 	for zone, members := range zones {
--- a/internal/distribute/property_test.go
+++ b/internal/distribute/property_test.go
@@ -212,12 +212,12 @@
 			}
 		}
 	}
-	return &membership.View{Members: members, Self: members["0-0"]}
+	return &membership.View{Members: membership.NewMap(members), Self: members["0-0"]}
 }
 
 // viewOf returns the view as another member sees it.
 func viewOf(view *membership.View, host string) *membership.View {
-	return &membership.View{Members: view.Members, Self: view.Members[host]}
+	return &membership.View{Members: view.Members, Self: view.Members.At(host)}
 }
 
 func TestPlansFormShallowTrees(t *testing.T) {
@@ -226,7 +226,7 @@
 		zones := rankZones(view)
 		readers := make(map[string]int)
 		children := make(map[string]int)
-		for host, member := range view.Members {
+		for host, member := range view.Members.All() {
 			if !canServe(member) {
 				continue
 			}
@@ -245,7 +245,7 @@
 			if host == "" {
 				continue
 			}
-			size := len(zones[view.Members[host].Zone])
+			size := len(zones[view.Members.At(host).Zone])
 			assert.Assert(t, count <= 10+size/2, "%s has %d children in a zone of %d", host, count, size)
 		}
 	})
@@ -257,21 +257,21 @@
 	rapid.Check(t, func(t *rapid.T) {
 		full := drawView(t)
 		parent := make(map[string]string)
-		for host, member := range full.Members {
+		for host, member := range full.Members.All() {
 			if member.Zone != "0" {
 				continue
 			}
 			partial := viewOf(full, host)
-			partial.Members = make(map[string]membership.Member)
-			for other, entry := range full.Members {
+			partial.Members = membership.Map[membership.Member]{}
+			for other, entry := range full.Members.All() {
 				if other == host || rapid.Bool().Draw(t, "known") {
-					partial.Members[other] = entry
+					partial.Members = partial.Members.With(other, entry)
 				}
 			}
 			first := newSourcePlan(partial, nil).Sources[0]
-			if full.Members[first.Host].Zone == "0" && rankedBefore(first.Host, host) {
+			if full.Members.At(first.Host).Zone == "0" && rankedBefore(first.Host, host) {
 				parent[host] = first.Host
-			} else if full.Members[first.Host].Zone == "0" && !first.Log && !newSourcePlan(partial, nil).Reader {
+			} else if full.Members.At(first.Host).Zone == "0" && !first.Log && !newSourcePlan(partial, nil).Reader {
 				t.Fatalf("%s follows %s, which ranks after it", host, first.Host)
 			}
 		}
--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -301,7 +301,7 @@
 		d := f.daemons[(i*7)%count]
 		host := d.options.Self.Host
 		d.Drain()
-		took := f.waitUntil(b, "draining", func(v *View) bool { return v.Members[host].TargetState == Draining })
+		took := f.waitUntil(b, "draining", func(v *View) bool { return v.Members.At(host).TargetState == Draining })
 		slowest = max(slowest, took)
 	}
 	f.renewAll(b, 2*time.Second)
--- a/internal/membership/connection_test.go
+++ b/internal/membership/connection_test.go
@@ -140,8 +140,8 @@
 		m.net.heal()
 		m.waitUntil(20*time.Second, "merged", func(d *daemon) bool {
 			members := d.View().Members
-			return members[isolated].Reachability == Reachable && members["new-0"].Reachability == Reachable &&
-				members[isolated].Host != "" && members["new-0"].Host != ""
+			return members.At(isolated).Reachability == Reachable && members.At("new-0").Reachability == Reachable &&
+				members.At(isolated).Host != "" && members.At("new-0").Host != ""
 		})
 	})
 }
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -103,22 +103,26 @@
 		c = &contact{}
 		m.contacts[remote.Host] = c
 	}
-	if now.Sub(c.lastHeard) >= contactTimeout {
-		m.requestRebuild()
+	if now.Sub(c.lastHeard) >= contactTimeout || m.View().Members.At(remote.Host).Reachability != Reachable {
+		m.noteChangeOf(remote.Host)
 	}
 	c.lastHeard = now
 	if offset > 0 || len(digest) > 0 {
 		c.offset = offset
 		c.digest = digest
 		m.raiseOffsetFloor(remote.Host, offset)
-		m.requestRebuild()
+		m.noteChangeOf(remote.Host)
 	}
 }
 
 // raiseOffsetFloor records an offset as applied on a host.
 func (m *Membership) raiseOffsetFloor(host string, offset uint64) {
-	if offset > m.offsetFloors[host] {
-		m.offsetFloors[host] = offset
+	if offset <= m.offsetFloors[host] {
+		return
+	}
+	m.offsetFloors[host] = offset
+	if m.table.rows[host] != nil {
+		m.viewChanges.noteChange(host)
 	}
 }
 
@@ -159,10 +163,12 @@
 			}
 			continue
 		}
+		before := m.table.rows[e.host]
 		if !m.table.merge(e, from, now) {
 			continue
 		}
 		merged++
+		m.viewChanges.noteEntry(before.entryOrNil(), &e)
 		m.handleNewEntry(&e, goneFor, now)
 		selfReported = selfReported || e.listsUnreachable(m.selfRow().entryKey)
 	}
--- a/internal/membership/failure_detection.go
+++ b/internal/membership/failure_detection.go
@@ -149,6 +149,7 @@
 	} else {
 		delete(m.failedPeers, n.host)
 	}
+	m.viewChanges.noteChange(n.host)
 	m.mu.Unlock()
 	m.requestRebuild()
 	m.recordReachabilityChange(n.host, before.reachability, after.reachability)
@@ -160,6 +161,9 @@
 	m.mu.Lock()
 	failed, known := m.failedPeers[n.host]
 	delete(m.failedPeers, n.host)
+	if known && m.table.rows[n.host] != nil {
+		m.viewChanges.noteChange(n.host)
+	}
 	m.mu.Unlock()
 	if !known {
 		return
--- a/internal/membership/failure_detection_test.go
+++ b/internal/membership/failure_detection_test.go
@@ -23,7 +23,7 @@
 		m.waitUntil(15*time.Second, "complete", knowsAll(6))
 		observed := hostName("north", 0, 3)
 		var ring []Member
-		for _, member := range m.daemons[observed].View().Members {
+		for _, member := range m.daemons[observed].View().Members.All() {
 			ring = append(ring, member)
 		}
 		observer := ringObservers(observed, ring)[0].Host
@@ -53,7 +53,7 @@
 		view := m.daemons[isolated].View()
 		assert.Assert(t, view.Stale)
 		assert.Assert(t, len(m.daemons[isolated].selfRow().unreachableKeys) == 0)
-		assert.Equal(t, m.daemons[hostName("north", 0, 1)].View().Members[isolated].Reachability, Unreachable)
+		assert.Equal(t, m.daemons[hostName("north", 0, 1)].View().Members.At(isolated).Reachability, Unreachable)
 		m.net.heal()
 		m.waitUntil(10*time.Second, "complete", knowsAll(6))
 		m.waitUntil(10*time.Second, "fresh", func(d *daemon) bool { return !d.View().Stale })
@@ -161,7 +161,7 @@
 		paused := hostName("north", 0, 3)
 		m.net.pause(paused, time.Minute)
 		seesPausedUnreachable := func(d *daemon) bool {
-			return d.identity.Host == paused || d.View().Members[paused].Reachability == Unreachable
+			return d.identity.Host == paused || d.View().Members.At(paused).Reachability == Unreachable
 		}
 		t.Logf("unreachable after %s", m.waitUntil(20*time.Second, "without the paused host", seesPausedUnreachable))
 		time.Sleep(time.Minute)
--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -29,14 +29,14 @@
 func seesPartition(count int, inside func(peer.Identity) bool) func(*daemon) bool {
 	return func(d *daemon) bool {
 		view := d.View()
-		for _, member := range view.Members {
+		for _, member := range view.Members.All() {
 			id := peer.Identity{Host: member.Host, Zone: member.Zone, Region: member.Region}
 			otherSide := inside(id) != inside(d.identity)
 			if otherSide != (member.Reachability == Unreachable) {
 				return false
 			}
 		}
-		return len(view.Members) == count
+		return view.Members.Len() == count
 	}
 }
 
@@ -73,13 +73,13 @@
 		took = m.waitUntil(15*time.Second, "healed", knowsAll(count))
 		t.Logf("healed after %s", took)
 		m.waitUntil(3*time.Second, "aware of the leaving host", func(d *daemon) bool {
-			return d.View().Members[leaving].State == Leaving
+			return d.View().Members.At(leaving).State == Leaving
 		})
 	})
 }
 
 func seesReachability(host string, reachability Reachability) func(*daemon) bool {
-	return func(d *daemon) bool { return d.View().Members[host].Reachability == reachability }
+	return func(d *daemon) bool { return d.View().Members.At(host).Reachability == reachability }
 }
 
 func TestKilledHostBecomesUnreachableAndReturns(t *testing.T) {
@@ -93,7 +93,7 @@
 		synctest.Wait()
 		suspecting := 0
 		for _, d := range m.daemons {
-			reachability := d.View().Members[host].Reachability
+			reachability := d.View().Members.At(host).Reachability
 			assert.Assert(t, reachability != Unreachable)
 			if reachability == Suspect {
 				suspecting++
@@ -116,7 +116,7 @@
 		}
 		gone := func(d *daemon) bool {
 			for number := range 6 {
-				if d.View().Members[hostName("south", 2, number)].Reachability != Unreachable {
+				if d.View().Members.At(hostName("south", 2, number)).Reachability != Unreachable {
 					return false
 				}
 			}
@@ -144,7 +144,7 @@
 		returned := m.start("north", "north-0", host, 7, hostName("north", 0, 0))
 		announce(t, returned, "ready")
 		m.waitUntil(10*time.Second, "ready again", func(d *daemon) bool {
-			member := d.View().Members[host]
+			member := d.View().Members.At(host)
 			return member.TargetState == Ready && member.State == Alive && member.Version.Incarnation > 1000
 		})
 	})
@@ -153,7 +153,7 @@
 // zone returns the members of a zone.
 func (v *View) zone(name string) []Member {
 	var members []Member
-	for _, member := range v.Members {
+	for _, member := range v.Members.All() {
 		if member.Zone == name {
 			members = append(members, member)
 		}
--- a/internal/membership/maintenance.go
+++ b/internal/membership/maintenance.go
@@ -25,8 +25,7 @@
 	m.updateZoneMonitors(now)
 	idle := m.removeIdleInbound(now)
 	m.dropExpired(now)
-	stale := m.isStale(m.view.current.Load().Members, now)
-	rebuild := m.contactOverrides || stale != m.view.current.Load().Stale
+	rebuild := m.contactOverrides || m.isStale(now) != m.view.current.Load().Stale
 	m.mu.Unlock()
 	if rebuild {
 		m.requestRebuild()
@@ -94,6 +93,7 @@
 		if !r.goneSince.IsZero() && now.Sub(r.goneSince) >= retention {
 			m.table.drop(host, now)
 			delete(m.failedPeers, host)
+			m.viewChanges.all = true
 			m.requestRebuild()
 		}
 	}
@@ -110,47 +110,6 @@
 	}
 }
 
-// publishLocked builds and publishes a new view. The caller holds the mutex.
-func (m *Membership) publishLocked(now time.Time) {
-	own := m.options.Self
-	m.reportedUnreachable = reportedUnreachableHosts(m.table.rows)
-	delete(m.reportedUnreachable, own.Host)
-	zones := liveZones(m.table.rows, m.reportedUnreachable)
-	m.silentZones = silentZonesFrom(own.Zone, own.Region, zones, m.table.rows)
-	m.contactOverrides = false
-	members := make(map[string]Member, len(m.table.rows))
-	newestByAddress := newestIncarnationByAddress(m.table.rows)
-	for host, r := range m.table.rows {
-		member := r.member()
-		member.AppliedOffset = m.offsetFloors[host]
-		if host != own.Host {
-			m.setReachability(&member, now)
-		}
-		if newestByAddress[r.callsAddress] > r.version.Incarnation {
-			member.Reachability = Unreachable
-		}
-		m.updateGoneSince(r, member, now)
-		members[host] = member
-	}
-	view := newView(own.Host, members)
-	view.Stale = m.isStale(members, now)
-	m.view.set(view)
-}
-
-// newestIncarnationByAddress returns, for each address for calls, the newest
-// incarnation whose entry names it. A host that takes over the address of an
-// earlier one replaces it, although the earlier one's entry still names that
-// address.
-func newestIncarnationByAddress(rows map[string]*row) map[string]uint64 {
-	newest := make(map[string]uint64, len(rows))
-	for _, r := range rows {
-		if r.callsAddress != "" && r.state != Left {
-			newest[r.callsAddress] = max(newest[r.callsAddress], r.version.Incarnation)
-		}
-	}
-	return newest
-}
-
 // setReachability sets the reachability of a member and when it was last
 // heard. Direct contact within directContactWindow overrides reports of others.
 func (m *Membership) setReachability(member *Member, now time.Time) {
@@ -182,30 +141,3 @@
 		r.goneSince = now
 	}
 }
-
-// isStale reports whether this daemon's own links are probably at fault: it is
-// in contact with no host, or more than half of the others are unreachable.
-func (m *Membership) isStale(members map[string]Member, now time.Time) bool {
-	others, unreachable := 0, 0
-	for host, member := range members {
-		if host == m.options.Self.Host || member.State == Left {
-			continue
-		}
-		others++
-		if member.Reachability == Unreachable {
-			unreachable++
-		}
-	}
-	if others == 0 {
-		return false
-	}
-	if 2*unreachable > others {
-		return true
-	}
-	for host := range m.contacts {
-		if m.inRecentContact(host, now) {
-			return false
-		}
-	}
-	return now.Sub(m.startedAt) >= contactTimeout
-}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -102,10 +102,10 @@
 	// Self is this daemon.
 	Self Member
 	// Members holds all members by host, including Self.
-	Members map[string]Member
+	Members Map[Member]
 	// ByService lists the members that have a target, by the full name of its
-	// service and sorted by host.
-	ByService map[string][]Member
+	// service and sorted by host. A list stays the same while no member of it changes.
+	ByService Map[[]Member]
 	// Stale is set while this daemon is in contact with no host or finds most
 	// hosts unreachable. The cause is then probably its own links.
 	Stale bool
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -77,6 +77,7 @@
 	needsRefutation bool
 	lastRefuted     time.Time
 	startedAt       time.Time
+	viewChanges     viewChanges
 }
 
 // New returns a membership that knows only this daemon.
@@ -104,7 +105,7 @@
 	m.lease.configuredDuration = options.LeaseDuration
 	self := newEntry(options.Self, options.Identity.Incarnation)
 	m.table.merge(self, "", now)
-	m.publishLocked(now)
+	m.publishAll(now)
 	return m
 }
 
@@ -262,6 +263,7 @@
 		after.appliedOffset = offset
 		after.version.Counter++
 		m.table.merge(after, "", now)
+		m.viewChanges.noteEntry(&before, &after)
 		m.publishLocked(now)
 		m.wakeNeighbours("")
 	}
@@ -360,6 +362,15 @@
 	}
 }
 
+// noteChangeOf records that the member of a host has changed, and requests a view with
+// it. The caller holds the mutex.
+func (m *Membership) noteChangeOf(host string) {
+	if m.table.rows[host] != nil {
+		m.viewChanges.noteChange(host)
+	}
+	m.requestRebuild()
+}
+
 func (m *Membership) requestRebuild() {
 	select {
 	case m.rebuildRequests <- struct{}{}:
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -58,7 +58,7 @@
 }
 
 func seesTarget(host string, state TargetState) func(*daemon) bool {
-	return func(d *daemon) bool { return d.View().Members[host].TargetState == state }
+	return func(d *daemon) bool { return d.View().Members.At(host).TargetState == state }
 }
 
 func TestExpiredLeaseTakesNoNewWork(t *testing.T) {
@@ -75,7 +75,7 @@
 		assert.Equal(t, d.View().Self.TargetState, Ready)
 		m.waitUntil(2*time.Second, "draining", seesTarget("a", Draining))
 		m.waitUntil(withdrawalDrainTime+time.Second, "without target", seesTarget("a", NoTarget))
-		assert.Equal(t, len(d.View().ByService["w/s"]), 0)
+		assert.Equal(t, len(d.View().ByService.At("w/s")), 0)
 	})
 }
 
@@ -92,7 +92,7 @@
 		assert.Equal(t, a.stateOf("b"), Left)
 		time.Sleep(viewInterval)
 		synctest.Wait()
-		assert.Equal(t, a.View().Members["b"].State, Left)
+		assert.Equal(t, a.View().Members.At("b").State, Left)
 	})
 }
 
--- a/internal/membership/mesh_test.go
+++ b/internal/membership/mesh_test.go
@@ -123,7 +123,7 @@
 
 func formatView(view *View) string {
 	text := fmt.Sprintf("stale=%t", view.Stale)
-	for host, member := range view.Members {
+	for host, member := range view.Members.All() {
 		text += fmt.Sprintf(" %s:state=%d,target=%d,reachability=%d,version=%v", host, member.State, member.TargetState, member.Reachability, member.Version)
 	}
 	return text
@@ -132,7 +132,7 @@
 // knowsAll returns a condition that a view holds count hosts, all reachable.
 func knowsAll(count int) func(d *daemon) bool {
 	return func(d *daemon) bool {
-		return len(d.View().Members) == count && d.View().reachable() == count
+		return d.View().Members.Len() == count && d.View().reachable() == count
 	}
 }
 
--- a/internal/membership/metrics.go
+++ b/internal/membership/metrics.go
@@ -18,7 +18,7 @@
 
 func newMetrics(set *metrics.Set, m *Membership) *membershipMetrics {
 	set.NewGauge("mulberrybank_membership_hosts", func() float64 {
-		return float64(len(m.View().Members))
+		return float64(m.View().Members.Len())
 	})
 	set.NewGauge("mulberrybank_membership_hosts_reachable", func() float64 {
 		return float64(m.View().reachable())
@@ -40,7 +40,7 @@
 // reachable counts the members that are reachable and have not left.
 func (v *View) reachable() int {
 	count := 0
-	for _, member := range v.Members {
+	for _, member := range v.Members.All() {
 		if member.Reachability == Reachable && member.State != Left {
 			count++
 		}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -27,6 +27,14 @@
 	goneSince time.Time
 }
 
+// entryOrNil returns the entry of a row, nil if there is no row.
+func (r *row) entryOrNil() *entry {
+	if r == nil {
+		return nil
+	}
+	return &r.entry
+}
+
 // change records that the row of a host changed.
 type change struct {
 	sequence uint64
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -115,7 +115,7 @@
 				latest[e.host] = e
 			}
 			offered := make(map[string]TargetState)
-			for _, member := range m.View().ByService["w/s"] {
+			for _, member := range m.View().ByService.At("w/s") {
 				offered[member.Host] = member.TargetState
 			}
 			for host, expected := range latest {
@@ -257,6 +257,6 @@
 	m.mu.Lock()
 	m.publishLocked(time.Now())
 	m.mu.Unlock()
-	assert.Equal(t, m.View().Members["earlier"].Reachability, Unreachable)
-	assert.Equal(t, m.View().Members["later"].Reachability, Reachable)
+	assert.Equal(t, m.View().Members.At("earlier").Reachability, Unreachable)
+	assert.Equal(t, m.View().Members.At("later").Reachability, Reachable)
 }
--- a/internal/once/additions_test.go
+++ b/internal/once/additions_test.go
@@ -17,10 +17,10 @@
 
 // viewWithService returns a view in which hosts have a ready target of a service.
 func viewWithService(name string, hosts ...string) *membership.View {
-	view := &membership.View{ByService: map[string][]membership.Member{}}
+	view := &membership.View{}
 	for _, host := range hosts {
 		member := membership.Member{Host: host, State: membership.Alive, TargetState: membership.Ready}
-		view.ByService[name] = append(view.ByService[name], member)
+		view.ByService = view.ByService.With(name, append(view.ByService.At(name), member))
 	}
 	return view
 }
@@ -68,9 +68,9 @@
 	if time.Now().Before(c.appears) {
 		return view
 	}
-	for _, member := range view.Members {
+	for _, member := range view.Members.All() {
 		member.Service = laterService
-		view.ByService[laterService] = append(view.ByService[laterService], member)
+		view.ByService = view.ByService.With(laterService, append(view.ByService.At(laterService), member))
 	}
 	return view
 }
--- a/internal/once/bench_test.go
+++ b/internal/once/bench_test.go
@@ -21,12 +21,12 @@
 
 // benchView returns a view in which every host is ready for one service.
 func benchView() *membership.View {
-	view := &membership.View{ByService: map[string][]membership.Member{}}
+	view := &membership.View{}
 	for i := range benchHosts {
 		name := fmt.Sprintf("workspace-%02d/service-%03d", i%benchServices/4, i%benchServices)
-		view.ByService[name] = append(view.ByService[name], membership.Member{
+		view.ByService = view.ByService.With(name, append(view.ByService.At(name), membership.Member{
 			Host: fmt.Sprintf("host-%04d.zone-%d", i, i%10), State: membership.Alive, TargetState: membership.Ready,
-		})
+		}))
 	}
 	return view
 }
@@ -94,7 +94,7 @@
 	chain, view := benchChain(), benchView()
 	later := epoch.Add(once.DefaultHorizon / 3)
 	first := chain[0].GetServices()[0].GetService()
-	view.ByService[first] = view.ByService[first][1:]
+	view.ByService = view.ByService.With(first, view.ByService.At(first)[1:])
 	b.ReportAllocs()
 	for b.Loop() {
 		once.NextGrant(chain, view, later, once.DefaultHorizon)
--- a/internal/once/grants_test.go
+++ b/internal/once/grants_test.go
@@ -15,15 +15,15 @@
 
 // drawView draws a view of a few services with targets in different states.
 func drawView(t *rapid.T) *membership.View {
-	view := &membership.View{ByService: map[string][]membership.Member{}}
+	view := &membership.View{}
 	for _, name := range []string{"huts/ledger", "huts/registry", "heaters/ledger"} {
 		for _, host := range []string{"c", "a", "b"} {
-			view.ByService[name] = append(view.ByService[name], membership.Member{
+			view.ByService = view.ByService.With(name, append(view.ByService.At(name), membership.Member{
 				Host:         host,
 				State:        membership.Alive,
 				TargetState:  rapid.SampledFrom([]membership.TargetState{membership.Ready, membership.Draining}).Draw(t, "state"),
 				Reachability: rapid.SampledFrom([]membership.Reachability{membership.Reachable, membership.Unreachable}).Draw(t, "reach"),
-			})
+			}))
 		}
 	}
 	return view
@@ -81,10 +81,10 @@
 	member := func(host string, reachability membership.Reachability) membership.Member {
 		return membership.Member{Host: host, State: membership.Alive, TargetState: membership.Ready, Reachability: reachability}
 	}
-	view := &membership.View{ByService: map[string][]membership.Member{
+	view := &membership.View{ByService: membership.NewMap(map[string][]membership.Member{
 		"a/cut":  {member("x", membership.Unreachable), member("y", membership.Unreachable)},
 		"b/part": {member("x", membership.Unreachable), member("y", membership.Suspect)},
-	}}
+	})}
 	services := once.NextGrant(nil, view, epoch, once.DefaultHorizon).GetServices()
 	assert.DeepEqual(t, services[0].GetHosts(), []string{"x", "y"})
 	assert.DeepEqual(t, services[1].GetHosts(), []string{"y"})
--- a/internal/once/proposal.go
+++ b/internal/once/proposal.go
@@ -52,7 +52,7 @@
 // serviceHomes lists the homes of every service.
 func serviceHomes(view *membership.View) []*ServiceHomes {
 	services := map[string]*ServiceHomes{}
-	for service, members := range view.ByService {
+	for service, members := range view.ByService.All() {
 		if hosts := homeHosts(members); service != "" && len(hosts) > 0 {
 			services[service] = &ServiceHomes{Service: service, Hosts: hosts}
 		}
@@ -93,7 +93,7 @@
 func proposerRank(host string, view *membership.View, end int64) int {
 	own := proposerScore(host, end)
 	rank := 0
-	for _, member := range view.Members {
+	for _, member := range view.Members.All() {
 		if member.Host == host || member.State != membership.Alive || member.Reachability != membership.Reachable {
 			continue
 		}
--- a/internal/once/proposer_additions_test.go
+++ b/internal/once/proposer_additions_test.go
@@ -25,7 +25,7 @@
 func (d *flappingDirectory) View() *membership.View {
 	view := d.cluster.View()
 	if !d.visible.Load() {
-		view.ByService = nil
+		view.ByService = membership.Map[[]membership.Member]{}
 	}
 	return view
 }
--- a/internal/once/proposer_test.go
+++ b/internal/once/proposer_test.go
@@ -51,13 +51,13 @@
 
 // View lists the daemons of the cluster; every host has a ready target.
 func (c cluster) View() *membership.View {
-	view := &membership.View{Members: map[string]membership.Member{}, ByService: map[string][]membership.Member{}}
+	view := &membership.View{}
 	for i := range c.size {
 		member := membership.Member{
 			Host: fmt.Sprintf("host-%d", i), State: membership.Alive, Service: service, TargetState: membership.Ready,
 		}
-		view.Members[member.Host] = member
-		view.ByService[service] = append(view.ByService[service], member)
+		view.Members = view.Members.With(member.Host, member)
+		view.ByService = view.ByService.With(service, append(view.ByService.At(service), member))
 	}
 	return view
 }
@@ -81,7 +81,7 @@
 	payload := []byte("a record, so that the empty configuration is in force")
 	_, _ = c.log.Append(ctx, platform.ConfigurationStream, payload)
 	var last daemon
-	for host := range c.View().Members {
+	for host := range c.View().Members.All() {
 		if failed[host] {
 			continue
 		}
--- a/internal/once/simulation_test.go
+++ b/internal/once/simulation_test.go
@@ -334,10 +334,10 @@
 
 // viewOf returns the view of a daemon that knows the targets of some hosts.
 func viewOf(known []*host) *membership.View {
-	view := &membership.View{ByService: map[string][]membership.Member{}}
+	view := &membership.View{}
 	for _, h := range known {
 		member := membership.Member{Host: h.name, State: membership.Alive, TargetState: membership.Ready}
-		view.ByService[service] = append(view.ByService[service], member)
+		view.ByService = view.ByService.With(service, append(view.ByService.At(service), member))
 	}
 	return view
 }
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -61,7 +61,7 @@
 
 func benchChoose(b *testing.B, count int) {
 	members := benchMembers(count)
-	view := &membership.View{ByService: map[string][]membership.Member{service.Name: members}}
+	view := &membership.View{ByService: membership.NewMap(map[string][]membership.Member{service.Name: members})}
 	clock := time.Unix(1_800_000_000, 0)
 	r := route.New(route.Options{
 		Directory: &fixedDirectory{view: view},
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -164,7 +164,7 @@
 		return b.daemons
 	}
 	b.counted, b.daemons = view, 0
-	for _, member := range view.Members {
+	for _, member := range view.Members.All() {
 		if member.State != membership.Left {
 			b.daemons++
 		}
--- a/internal/route/budget_test.go
+++ b/internal/route/budget_test.go
@@ -88,10 +88,10 @@
 func (n aliveHosts) Changed() <-chan struct{} { return nil }
 
 func (n aliveHosts) View() *membership.View {
-	view := &membership.View{Members: map[string]membership.Member{}}
+	view := &membership.View{}
 	for i := range int(n) {
 		host := string(rune('a' + i))
-		view.Members[host] = membership.Member{Host: host, State: membership.Alive}
+		view.Members = view.Members.With(host, membership.Member{Host: host, State: membership.Alive})
 	}
 	return view
 }
--- a/internal/route/index.go
+++ b/internal/route/index.go
@@ -80,7 +80,7 @@
 
 // indexOf returns the up-to-date index of a service.
 func (r *Router) indexOf(service string, now time.Time) *serviceIndex {
-	members := r.directory.View().ByService[service]
+	members := r.directory.View().ByService.At(service)
 	ix := r.services[service]
 	if ix == nil {
 		ix = &serviceIndex{router: r, targets: make(map[string]*target), rates: make(map[int]rateSum)}
--- a/internal/route/model_test.go
+++ b/internal/route/model_test.go
@@ -206,7 +206,7 @@
 func (d *modelDirectory) View() *membership.View { return d.view }
 
 func (d *modelDirectory) set(members []membership.Member) {
-	d.view = &membership.View{ByService: map[string][]membership.Member{modelService.Name: slices.Clone(members)}}
+	d.view = &membership.View{ByService: membership.NewMap(map[string][]membership.Member{modelService.Name: slices.Clone(members)})}
 }
 
 func drawModelMember(t *rapid.T, i int) membership.Member {
@@ -463,7 +463,7 @@
 	index := newSimulation(func(r *Router, q Request) (membership.Member, error) { return r.Pick(q.Service, nil) })
 	index.run(t)
 	old := newSimulation(func(r *Router, q Request) (membership.Member, error) {
-		return model{r}.choose(r.directory.View().ByService[q.Service.Name], q)
+		return model{r}.choose(r.directory.View().ByService.At(q.Service.Name), q)
 	})
 	old.run(t)
 	t.Logf("index: waits of 90 and 99 in 100 %s and %s, %d of %d calls to other regions", index.percentile(0.9), index.percentile(0.99), index.remote, simulatedCalls)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -28,7 +28,7 @@
 
 func (d *directory) View() *membership.View {
 	// A view never changes, so each is a copy of the members.
-	return &membership.View{ByService: map[string][]membership.Member{service.Name: slices.Clone(d.members)}}
+	return &membership.View{ByService: membership.NewMap(map[string][]membership.Member{service.Name: slices.Clone(d.members)})}
 }
 
 // readyMember returns a member that accepts calls.
