Views are updated by their changes while hosts are reported as unreachable

Cause: with any report of an unreachable host in the table, each new entry built the whole view anew: a zone that returns after a failure cost the square of the fleet again.

Change: a new entry decides on other hosts only if its reports change, or if its host is or was among those whose reports are ignored; what is reported of its own host names one version and is looked up. Silent zones still build the view anew.

--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -168,7 +168,7 @@
 			continue
 		}
 		merged++
-		m.viewChanges.noteEntry(before.entryOrNil(), &e)
+		m.viewChanges.noteEntry(before.entryOrNil(), &e, &m.reported)
 		m.handleNewEntry(&e, goneFor, now)
 		selfReported = selfReported || e.listsUnreachable(m.selfRow().entryKey)
 	}
--- a/internal/membership/failure_detection_test.go
+++ b/internal/membership/failure_detection_test.go
@@ -146,7 +146,7 @@
 	}
 	rows["failed"].unreachableKeys = []uint64{rows["live"].entryKey}
 	rows["observer"].unreachableKeys = []uint64{rows["failed"].entryKey}
-	reported := reportedUnreachableHosts(rows)
+	reported := unreachableHosts(rows).hosts
 	assert.DeepEqual(t, reported, map[string]bool{"failed": true})
 }
 
--- a/internal/membership/log_discovery.go
+++ b/internal/membership/log_discovery.go
@@ -196,7 +196,7 @@
 func (m *Membership) isBridge() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	own := liveZones(m.table.rows, m.reportedUnreachable).zoneOf(m.options.Self)
+	own := liveZones(m.table.rows, m.reported.hosts).zoneOf(m.options.Self)
 	_, found := bridgeRank(m.options.Self.Host, own.members)
 	return found
 }
--- a/internal/membership/maintenance.go
+++ b/internal/membership/maintenance.go
@@ -117,7 +117,7 @@
 	if hasFailed {
 		member.Reachability = failed.reachability
 	}
-	if m.reportedUnreachable[member.Host] || m.silentZones[member.Zone] || m.silentZones[regionKey(member.Region)] {
+	if m.reported.hosts[member.Host] || m.silentZones[member.Zone] || m.silentZones[regionKey(member.Region)] {
 		member.Reachability = Unreachable
 	}
 	if c, ok := m.contacts[member.Host]; ok {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -60,9 +60,8 @@
 	// log that no entry names.
 	failedDials map[string]int
 	neighbours  map[string]*neighbour
-	// reportedUnreachable holds the hosts that daemons of their zone report as
-	// unreachable, without this one.
-	reportedUnreachable map[string]bool
+	// reported holds what daemons report as unreachable in their zone, without this one.
+	reported reports
 	// silentZones holds the zones, and by regionKey the regions, from which
 	// nothing reaches this daemon's zone.
 	silentZones map[string]bool
@@ -263,7 +262,7 @@
 		after.appliedOffset = offset
 		after.version.Counter++
 		m.table.merge(after, "", now)
-		m.viewChanges.noteEntry(&before, &after)
+		m.viewChanges.noteEntry(&before, &after, &m.reported)
 		m.publishLocked(now)
 		m.wakeNeighbours("")
 	}
--- a/internal/membership/neighbour_selection.go
+++ b/internal/membership/neighbour_selection.go
@@ -27,7 +27,7 @@
 // desiredPeers returns the peers to dial, by control address.
 func (m *Membership) desiredPeers() map[string]desiredPeer {
 	desired := make(map[string]desiredPeer)
-	zones := liveZones(m.table.rows, m.reportedUnreachable)
+	zones := liveZones(m.table.rows, m.reported.hosts)
 	own := zones.zoneOf(m.options.Self)
 	for _, member := range ringNeighbours(m.options.Self.Host, own.members) {
 		m.addMember(desired, member, zoneRole)
--- a/internal/membership/offset_floor.go
+++ b/internal/membership/offset_floor.go
@@ -78,7 +78,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	self := m.options.Self.Host
-	own := liveZones(m.table.rows, m.reportedUnreachable).zoneOf(m.options.Self).members
+	own := liveZones(m.table.rows, m.reported.hosts).zoneOf(m.options.Self).members
 	near := append(ringNeighbours(self, own), ringObservers(self, own)...)
 	var peers []desiredPeer
 	for _, member := range near {
--- a/internal/membership/reachability.go
+++ b/internal/membership/reachability.go
@@ -1,38 +1,46 @@
 package membership
 
-// reportedUnreachableHosts returns the hosts that other daemons list as
-// unreachable in their entries. Reports of daemons that are themselves
-// reported as unreachable are ignored.
-func reportedUnreachableHosts(rows map[string]*row) map[string]bool {
-	reported := unreachableReports(rows, nil)
-	if len(reported) == 0 {
-		return reported
-	}
-	return unreachableReports(rows, reported)
+// reports holds what daemons list as unreachable in their entries.
+type reports struct {
+	// hosts are the hosts so listed, keys the keys of all entries so listed. Reports of
+	// daemons that are themselves listed are ignored.
+	hosts map[string]bool
+	keys  map[uint64]bool
+	// ignored holds the keys of the entries that any daemon lists.
+	ignored map[uint64]bool
+}
+
+// unreachableHosts returns the reports of all rows.
+func unreachableHosts(rows map[string]*row) reports {
+	hosts, ignored := unreachableReports(rows, nil)
+	if len(hosts) == 0 {
+		return reports{hosts: hosts, keys: ignored, ignored: ignored}
+	}
+	hosts, keys := unreachableReports(rows, hosts)
+	return reports{hosts: hosts, keys: keys, ignored: ignored}
 }
 
 // unreachableReports returns the hosts that any daemon lists as unreachable,
-// without the reports of the ignored daemons.
-func unreachableReports(rows map[string]*row, ignored map[string]bool) map[string]bool {
-	reportedKeys := make(map[uint64]bool)
+// without the reports of the ignored daemons, and the keys of all entries so listed.
+func unreachableReports(rows map[string]*row, ignored map[string]bool) (hosts map[string]bool, keys map[uint64]bool) {
+	hosts, keys = make(map[string]bool), make(map[uint64]bool)
 	for host, r := range rows {
 		if r.state == Left || ignored[host] {
 			continue
 		}
 		for _, key := range r.unreachableKeys {
-			reportedKeys[key] = true
+			keys[key] = true
 		}
 	}
-	reported := make(map[string]bool)
-	if len(reportedKeys) == 0 {
-		return reported
+	if len(keys) == 0 {
+		return hosts, keys
 	}
 	for host, r := range rows {
-		if reportedKeys[r.entryKey] {
-			reported[host] = true
+		if keys[r.entryKey] {
+			hosts[host] = true
 		}
 	}
-	return reported
+	return hosts, keys
 }
 
 // regionKey returns the name under which a region is listed among zones.
--- a/internal/membership/server.go
+++ b/internal/membership/server.go
@@ -96,7 +96,7 @@
 		if len(rows) == referralCount {
 			break
 		}
-		if r.zone == zone && r.state == Alive && !m.reportedUnreachable[host] {
+		if r.zone == zone && r.state == Alive && !m.reported.hosts[host] {
 			rows = append(rows, r)
 		}
 	}
--- a/internal/membership/view_changes.go
+++ b/internal/membership/view_changes.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // rebuildDivisor is the part of the rows, as 1/rebuildDivisor, from which on the whole
 // view is built again in place of the changed members.
@@ -11,9 +14,9 @@
 	// hosts are those whose members have changed, all is set if any may have.
 	hosts map[string]bool
 	all   bool
-	// reportsKnown is set while any daemon reports unreachable hosts or silent zones,
-	// which decide on the reachability of other members.
-	reportsKnown bool
+	// silentKnown is set while any daemon reports a silent zone. Which members say so for
+	// their zone then depends on all members of it.
+	silentKnown bool
 	// addresses holds the newest claim to each address for calls, shared the addresses
 	// that more than one host claims.
 	addresses map[string]addressClaim
@@ -39,10 +42,10 @@
 }
 
 // noteEntry records that a host has a new entry; before is its former one, nil if it
-// had none.
-func (c *viewChanges) noteEntry(before, after *entry) {
+// had none. known are the reports of the current view.
+func (c *viewChanges) noteEntry(before, after *entry, known *reports) {
 	c.noteChange(after.host)
-	if before != nil && before.reportsOthers() || after.reportsOthers() || c.reportsKnown {
+	if c.silentKnown || len(after.silentZones) > 0 || !known.same(before, after) {
 		c.all = true
 	}
 	if before != nil && before.callsAddress != "" && (c.shared[before.callsAddress] || !c.release(before)) {
@@ -53,8 +56,18 @@
 	}
 }
 
-// reportsOthers reports whether an entry says anything of other hosts.
-func (e *entry) reportsOthers() bool { return len(e.unreachableKeys) > 0 || len(e.silentZones) > 0 }
+// same reports whether the hosts that are reported as unreachable, besides the one with
+// a new entry, stay the same.
+func (r *reports) same(before, after *entry) bool {
+	if before == nil {
+		return len(after.unreachableKeys) == 0
+	}
+	if len(before.unreachableKeys) == 0 && len(after.unreachableKeys) == 0 {
+		return true
+	}
+	ignored := func(e *entry) bool { return e.state == Left || r.ignored[e.key()] }
+	return !ignored(before) && !ignored(after) && slices.Equal(before.unreachableKeys, after.unreachableKeys)
+}
 
 // release takes back the claim of an entry, and reports whether no other host has one.
 func (c *viewChanges) release(e *entry) bool {
@@ -92,7 +105,7 @@
 func (c *viewChanges) reset(rows map[string]*row) {
 	*c = viewChanges{addresses: make(map[string]addressClaim, len(rows)), shared: make(map[string]bool)}
 	for _, r := range rows {
-		c.reportsKnown = c.reportsKnown || r.reportsOthers()
+		c.silentKnown = c.silentKnown || len(r.silentZones) > 0
 		if r.callsAddress == "" {
 			continue
 		}
@@ -127,12 +140,13 @@
 // publishLocked publishes a view with what has changed. The caller holds the mutex.
 func (m *Membership) publishLocked(now time.Time) {
 	changes := &m.viewChanges
-	if changes.all || m.contactOverrides || rebuildDivisor*len(changes.hosts) > len(m.table.rows) {
+	if changes.all || m.contactOverrides || rebuildDivisor*len(changes.hosts) > len(m.table.rows)+rebuildDivisor {
 		m.publishAll(now)
 		return
 	}
 	view := m.view.current.Load()
 	for host := range changes.hosts {
+		m.updateReport(host)
 		view = m.withMember(view, m.table.rows[host], now)
 	}
 	changes.hosts = nil
@@ -141,6 +155,19 @@
 	m.view.set(&next)
 }
 
+// updateReport brings up to date whether a host is reported as unreachable. Reports name
+// one version of its entry.
+func (m *Membership) updateReport(host string) {
+	if host == m.options.Self.Host {
+		return
+	}
+	if m.reported.keys[m.table.rows[host].entryKey] {
+		m.reported.hosts[host] = true
+		return
+	}
+	delete(m.reported.hosts, host)
+}
+
 // withMember returns a view with the member of a row.
 func (m *Membership) withMember(view *View, r *row, now time.Time) *View {
 	member := m.memberOf(r, now)
@@ -157,9 +184,9 @@
 func (m *Membership) publishAll(now time.Time) {
 	own := m.options.Self
 	m.viewChanges.reset(m.table.rows)
-	m.reportedUnreachable = reportedUnreachableHosts(m.table.rows)
-	delete(m.reportedUnreachable, own.Host)
-	zones := liveZones(m.table.rows, m.reportedUnreachable)
+	m.reported = unreachableHosts(m.table.rows)
+	delete(m.reported.hosts, own.Host)
+	zones := liveZones(m.table.rows, m.reported.hosts)
 	m.silentZones = silentZonesFrom(own.Zone, own.Region, zones, m.table.rows)
 	m.contactOverrides = false
 	members := make(map[string]Member, len(m.table.rows))
--- a/internal/membership/view_changes_test.go
+++ b/internal/membership/view_changes_test.go
@@ -23,8 +23,9 @@
 	})
 }
 
-func drawEntry(t *rapid.T, versions map[string]uint64) *Entry {
-	number := rapid.IntRange(0, 30).Draw(t, "host")
+// drawEntry draws a new entry of a host, which may report other entries.
+func drawEntry(t *rapid.T, rows map[string]*row, versions map[string]uint64) *Entry {
+	number := rapid.IntRange(0, 12).Draw(t, "host")
 	host := fmt.Sprintf("host-%d", number)
 	versions[host]++
 	e := entry{
@@ -35,16 +36,17 @@
 		service:      rapid.SampledFrom([]string{"", "w/a", "w/b"}).Draw(t, "service"),
 		targetState:  rapid.SampledFrom([]TargetState{NoTarget, Ready, Ready, Draining}).Draw(t, "target"),
 	}
-	if rapid.IntRange(0, 9).Draw(t, "reports") == 0 {
-		e.unreachableKeys = []uint64{rapid.Uint64().Draw(t, "key")}
+	for range max(rapid.IntRange(-4, 2).Draw(t, "reports"), 0) {
+		reported := rapid.SampledFrom(slices.Sorted(maps.Keys(rows))).Draw(t, "reported")
+		e.unreachableKeys = append(e.unreachableKeys, rows[reported].entryKey)
 	}
-	if rapid.IntRange(0, 19).Draw(t, "silent") == 0 {
+	if rapid.IntRange(0, 39).Draw(t, "silent") == 0 {
 		e.silentZones = []string{"zone-1"}
 	}
 	return encodeEntry(&row{entry: e}, time.Now())
 }
 
-// comparable returns a member without the times that only a rebuild brings up to date.
+// comparableMember returns a member without the times that only a rebuild brings up to date.
 func comparableMember(member Member) Member {
 	member.LastHeard = time.Time{}
 	return member
@@ -84,7 +86,7 @@
 			case 2:
 				m.updateSelf(func(e *entry) { e.service = rapid.SampledFrom([]string{"w/a", "w/b"}).Draw(t, "own") })
 			default:
-				m.mergeEntries([]*Entry{drawEntry(t, versions)}, "peer")
+				m.mergeEntries([]*Entry{drawEntry(t, m.table.rows, versions)}, "peer")
 			}
 			m.publishLocked(now)
 			changed := m.View()
@@ -104,31 +106,45 @@
 const benchServiceSize = 12
 
 // BenchmarkViewChange measures one new entry of one host until the view has it, by the
-// number of members.
+// number of members, in calm and while a host is reported as unreachable.
 func BenchmarkViewChange(b *testing.B) {
 	for _, count := range []int{60, 300, 1900} {
-		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			m := newTestMembership()
-			entryOf := func(number, counter int) *Entry {
-				return encodeEntry(&row{entry: entry{
-					host: fmt.Sprintf("host-%04d", number), zone: fmt.Sprintf("zone-%d", number%5), region: "region-0",
-					version: EntryVersion{Incarnation: 1, Counter: uint64(counter)}, state: Alive,
-					callsAddress: fmt.Sprintf("10.0.%d.%d:1", number/250, number%250),
-					service:      fmt.Sprintf("w/service-%d", number/benchServiceSize), slots: counter % 8, targetState: Ready,
-				}}, time.Now())
-			}
-			for number := range count {
-				m.mergeEntries([]*Entry{entryOf(number, 1)}, "peer")
-			}
-			m.publishLocked(time.Now())
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := range b.N {
-				m.mergeEntries([]*Entry{entryOf(i*7%count, 2+i)}, "peer")
-				m.mu.Lock()
-				m.publishLocked(time.Now())
-				m.mu.Unlock()
-			}
-		})
+		b.Run(fmt.Sprint(count), func(b *testing.B) { benchViewChange(b, count, nil) })
+	}
+	for _, count := range []int{60, 300, 1900} {
+		gone := benchEntry(1, 1)
+		b.Run(fmt.Sprintf("%d-reported", count), func(b *testing.B) { benchViewChange(b, count, []uint64{gone.key()}) })
+	}
+}
+
+// benchEntry returns a version of the entry of a host.
+func benchEntry(number, counter int) entry {
+	return entry{
+		host: fmt.Sprintf("host-%04d", number), zone: fmt.Sprintf("zone-%d", number%5), region: "region-0",
+		version: EntryVersion{Incarnation: 1, Counter: uint64(counter)}, state: Alive,
+		callsAddress: fmt.Sprintf("10.0.%d.%d:1", number/250, number%250),
+		service:      fmt.Sprintf("w/service-%d", number/benchServiceSize), slots: counter % 8, targetState: Ready,
+	}
+}
+
+func benchViewChange(b *testing.B, count int, unreachable []uint64) {
+	m := newTestMembership()
+	merge := func(e entry) {
+		m.mergeEntries([]*Entry{encodeEntry(&row{entry: e}, time.Now())}, "peer")
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.publishLocked(time.Now())
+	}
+	for number := range count {
+		e := benchEntry(number, 1)
+		if number == 0 {
+			e.unreachableKeys = unreachable
+		}
+		merge(e)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		merge(benchEntry(2+i*7%(count-2), 2+i))
 	}
 }
