--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -109,7 +109,8 @@
 		return
 	}
 	s.admission.recordOutcome(!callerDisconnected(ctx))
-	if ctx.Err() == nil {
+	// The body that a caller streams may be what failed.
+	if ctx.Err() == nil && q.body.resendable() {
 		s.breaker.recordBroken(instance)
 	}
 }
--- a/internal/call/target_breaker_test.go
+++ b/internal/call/target_breaker_test.go
@@ -1,6 +1,7 @@
 package call_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -59,3 +60,18 @@
 		return n.get(t, lookups).status == http.StatusOK
 	})
 }
+
+// Requests whose bodies break off on the way say nothing of the target.
+func TestBrokenBodiesDoNotCountAgainstTarget(t *testing.T) {
+	m := newMesh(t, 1, config(withoutRetries), nil)
+	n := m.nodes[0]
+	for range 10 {
+		conn, err := net.Dial("tcp", n.callers.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "POST /"+lookups+" HTTP/1.1\r\nHost: mesh\r\nTransfer-Encoding: chunked\r\n\r\nnot a length\r\n")
+		assert.NilError(t, err)
+		_, _ = io.ReadAll(conn)
+		assert.NilError(t, conn.Close())
+	}
+	assert.Equal(t, n.get(t, lookups).status, http.StatusOK)
+}
