--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/mulberrybank/mulberrybank/internal/collector"
 	"github.com/mulberrybank/mulberrybank/internal/daemon"
 	"github.com/mulberrybank/mulberrybank/internal/logging"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
@@ -73,16 +74,11 @@
 // memory. The collector works harder above it.
 const memoryLimitShare = 0.8
 
-// gcPercent is the growth of the heap between two garbage collections. Most of the cost
-// of a collection is that of the tasks and their connections, whatever the heap holds,
-// so it is above the default of 100; memoryLimitShare bounds the heap.
-const gcPercent = 200
-
 // limitMemory tunes the garbage collector to keep the process small and below a
 // memory limit in bytes.
 func limitMemory(memory uint64) {
 	if memory > 0 {
-		debug.SetGCPercent(gcPercent)
+		collector.Tune()
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory)))
 	}
 }
