A target that breaks off within a response works

Change: only connections count that broke without a byte of a response. TestResponsesThatBreakOffDoNotCloseTarget failed before.

--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -109,8 +109,10 @@
 		return
 	}
 	s.admission.recordOutcome(!callerDisconnected(ctx))
-	// The body that a caller streams may be what failed.
-	if ctx.Err() == nil && q.body.resendable() {
+	// The body that a caller streams may be what failed, and a target that sends part of
+	// a response works.
+	silent := failed.unanswered || !failed.mayHaveSent
+	if ctx.Err() == nil && silent && q.body.resendable() {
 		s.breaker.recordBroken(instance)
 	}
 }
--- a/internal/call/target_breaker_test.go
+++ b/internal/call/target_breaker_test.go
@@ -9,11 +9,13 @@
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/call"
 )
 
-// resettingListener accepts connections, reads from each once and resets it. It returns
-// its address.
-func resettingListener(t *testing.T) string {
+// resettingListener accepts connections, reads from each once, writes an answer and
+// resets it. It returns its address.
+func resettingListener(t *testing.T, answer string) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	var tasks conc.WaitGroup
@@ -24,7 +26,10 @@
 				return
 			}
 			_, _ = conn.Read(make([]byte, 1<<10))
-			_ = conn.(*net.TCPConn).SetLinger(0)
+			if answer == "" {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_, _ = io.WriteString(conn, answer)
 			_ = conn.Close()
 		}
 	})
@@ -41,7 +46,7 @@
 	const calls, lost = 40, 8
 	m := newMesh(t, 1, config(nil), nil)
 	n := m.nodes[0]
-	address := resettingListener(t)
+	address := resettingListener(t, "")
 	n.address.Store(&address)
 	unknown := 0
 	for range calls {
@@ -75,3 +80,14 @@
 	}
 	assert.Equal(t, n.get(t, lookups).status, http.StatusOK)
 }
+
+// A target that breaks off within its responses still gets requests: it works.
+func TestResponsesThatBreakOffDoNotCloseTarget(t *testing.T) {
+	m := newMesh(t, 1, config(withoutRetries), nil)
+	n := m.nodes[0]
+	address := resettingListener(t, "HTTP/1.1 2")
+	n.address.Store(&address)
+	for range 20 {
+		assert.Equal(t, n.get(t, lookups).outcome(), string(call.Unknown))
+	}
+}
