--- a/internal/call/admission_wait.go
+++ b/internal/call/admission_wait.go
@@ -14,7 +14,8 @@
 func (r admissionRequest) waitClass() waitClass { return waitClass{rank: r.rank(), late: r.late} }
 
 // positionWait is the moving mean of the wait per position in the queue, for
-// requests of one waitClass. More urgent requests that arrive later push others back, so it may be far above the service time divided by the slots.
+// requests of one waitClass. More urgent requests that arrive later push others back,
+// so it may be far above the service time divided by the slots.
 type positionWait struct {
 	mean    time.Duration
 	updated time.Time
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -72,9 +72,9 @@
 // errResponseTruncated is the error of a response body that ended early.
 var errResponseTruncated = errors.New("response truncated")
 
-// relay writes the response to a client, a long one at the pace of the link. After an error the connection of the
-// client must be aborted, so that the client cannot mistake a partial response for
-// a complete one.
+// relay writes the response to a client, a long one at the pace of the link. After an
+// error the connection of the client must be aborted, so that the client cannot mistake
+// a partial response for a complete one.
 func (r *targetResponse) relay(ctx context.Context, w http.ResponseWriter, pace *pacer) (err error) {
 	defer func() {
 		_ = r.body.Close()
