--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"syscall"
@@ -14,55 +15,80 @@
 	stableWindow = 3 * time.Second
 )
 
-// playDrain: an upstream deregisters and goes on serving. The daemon that acknowledged
-// this is killed and started again. A heartbeat from before the departure arrives late.
-func playDrain(f *fleet, trouble bool) error {
+// boundMargin is added to the bounds, so that a request that is on its way counts as
+// in time.
+const boundMargin = 500 * time.Millisecond
+
+// serveTime is how long an upstream that leaves goes on serving.
+const serveTime = 10 * time.Second
+
+// startDrainFleet starts two upstreams of each of two services and clients on three of
+// the four machines. Those three are left alone. stop ends the clients.
+func startDrainFleet(f *fleet) (stop func(), err error) {
 	f.configure([]any{
 		newRoute("raise", "/raise/", "non_idempotent", "ledger"),
 		newRoute("read", "/read/", "idempotent", "heater"),
 	}, "ledger", "heater")
-	work := 60 * time.Millisecond
-	specs := []struct{ name, zone, region, service string }{
-		{"side-1", "zone-a", "region-a", "ledger"},
-		{"side-2", "zone-b", "region-a", "ledger"},
-		{"side-3", "zone-a", "region-a", "heater"},
-		{"side-4", "zone-b", "region-a", "heater"},
+	specs := []struct{ name, zone, service string }{
+		{"side-1", "zone-a", "ledger"},
+		{"side-2", "zone-b", "ledger"},
+		{"side-3", "zone-a", "heater"},
+		{"side-4", "zone-b", "heater"},
 	}
 	for _, s := range specs {
-		if _, err := f.addMachine(s.name, s.zone, s.region, s.service, work); err != nil {
-			return err
+		if _, err := f.addMachine(s.name, s.zone, "region-a", s.service, 60*time.Millisecond); err != nil {
+			return nil, err
 		}
 	}
 	if err := f.awaitReady(15 * time.Second); err != nil {
-		return err
+		return nil, err
 	}
 	time.Sleep(5 * time.Second)
-
-	// Clients on three machines that are left alone send all the time.
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
-	defer clients.Wait()
-	defer cancel()
 	for _, m := range f.machines[1:] {
-		clients.Add(1)
-		go func() {
-			defer clients.Done()
+		clients.Go(func() {
 			for ctx.Err() == nil {
-				clients.Add(1)
-				go func() {
-					defer clients.Done()
-					m.send(context.Background(), "PUT", "/raise/order", "order", 2*time.Second)
-				}()
+				clients.Go(func() { m.send(context.Background(), "PUT", "/raise/order", "order", 2*time.Second) })
 				time.Sleep(100 * time.Millisecond)
 			}
-		}()
+		})
 	}
 	time.Sleep(3 * time.Second)
+	if len(f.machines[0].upstream.all()) == 0 {
+		cancel()
+		clients.Wait()
+		return nil, fmt.Errorf("no request reached the upstream before it left")
+	}
+	return func() {
+		cancel()
+		clients.Wait()
+	}, nil
+}
 
-	leaving := f.machines[0]
-	if len(leaving.upstream.all()) == 0 {
-		return fmt.Errorf("no request reached the upstream before it left")
+// lateRuns returns an error if requests reached an upstream after a time.
+func lateRuns(u *upstream, acknowledged, bound time.Time) error {
+	count := 0
+	for _, r := range u.all() {
+		if r.at.After(bound.Add(boundMargin)) {
+			count++
+		}
+	}
+	u.record.printf("%d requests reached upstream %s later than %s after its departure was acknowledged", count, u.id, bound.Add(boundMargin).Sub(acknowledged).Round(time.Millisecond))
+	if count > 0 {
+		return errBroken(fmt.Sprintf("DRAIN is broken: %d requests reached the upstream later than drain_s after its departure was acknowledged", count))
+	}
+	return nil
+}
+
+// playRestart: an upstream deregisters and goes on serving. The daemon that acknowledged
+// this is killed and started again. A heartbeat from before the departure arrives late.
+func playRestart(f *fleet, trouble bool) error {
+	stop, err := startDrainFleet(f)
+	if err != nil {
+		return err
 	}
+	leaving := f.machines[0]
 	// This heartbeat is sent now and is on its way for four seconds.
 	late := leaving.upstream.nextHeartbeat()
 	f.record.printf("upstream %s: sends a heartbeat that is held up on its way: %s", leaving.upstream.id, late)
@@ -72,41 +98,59 @@
 	})
 	time.Sleep(500 * time.Millisecond)
 	if err := leaving.upstream.deregister(); err != nil {
+		stop()
 		return fmt.Errorf("deregistration is not acknowledged: %w", err)
 	}
 	acknowledged := time.Now()
 	f.record.printf("the departure of upstream %s is acknowledged; it goes on serving", leaving.upstream.id)
 	time.Sleep(300 * time.Millisecond)
-	inTouch := acknowledged
+	bound := acknowledged.Add(drainBound)
 	if trouble {
 		leaving.signal(syscall.SIGKILL)
 		<-leaving.exited
 		time.Sleep(500 * time.Millisecond)
 		if err := leaving.start(false); err != nil {
+			stop()
 			return err
 		}
-		inTouch = leaving.startedAt.Add(stableWindow)
+		// The machine that is started again is in touch from here on.
+		if inTouch := leaving.startedAt.Add(stableWindow); inTouch.After(bound) {
+			bound = inTouch
+		}
 	}
-	// The upstream serves on for 10 s, then it ends.
-	time.Sleep(time.Until(acknowledged.Add(10 * time.Second)))
+	time.Sleep(time.Until(acknowledged.Add(serveTime)))
 	leaving.upstream.end()
-	cancel()
-	clients.Wait()
+	stop()
+	return lateRuns(leaving.upstream, acknowledged, bound)
+}
 
-	bound := acknowledged.Add(drainBound)
-	if inTouch.After(bound) {
-		bound = inTouch
+// playForeign: an upstream deregisters and goes on serving. Later a heartbeat with
+// missing fields comes from another writer and bears the upstream's id. No process is
+// touched, so that all machines are in touch all the while.
+func playForeign(f *fleet, trouble bool) error {
+	stop, err := startDrainFleet(f)
+	if err != nil {
+		return err
 	}
-	bound = bound.Add(500 * time.Millisecond)
-	count := 0
-	for _, r := range leaving.upstream.all() {
-		if r.at.After(bound) {
-			count++
-		}
+	leaving := f.machines[0]
+	if err := leaving.upstream.deregister(); err != nil {
+		stop()
+		return fmt.Errorf("deregistration is not acknowledged: %w", err)
 	}
-	f.record.printf("%d requests reached upstream %s later than %s after the acknowledgement, all machines in touch", count, leaving.upstream.id, bound.Sub(acknowledged).Round(time.Millisecond))
-	if count > 0 {
-		return errBroken(fmt.Sprintf("DRAIN is broken: %d requests reached the upstream later than drain_s after its departure was acknowledged", count))
+	acknowledged := time.Now()
+	f.record.printf("the departure of upstream %s is acknowledged; it goes on serving", leaving.upstream.id)
+	time.Sleep(4 * time.Second)
+	if trouble {
+		foreign, _ := json.Marshal(map[string]any{
+			"address":   leaving.upstream.address(),
+			"node_info": map[string]any{"service": leaving.service, "slots": leaving.upstream.slots},
+			"status":    map[string]any{"state": "ready"},
+		})
+		f.record.printf("a heartbeat of another writer, without born, version, zone, sequence and cold_left_s, reaches daemon %s", leaving.name)
+		_ = leaving.upstream.post("/Instances.Heartbeat/"+leaving.upstream.id, foreign)
 	}
-	return nil
+	time.Sleep(time.Until(acknowledged.Add(serveTime)))
+	leaving.upstream.end()
+	stop()
+	return lateRuns(leaving.upstream, acknowledged, acknowledged.Add(drainBound))
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,8 @@
 func (e errBroken) Error() string { return string(e) }
 
 var cases = map[string]func(f *fleet, trouble bool) error{
-	"drain": playDrain,
+	"restart": playRestart,
+	"foreign": playForeign,
 }
 
 func main() {
