--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -76,6 +76,7 @@
 	version  int
 	ids      int
 	idMu     sync.Mutex
+	stopOnce sync.Once
 }
 
 // newFleet starts the store. root is the folder of the repository.
@@ -171,7 +172,7 @@
 		return nil, err
 	}
 	var err error
-	m.upstream, err = newUpstream(f.record, "i-"+name, service, m.addr(appPort), m.addr(controlPort), work)
+	m.upstream, err = newUpstream(f.record, "i-"+name, service, zone, m.addr(appPort), m.addr(controlPort), work)
 	return m, err
 }
 
@@ -242,8 +243,11 @@
 	return nil
 }
 
-// stop ends all processes and removes the temporary folder.
-func (f *fleet) stop() {
+// stop ends all processes and removes the temporary folder. Only its first call does
+// anything; further ones wait for that.
+func (f *fleet) stop() { f.stopOnce.Do(f.endAll) }
+
+func (f *fleet) endAll() {
 	for _, m := range f.machines {
 		if m.upstream != nil {
 			m.upstream.end()
@@ -254,11 +258,7 @@
 			<-m.exited
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(f.folder)
-	} else {
-		fmt.Fprintln(os.Stderr, "logs in", f.folder)
-	}
+	_ = os.RemoveAll(f.folder)
 }
 
 // answer is what a client got for one request.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,6 +10,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -42,6 +44,13 @@
 	f, err := newFleet(rec, root)
 	if err == nil {
 		defer f.stop()
+		go func() {
+			ended := make(chan os.Signal, 1)
+			signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+			<-ended
+			f.stop()
+			os.Exit(2)
+		}()
 		err = run(f, trouble)
 	}
 	switch broken := err.(type) {
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -33,6 +33,7 @@
 type upstream struct {
 	id       string
 	service  string
+	zone     string
 	slots    int
 	control  string
 	listener net.Listener
@@ -51,12 +52,12 @@
 	heartbeat context.CancelFunc
 }
 
-func newUpstream(rec *record, id, service, address, control string, work time.Duration) (*upstream, error) {
+func newUpstream(rec *record, id, service, zone, address, control string, work time.Duration) (*upstream, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{id: id, service: service, slots: 18, control: control, listener: listener, born: time.Now().UnixMilli(), work: work, record: rec, state: "ready"}
+	u := &upstream{id: id, service: service, zone: zone, slots: 18, control: control, listener: listener, born: time.Now().UnixMilli(), work: work, record: rec, state: "ready"}
 	u.server = &http.Server{Handler: u}
 	go func() { _ = u.server.Serve(listener) }()
 	var ctx context.Context
@@ -96,7 +97,7 @@
 	body, _ := json.Marshal(map[string]any{
 		"address":   u.address(),
 		"born":      u.born,
-		"node_info": map[string]any{"service": u.service, "version": "v1", "zone": "zone-a", "slots": u.slots},
+		"node_info": map[string]any{"service": u.service, "version": "v1", "zone": u.zone, "slots": u.slots},
 		"status":    map[string]any{"state": u.state, "sequence": u.sequence, "cold_left_s": 0},
 	})
 	return body
