--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -22,9 +22,25 @@
 // serveTime is how long an upstream that leaves goes on serving.
 const serveTime = 10 * time.Second
 
+// workTime is how long a request runs.
+const workTime = 120 * time.Millisecond
+
+// answers holds what the clients got, by the id of the request.
+type answers struct {
+	mu   sync.Mutex
+	byID map[string]answer
+}
+
+func (a *answers) add(got answer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.byID[got.id] = got
+}
+
 // startDrainFleet starts two upstreams of each of two services and clients on three of
-// the four machines. Those three are left alone. stop ends the clients.
-func startDrainFleet(f *fleet) (stop func(), err error) {
+// the four machines. Those three are left alone. stop ends the clients and returns what
+// they got.
+func startDrainFleet(f *fleet) (stop func() *answers, err error) {
 	f.configure([]any{
 		newRoute("raise", "/raise/", "non_idempotent", "ledger"),
 		newRoute("read", "/read/", "idempotent", "heater"),
@@ -36,7 +52,7 @@
 		{"side-4", "zone-b", "heater"},
 	}
 	for _, s := range specs {
-		if _, err := f.addMachine(s.name, s.zone, "region-a", s.service, 60*time.Millisecond); err != nil {
+		if _, err := f.addMachine(s.name, s.zone, "region-a", s.service, workTime); err != nil {
 			return nil, err
 		}
 	}
@@ -46,10 +62,11 @@
 	time.Sleep(5 * time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
+	all := &answers{byID: make(map[string]answer)}
 	for _, m := range f.machines[1:] {
 		clients.Go(func() {
 			for ctx.Err() == nil {
-				clients.Go(func() { m.send(context.Background(), "PUT", "/raise/order", "order", 2*time.Second) })
+				clients.Go(func() { all.add(m.send(context.Background(), "PUT", "/raise/order", "order", 2*time.Second)) })
 				time.Sleep(100 * time.Millisecond)
 			}
 		})
@@ -60,23 +77,30 @@
 		clients.Wait()
 		return nil, fmt.Errorf("no request reached the upstream before it left")
 	}
-	return func() {
+	return func() *answers {
 		cancel()
 		clients.Wait()
+		return all
 	}, nil
 }
 
-// lateRuns returns an error if requests reached an upstream after a time.
-func lateRuns(u *upstream, acknowledged, bound time.Time) error {
-	count := 0
+// lateRuns returns an error if requests reached an upstream after a time. It also counts
+// those of them that were lost: begun there, and answered with no success.
+func lateRuns(u *upstream, got *answers, acknowledged, bound time.Time) error {
+	count, lost := 0, 0
 	for _, r := range u.all() {
-		if r.at.After(bound.Add(boundMargin)) {
-			count++
+		if !r.at.After(bound.Add(boundMargin)) {
+			continue
+		}
+		count++
+		if got.byID[r.id].status != 200 {
+			lost++
 		}
 	}
 	u.record.printf("%d requests reached upstream %s later than %s after its departure was acknowledged", count, u.id, bound.Add(boundMargin).Sub(acknowledged).Round(time.Millisecond))
+	u.record.printf("%d of them, which may run once only, were lost when the upstream ended", lost)
 	if count > 0 {
-		return errBroken(fmt.Sprintf("DRAIN is broken: %d requests reached the upstream later than drain_s after its departure was acknowledged", count))
+		return errBroken(fmt.Sprintf("DRAIN is broken: %d requests reached the upstream later than drain_s after its departure was acknowledged; %d of them were lost", count, lost))
 	}
 	return nil
 }
@@ -120,8 +144,8 @@
 	}
 	time.Sleep(time.Until(acknowledged.Add(serveTime)))
 	leaving.upstream.end()
-	stop()
-	return lateRuns(leaving.upstream, acknowledged, bound)
+	time.Sleep(time.Second)
+	return lateRuns(leaving.upstream, stop(), acknowledged, bound)
 }
 
 // playForeign: an upstream deregisters and goes on serving. Later a heartbeat with
@@ -151,6 +175,6 @@
 	}
 	time.Sleep(time.Until(acknowledged.Add(serveTime)))
 	leaving.upstream.end()
-	stop()
-	return lateRuns(leaving.upstream, acknowledged, acknowledged.Add(drainBound))
+	time.Sleep(time.Second)
+	return lateRuns(leaving.upstream, stop(), acknowledged, acknowledged.Add(drainBound))
 }
