--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(f *fleet, trouble bool) error{
 	"restart": playRestart,
 	"foreign": playForeign,
+	"stops":   playStops,
 }
 
 func main() {
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -47,6 +47,7 @@
 	state     string
 	silent    bool
 	runs      []run
+	brokenOff map[string]time.Time
 	server    *http.Server
 	respond   func(w http.ResponseWriter, r *http.Request, body []byte) bool
 	heartbeat context.CancelFunc
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{id: id, service: service, zone: zone, slots: 18, control: control, listener: listener, born: time.Now().UnixMilli(), work: work, record: rec, state: "ready"}
+	u := &upstream{id: id, service: service, zone: zone, slots: 18, control: control, listener: listener, born: time.Now().UnixMilli(), work: work, record: rec, state: "ready", brokenOff: make(map[string]time.Time)}
 	u.server = &http.Server{Handler: u}
 	go func() { _ = u.server.Serve(listener) }()
 	var ctx context.Context
@@ -181,6 +182,10 @@
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
+		u.mu.Lock()
+		u.brokenOff[id] = time.Now()
+		u.mu.Unlock()
+		u.record.printf("upstream %s: its run of %s is broken off, its connection was closed", u.id, id)
 		return
 	}
 	w.Header().Set("Response-Signature", u.id+"."+id)
