A departure outlives the daemon that acknowledged it

Cause: departures lived in the memory of one process. The process that came after it took the first announcement that arrived, one from before the departure, for the truth: its log says sequence=7 state=ready where the old one had said sequence=8 state=draining.

Change: each departure is a record of its own in the log, written again until a write is acknowledged, and travels in the entry of its host, where peers merge it with what they knew. It is acknowledged once the log holds it, after 0.4 s without the log once two peers do, and after 0.8 s not at all (503); the gate closes before. A process that starts lets its target take work once the log and a peer have answered, after 1 s once either has.

Why this works: an acknowledged departure is held by something that the kill does not end, and no announcement opens the gate before that was asked. Records of one departure commute, so lost answers, late and repeated writes lose nothing.

--- a/internal/membership/client.go
+++ b/internal/membership/client.go
@@ -48,6 +48,9 @@
 	n.connected = true
 	n.failures = 0
 	m.recordContact(remote, answer.GetOffset(), answer.GetDigest(), now)
+	if answer.GetInformed() {
+		m.notePeerAnswer()
+	}
 	m.raiseOffsetFloor(m.options.Self.Host, answer.GetFloor())
 	m.updateComparison(n, request, answer, merged, now)
 	continued := answer.GetMore() && merged > 0
@@ -77,11 +80,14 @@
 	progress := n.sendProgress
 	rows := progress.pending(m.table, m.table.sequence, remote.Host)
 	rows = append(rows, m.takeBacklog(n, maxEntries-len(rows))...)
+	rows, informed := m.informPeer(&progress, rows, remote.Host)
 	n.lastEntryCount = len(rows)
 	request := &HeartbeatRequest{
 		First:   first,
 		Entries: encodeEntries(rows, now),
 		Summary: m.table.summary(),
+
+		Informed: informed,
 	}
 	request.Offset, request.Digest = progress.positionToSend(offset, digest)
 	if m.comparisonDue(n, peer.ScopeOf(m.options.Identity, remote), now) {
--- /dev/null
+++ b/internal/membership/departures_test.go
@@ -0,0 +1,244 @@
+package membership
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+)
+
+// restartCase is a way in which a departure is acknowledged and its daemon restarted.
+type restartCase struct {
+	name string
+	// atDeparture, beforeRestart and afterRestart change the faults at those times.
+	// Departing, the daemon has the time settle.
+	atDeparture, beforeRestart, afterRestart func(m *mesh, log *hostLog)
+	// killAll kills the other daemons too.
+	killAll bool
+}
+
+const departingHost = "a-0"
+
+func startDeparting(m *mesh, log *hostLog, incarnation uint64) *daemon {
+	return m.startWith(Options{Identity: peer.Identity{Host: departingHost, Zone: "a", Region: "r", Incarnation: incarnation}, HostLog: log})
+}
+
+func startOthers(m *mesh, log *hostLog, incarnation uint64) {
+	for _, host := range []string{"a-1", "a-2", "b-0", "b-1"} {
+		m.startWith(Options{Identity: peer.Identity{Host: host, Zone: host[:1], Region: "r", Incarnation: incarnation}, HostLog: log})
+	}
+}
+
+func cutOffDeparting(m *mesh, _ *hostLog) {
+	m.net.setPartition(func(from, to peer.Identity) bool {
+		return (from.Host == departingHost) != (to.Host == departingHost)
+	})
+}
+
+// readyHeartbeat is an announcement of the target from before its departure.
+func readyHeartbeat(sequence uint64) Announcement {
+	return Announcement{Service: "w/s", Address: "127.0.0.1:1", Slots: 4, State: "ready", Instance: "i-1", StartedUnixMs: 1000, Sequence: sequence}
+}
+
+// TestRestartRemembersAcknowledgedDeparture acknowledges a departure while the log or
+// the peers fail, restarts the daemon and delivers an announcement from before it late.
+// Guards against: a restarted daemon reopened a target whose departure it had
+// acknowledged (review case 2, DRAIN).
+func TestRestartRemembersAcknowledgedDeparture(t *testing.T) {
+	logOut := func(_ *mesh, log *hostLog) { log.setFaults(true, false) }
+	logBack := func(_ *mesh, log *hostLog) { log.setFaults(false, false) }
+	losesAnswers := func(_ *mesh, log *hostLog) { log.setFaults(false, true) }
+	for _, c := range []restartCase{
+		{name: "log and peers answer"},
+		{name: "all processes are killed", killAll: true},
+		{name: "peers are cut off", atDeparture: cutOffDeparting},
+		{name: "peers are cut off until later", atDeparture: cutOffDeparting, afterRestart: func(m *mesh, _ *hostLog) { m.net.heal() }},
+		{name: "log is out throughout", atDeparture: logOut},
+		{name: "log is out until the restart", atDeparture: logOut, beforeRestart: logBack},
+		{name: "log is out from the restart on", beforeRestart: logOut},
+		{name: "log loses answers", atDeparture: losesAnswers},
+		{name: "log loses answers and all processes are killed", atDeparture: losesAnswers, beforeRestart: logBack, killAll: true},
+	} {
+		for _, settle := range []time.Duration{0, 300 * time.Millisecond, 5 * time.Second} {
+			t.Run(fmt.Sprintf("%s, killed after %s", c.name, settle), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { playRestart(t, c, settle) })
+			})
+		}
+	}
+}
+
+func playRestart(t *testing.T, c restartCase, settle time.Duration) {
+	m := newMesh(t)
+	defer m.killAll()
+	log := &hostLog{delay: 4 * time.Millisecond}
+	apply := func(change func(*mesh, *hostLog)) {
+		if change != nil {
+			change(m, log)
+		}
+	}
+	d := startDeparting(m, log, 1)
+	startOthers(m, log, 1)
+	m.waitUntil(10*time.Second, "complete", knowsAll(5))
+	assert.NilError(t, d.Announce(readyHeartbeat(1)))
+	m.waitUntil(5*time.Second, "ready", seesTarget(departingHost, Ready))
+
+	apply(c.atDeparture)
+	assert.NilError(t, d.WithdrawInstance("i-1", 1000))
+	asked := time.Now()
+	assert.NilError(t, d.AwaitDeparturesHeld(t.Context()))
+	assert.Assert(t, time.Since(asked) < time.Second, "the target takes an answer after a second for none")
+	time.Sleep(settle)
+	m.kill(departingHost)
+	if c.killAll {
+		for _, host := range []string{"a-1", "a-2", "b-0", "b-1"} {
+			m.kill(host)
+		}
+	}
+	apply(c.beforeRestart)
+	time.Sleep(500 * time.Millisecond)
+	restarted := startDeparting(m, log, 2)
+	if c.killAll {
+		startOthers(m, log, 2)
+	}
+	apply(c.afterRestart)
+	for range 200 {
+		err := restarted.Announce(readyHeartbeat(2))
+		assert.Assert(t, err == nil || strings.Contains(err.Error(), "out of date"), "%v", err)
+		time.Sleep(50 * time.Millisecond)
+		state := restarted.View().Self.TargetState
+		assert.Assert(t, state != Ready && state != Cold, "the departed instance takes work %s after the restart", time.Since(restarted.startedAt))
+	}
+	// A later instance is served as soon as the daemon knows what was acknowledged.
+	next := readyHeartbeat(1)
+	next.Instance, next.StartedUnixMs = "i-2", 2000
+	assert.NilError(t, restarted.Announce(next))
+	synctest.Wait()
+	assert.Equal(t, restarted.View().Self.TargetState, Ready)
+}
+
+// TestDepartureHeldByNobodyIsNotAcknowledged cuts a daemon off from the log and all
+// peers. Guards against: a promise that rests on the memory of one daemon.
+func TestDepartureHeldByNobodyIsNotAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		log := &hostLog{delay: 4 * time.Millisecond}
+		d := startDeparting(m, log, 1)
+		startOthers(m, log, 1)
+		m.waitUntil(10*time.Second, "complete", knowsAll(5))
+		assert.NilError(t, d.Announce(readyHeartbeat(1)))
+		cutOffDeparting(m, log)
+		log.setFaults(true, false)
+		leaving := readyHeartbeat(2)
+		leaving.State = "draining"
+		assert.NilError(t, d.Announce(leaving))
+		assert.Equal(t, d.View().Self.TargetState, Draining, "the departure is in force at once")
+		assert.ErrorIs(t, d.AwaitDeparturesHeld(t.Context()), ErrDeparturesNotHeld)
+		log.setFaults(false, false)
+		time.Sleep(2 * maxDepartureRetryInterval)
+		assert.NilError(t, d.AwaitDeparturesHeld(t.Context()))
+		assert.Equal(t, len(log.records[platform.DepartureStream]), 1)
+	})
+}
+
+// TestTargetWaitsForItsHistory starts a daemon that reaches neither the log nor a peer.
+// Guards against: a heartbeat that reopens a target before the daemon knows what its
+// predecessor acknowledged.
+func TestTargetWaitsForItsHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		log := &hostLog{delay: 4 * time.Millisecond, rejects: true}
+		d := startDeparting(m, log, 1)
+		time.Sleep(time.Minute)
+		assert.NilError(t, d.Announce(readyHeartbeat(1)))
+		assert.Equal(t, d.View().Self.TargetState, NoTarget)
+		log.setFaults(false, false)
+		time.Sleep(2 * maxDepartureRetryInterval)
+		assert.NilError(t, d.Announce(readyHeartbeat(2)))
+		assert.Equal(t, d.View().Self.TargetState, Ready)
+	})
+}
+
+// TestDeparturesExpire checks that departures do not pile up in the log, and that an
+// instance that still announces itself stays departed.
+func TestDeparturesExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		log := &hostLog{}
+		d := startDeparting(m, log, 1)
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, d.Announce(readyHeartbeat(1)))
+		assert.NilError(t, d.WithdrawInstance("i-0", 500))
+		assert.NilError(t, d.WithdrawInstance("i-1", 1000))
+		held := func() int {
+			records, err := log.NewestWithPrefix(t.Context(), platform.DepartureStream, departureKeyPrefix(departingHost))
+			assert.NilError(t, err)
+			return len(records)
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, held(), 2)
+		for sequence := range uint64(3 * departureRetention / time.Minute) {
+			assert.NilError(t, d.Announce(readyHeartbeat(sequence+2)))
+			assert.Assert(t, d.View().Self.TargetState != Ready)
+			time.Sleep(time.Minute)
+		}
+		assert.Equal(t, held(), 1, "the instance that still announces itself is remembered")
+	})
+}
+
+// TestOddDepartureRecordsAreSkipped starts a daemon whose log holds records of another
+// writer among the departures.
+func TestOddDepartureRecordsAreSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		log := &hostLog{}
+		for i, payload := range []string{"{}", "\xff\xff\xff", "\x0a\x02\xff\xfe", "\x10\x01"} {
+			assert.NilError(t, log.Put(t.Context(), platform.DepartureStream, fmt.Sprintf("%sodd-%d", departureKeyPrefix(departingHost), i), []byte(payload)))
+		}
+		d := startDeparting(m, log, 1)
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, d.Announce(readyHeartbeat(1)))
+		assert.Equal(t, d.View().Self.TargetState, Ready)
+	})
+}
+
+func TestUnstorableInstanceIsRefused(t *testing.T) {
+	members := newUnconnected("h")
+	for _, name := range []string{"\xff\xfe", strings.Repeat("i", maxInstanceBytes+1)} {
+		a := readyHeartbeat(1)
+		a.Instance = name
+		assert.ErrorIs(t, members.Announce(a), ErrAnnouncementRefused)
+		assert.ErrorIs(t, members.WithdrawInstance(name, 1), ErrAnnouncementRefused)
+	}
+}
+
+// TestAnnounceHandlerRefusesUnheldDeparture checks that the announcement of a departure
+// that only this process holds is answered with 503.
+func TestAnnounceHandlerRefusesUnheldDeparture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		d := m.startWith(Options{Identity: peer.Identity{Host: "h", Zone: "z", Region: "r", Incarnation: 1}, Seeds: []string{"nobody"}})
+		post := func(state string) int {
+			w := httptest.NewRecorder()
+			body := fmt.Sprintf(`{"service":"w/s","address":"127.0.0.1:1","slots":4,"state":%q,"instance":"i-1","started":1000}`, state)
+			d.AnnounceHandler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, announcePath, strings.NewReader(body)))
+			return w.Code
+		}
+		time.Sleep(isolatedRecoveryTimeout)
+		assert.Equal(t, post("ready"), http.StatusNoContent)
+		assert.Equal(t, post("draining"), http.StatusServiceUnavailable)
+		assert.Equal(t, d.View().Self.TargetState, Draining)
+	})
+}
--- a/internal/membership/encoding.go
+++ b/internal/membership/encoding.go
@@ -19,6 +19,7 @@
 		InForce:        r.appliedOffset,
 		Unreachable:    r.unreachableKeys,
 		SilentZones:    r.silentZones,
+		Departures:     encodeDepartures(r.departures),
 	}
 	if !r.goneSince.IsZero() {
 		message.GoneSeconds = uint32(now.Sub(r.goneSince) / time.Second)
@@ -55,6 +56,34 @@
 		appliedOffset:   message.GetInForce(),
 		unreachableKeys: message.GetUnreachable(),
 		silentZones:     message.GetSilentZones(),
+		departures:      decodeDepartures(message.GetDepartures()),
 	}
 	return decoded, time.Duration(message.GetGoneSeconds()) * time.Second
 }
+
+func encodeDeparture(d departedInstance) *Departure {
+	return &Departure{Instance: d.instance, StartedMs: d.startedUnixMs, LeftMs: d.leftUnixMs}
+}
+
+func encodeDepartures(known departures) []*Departure {
+	messages := make([]*Departure, 0, len(known))
+	for _, d := range known {
+		messages = append(messages, encodeDeparture(d))
+	}
+	return messages
+}
+
+func decodeDeparture(message *Departure) departedInstance {
+	return departedInstance{
+		instanceID: instanceID{instance: message.GetInstance(), startedUnixMs: message.GetStartedMs()},
+		leftUnixMs: message.GetLeftMs(),
+	}
+}
+
+func decodeDepartures(messages []*Departure) departures {
+	var decoded departures
+	for _, message := range messages {
+		decoded = append(decoded, decodeDeparture(message))
+	}
+	return decoded
+}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -51,6 +51,8 @@
 	// sentOffset and sentDigest are the applied position last sent.
 	sentOffset uint64
 	sentDigest string
+	// informed is set once this side has sent all that it knows of the other one.
+	informed bool
 }
 
 // positionToSend returns the applied position to send, zero values if it is
@@ -95,6 +97,21 @@
 	return rows
 }
 
+// informPeer adds the row of a peer to those that are sent to it, once on each
+// connection: it holds the departures that the peer may have forgotten by a restart. It
+// waits until this daemon has compared its table, and reports whether the row was added
+// or is known to be missing. The caller holds the mutex.
+func (m *Membership) informPeer(progress *sendProgress, rows []*row, host string) ([]*row, bool) {
+	if progress.informed || !m.tableCompared {
+		return rows, false
+	}
+	progress.informed = true
+	if r, ok := m.table.rows[host]; ok {
+		rows = append(rows, r)
+	}
+	return rows, true
+}
+
 // recordContact records a heartbeat from a peer. The peer leaves out its
 // applied position if it is unchanged.
 func (m *Membership) recordContact(remote peer.Identity, offset uint64, digest []byte, now time.Time) {
@@ -144,7 +161,8 @@
 
 // mergeEntries merges entries received from a peer into the table and returns
 // how many were new. If the peer holds a newer entry of this host, this
-// daemon's entry is republished with a version above it.
+// daemon's entry is republished with a version above it. Departures in any entry of this
+// host are learnt.
 func (m *Membership) mergeEntries(messages []*Entry, from string) int {
 	if len(messages) == 0 {
 		return 0
@@ -154,10 +172,11 @@
 	merged := 0
 	self := m.selfRow().version
 	var newerSelf EntryVersion
-	selfReported := false
+	selfReported, learnt := false, false
 	for _, message := range messages {
 		e, goneFor := decodeEntry(message)
 		if e.host == m.options.Self.Host {
+			learnt = m.lease.learnDepartures(e.departures, now) || learnt
 			if e.version.After(self) && e.version.After(newerSelf) {
 				newerSelf = e.version
 			}
@@ -181,6 +200,10 @@
 		m.requestRebuild()
 	}
 	m.metrics.entriesMerged.Add(merged)
+	if learnt {
+		m.log.Infof("learnt departures of this host's target from peer %s", from)
+		m.publishDepartures()
+	}
 	switch {
 	case newerSelf != EntryVersion{}:
 		m.log.Warnf("peer %s holds a newer entry of this host; republishing with a higher version", from)
--- a/internal/membership/http.go
+++ b/internal/membership/http.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -29,11 +31,17 @@
 	if err == nil {
 		err = m.Announce(announcement)
 	}
-	if err != nil {
+	if err == nil && announcement.IsDeparture() {
+		err = m.AwaitDeparturesHeld(r.Context())
+	}
+	switch {
+	case errors.Is(err, ErrDeparturesNotHeld):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case err != nil:
 		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	default:
+		w.WriteHeader(http.StatusNoContent)
 	}
-	w.WriteHeader(http.StatusNoContent)
 }
 
 func (m *Membership) serveWithdraw(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -54,19 +62,28 @@
 // ErrAnnouncementRefused.
 func (m *Membership) Announce(a Announcement) error {
 	m.mu.Lock()
+	known := m.lease.departures
 	err := m.lease.renew(a, time.Now())
+	departed := !slices.Equal(known, m.lease.departures)
 	m.mu.Unlock()
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
+	case departed:
+		m.publishDepartures()
+	default:
+		m.updateSelf(nil)
 	}
-	m.updateSelf(nil)
 	return nil
 }
 
 // WithdrawInstance ends the lease of one instance of the target, which does not
 // become ready again. An instance that holds no lease is only remembered as
-// departed.
-func (m *Membership) WithdrawInstance(instance string, startedUnixMs int64) {
+// departed. The error wraps ErrAnnouncementRefused.
+func (m *Membership) WithdrawInstance(instance string, startedUnixMs int64) error {
+	if err := validateInstance(instance); err != nil {
+		return err
+	}
 	m.mu.Lock()
 	last := m.lease.lastAnnouncement
 	if last.Instance == instance && startedUnixMs == 0 {
@@ -79,6 +96,8 @@
 	if current {
 		m.Withdraw()
 	}
+	m.publishDepartures()
+	return nil
 }
 
 // Withdraw ends the lease of the target on this host.
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -32,38 +32,6 @@
 // superseded by a later one.
 var ErrStaleAnnouncement = errors.New("announcement is out of date")
 
-// maxDepartedInstances bounds the number of departed instances remembered.
-const maxDepartedInstances = 64
-
-// instanceID identifies one running process of a target.
-type instanceID struct {
-	instance      string
-	startedUnixMs int64
-}
-
-// departedInstance is an instance that announced its departure. If its start
-// time is unknown, leftAt tells it from a later instance of the same name.
-type departedInstance struct {
-	instanceID
-	leftAt time.Time
-}
-
-// clockTolerance is how far the clocks of a daemon and its target may differ.
-const clockTolerance = 5 * time.Second
-
-// matches reports whether an instance is the one that departed. An instance of
-// the same name that started after the departure, by the target's clock, is
-// another one.
-func (d departedInstance) matches(id instanceID) bool {
-	if d.instance != id.instance {
-		return false
-	}
-	if d.startedUnixMs > 0 || id.startedUnixMs == 0 {
-		return d.startedUnixMs == id.startedUnixMs
-	}
-	return !time.UnixMilli(id.startedUnixMs).After(d.leftAt.Add(-clockTolerance))
-}
-
 func (a Announcement) instanceID() instanceID {
 	return instanceID{instance: a.Instance, startedUnixMs: a.StartedUnixMs}
 }
@@ -81,9 +49,11 @@
 	// withdrawnAt is when the target withdrew or its announcement expired, zero
 	// if neither happened.
 	withdrawnAt time.Time
-	// departedInstances holds the instances that announced their departure,
-	// oldest first. They do not become ready again.
-	departedInstances []departedInstance
+	// departures holds the instances that have left. They do not become ready again.
+	departures departures
+	// recovering is set until this daemon knows the departures that its predecessor
+	// on this host acknowledged. Until then the target takes no work.
+	recovering bool
 	// lastChecked is when expire was last called.
 	lastChecked time.Time
 	// drained is set by the operator, or when the daemon shuts down.
@@ -106,6 +76,9 @@
 	if a.Slots < 1 {
 		return NoTarget, fmt.Errorf("%w: %d slots", ErrAnnouncementRefused, a.Slots)
 	}
+	if err := validateInstance(a.Instance); err != nil {
+		return NoTarget, err
+	}
 	return state, nil
 }
 
@@ -123,6 +96,7 @@
 	}
 	if l.hasDeparted(a.instanceID()) {
 		state = Draining
+		l.recordDeparture(a.instanceID(), now)
 	}
 	l.announcement = a
 	l.lastAnnouncement = a
@@ -143,18 +117,39 @@
 }
 
 // recordDeparture remembers an instance as departed. An instance without a
-// name is not remembered and may become ready again.
+// name is not remembered and may become ready again. An instance that still announces
+// itself is recorded anew before its departure expires.
 func (l *lease) recordDeparture(leaving instanceID, now time.Time) {
-	if leaving.instance == "" || l.hasDeparted(leaving) {
+	if leaving.instance == "" || l.departures.holdsRecent(leaving, now) {
 		return
 	}
-	l.departedInstances = append(l.departedInstances, departedInstance{instanceID: leaving, leftAt: now})
-	l.departedInstances = l.departedInstances[max(0, len(l.departedInstances)-maxDepartedInstances):]
+	l.departures = l.departures.merge(departures{{instanceID: leaving, leftUnixMs: now.UnixMilli()}}, now)
+}
+
+// learnDepartures adds departures that others remember. It reports whether any was
+// news.
+func (l *lease) learnDepartures(learnt departures, now time.Time) bool {
+	merged := l.departures.merge(learnt, now)
+	if slices.Equal(merged, l.departures) {
+		return false
+	}
+	l.departures = merged
+	if l.state != NoTarget && l.hasDeparted(l.announcement.instanceID()) {
+		l.state = Draining
+	}
+	return true
+}
+
+// pruneDepartures drops the departures that have expired.
+func (l *lease) pruneDepartures(now time.Time) {
+	if len(l.departures) > 0 {
+		l.departures = l.departures.merge(nil, now)
+	}
 }
 
 // hasDeparted reports whether an instance announced its departure.
 func (l *lease) hasDeparted(id instanceID) bool {
-	return slices.ContainsFunc(l.departedInstances, func(d departedInstance) bool { return d.matches(id) })
+	return slices.ContainsFunc(l.departures, func(d departedInstance) bool { return d.matches(id) })
 }
 
 // leave records that an instance leaves. It reports whether that is news of the
@@ -209,7 +204,7 @@
 
 // effectiveState returns the target state to publish.
 func (l *lease) effectiveState() TargetState {
-	if l.state == NoTarget {
+	if l.state == NoTarget || l.recovering {
 		return NoTarget
 	}
 	if l.drained || !l.withdrawnAt.IsZero() {
--- a/internal/membership/log_discovery_test.go
+++ b/internal/membership/log_discovery_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,24 +28,72 @@
 
 	mu      sync.Mutex
 	calls   int
-	records []platform.KeyedRecord
+	records map[string][]platform.KeyedRecord
+	// rejects makes every call fail without effect, losesAnswers every write after it
+	// has taken effect.
+	rejects, losesAnswers bool
 }
 
-func (l *hostLog) Put(_ context.Context, _, key string, payload []byte) error {
+// errLogFault is what a hostLog returns that injects a fault.
+var errLogFault = errors.New("injected fault")
+
+// call counts a call and returns the fault that is injected into it.
+func (l *hostLog) call() error {
 	time.Sleep(l.delay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
-	l.records = append(l.records, platform.KeyedRecord{Key: key, Record: platform.Record{Payload: payload}})
+	if l.rejects {
+		return errLogFault
+	}
 	return nil
 }
 
-func (l *hostLog) Newest(context.Context, string) ([]platform.KeyedRecord, uint64, error) {
-	time.Sleep(l.delay)
+func (l *hostLog) setFaults(rejects, losesAnswers bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.calls++
-	return append([]platform.KeyedRecord(nil), l.records...), uint64(len(l.records)), nil
+	l.rejects, l.losesAnswers = rejects, losesAnswers
+}
+
+func (l *hostLog) Put(_ context.Context, stream, key string, payload []byte) error {
+	if err := l.call(); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.records == nil {
+		l.records = make(map[string][]platform.KeyedRecord)
+	}
+	l.records[stream] = append(l.records[stream], platform.KeyedRecord{Key: key, Record: platform.Record{Payload: payload}})
+	if l.losesAnswers {
+		return errLogFault
+	}
+	return nil
+}
+
+func (l *hostLog) Newest(_ context.Context, stream string) ([]platform.KeyedRecord, uint64, error) {
+	if err := l.call(); err != nil {
+		return nil, 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.records[stream]), uint64(len(l.records[stream])), nil
+}
+
+func (l *hostLog) NewestWithPrefix(_ context.Context, stream, prefix string) ([]platform.KeyedRecord, error) {
+	if err := l.call(); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := make(map[string]platform.KeyedRecord)
+	for _, record := range l.records[stream] {
+		newest[record.Key] = record
+		if len(record.Payload) == 0 || !strings.HasPrefix(record.Key, prefix) {
+			delete(newest, record.Key)
+		}
+	}
+	return slices.Collect(maps.Values(newest)), nil
 }
 
 // startWithLog starts daemons that discover each other through the log alone.
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -139,6 +139,9 @@
 	Sequence uint64 `json:"sequence,omitempty"`
 }
 
+// IsDeparture reports whether the target announces that it leaves.
+func (a Announcement) IsDeparture() bool { return announceableStates[a.State] == Draining }
+
 // ShortName returns the part of a service's full name after the workspace.
 func ShortName(full string) string {
 	_, name, found := strings.Cut(full, "/")
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,9 +33,14 @@
 	view    publishedView
 	// rebuildRequests wakes runViewBuilder.
 	rebuildRequests chan struct{}
-	// acknowledged is notified when a peer acknowledged entries or a connection
-	// to a peer ended.
+	// acknowledged is notified when a peer acknowledged entries, a connection
+	// to a peer ended, or the log acknowledged a departure.
 	acknowledged wait.Broadcast
+	// departuresChanged is notified when a departure of this host's target is news.
+	departuresChanged wait.Broadcast
+	// recoveryAnswered is notified when the log or a peer has answered what it knows
+	// of the departures of this host's target.
+	recoveryAnswered wait.Broadcast
 	// comparisonLimiter limits the rate of table comparisons that are answered.
 	comparisonLimiter *rate.Limiter
 	// probeSlots holds an element for each probe in progress.
@@ -77,6 +83,7 @@
 	lastRefuted     time.Time
 	startedAt       time.Time
 	viewChanges     viewChanges
+	recovery        recovery
 }
 
 // New returns a membership that knows only this daemon.
@@ -102,6 +109,7 @@
 	now := time.Now()
 	m.startedAt = now
 	m.lease.configuredDuration = options.LeaseDuration
+	m.lease.recovering = !m.isAlone()
 	self := newEntry(options.Self, options.Identity.Incarnation)
 	m.table.merge(self, "", now)
 	m.publishAll(now)
@@ -123,6 +131,8 @@
 	tasks.Go(func() { m.runMaintenance(ctx) })
 	tasks.Go(func() { m.manageNeighbours(ctx) })
 	tasks.Go(func() { m.runDiscovery(ctx) })
+	tasks.Go(func() { m.runDepartureLog(ctx) })
+	tasks.Go(func() { m.runRecovery(ctx) })
 	tasks.Wait()
 	return nil
 }
@@ -150,7 +160,7 @@
 	m.mu.Unlock()
 	if changed {
 		m.log.WithField("instance", instance).Info("target leaves, as its response says")
-		m.updateSelf(nil)
+		m.publishDepartures()
 	}
 }
 
@@ -255,6 +265,7 @@
 	if edit != nil {
 		edit(&after)
 	}
+	m.lease.pruneDepartures(now)
 	m.lease.applyTo(&after)
 	m.setUnreachable(&after)
 	changed := always || !before.sameContent(&after)
@@ -266,6 +277,9 @@
 		m.publishLocked(now)
 		m.wakeNeighbours("")
 	}
+	if !slices.Equal(before.departures, after.departures) {
+		m.recovery.publishedAt = m.table.sequence
+	}
 	m.mu.Unlock()
 	if changed {
 		m.metrics.selfUpdates.Inc()
@@ -280,6 +294,7 @@
 	e.targetState = l.effectiveState()
 	e.service = l.announcement.Service
 	e.slots = l.announcement.Slots
+	e.departures = l.departures
 }
 
 // recordTargetChange logs and records a change of the target's state or service.
--- a/internal/membership/metrics.go
+++ b/internal/membership/metrics.go
@@ -14,6 +14,8 @@
 	selfUpdates        *metrics.Counter
 	refutations        *metrics.Counter
 	leaseExpirations   *metrics.Counter
+	departuresStored   *metrics.Counter
+	departuresNotHeld  *metrics.Counter
 }
 
 func newMetrics(set *metrics.Set, m *Membership) *membershipMetrics {
@@ -34,6 +36,8 @@
 		selfUpdates:        set.NewCounter("mulberrybank_membership_entries_written_total"),
 		refutations:        set.NewCounter("mulberrybank_membership_disputes_total"),
 		leaseExpirations:   set.NewCounter("mulberrybank_membership_announcement_lapses_total"),
+		departuresStored:   set.NewCounter("mulberrybank_membership_departures_stored_total"),
+		departuresNotHeld:  set.NewCounter("mulberrybank_membership_departures_unacknowledged_total"),
 	}
 }
 
--- /dev/null
+++ b/internal/membership/recovery.go
@@ -0,0 +1,100 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// recoveryTimeout is how long a daemon waits for both the log and a peer to say
+	// which departures its predecessor acknowledged. After that one of them suffices.
+	recoveryTimeout = time.Second
+	// isolatedRecoveryTimeout is how long a daemon whose log holds no departures
+	// waits for a peer.
+	isolatedRecoveryTimeout = 3 * time.Second
+)
+
+// recovery is what this daemon has heard of the departures that its predecessor on
+// this host acknowledged, and who else holds its own.
+type recovery struct {
+	// logRead is set once the departures were read from the log, peerAnswered once
+	// a peer that knows the mesh has sent what it knows of this host.
+	logRead, peerAnswered bool
+	// stored holds the departures that the log has acknowledged or returned.
+	stored map[string]departedInstance
+	// publishedAt is the table's sequence number at which the departures were last
+	// published.
+	publishedAt uint64
+}
+
+// isAlone reports whether there is neither a log nor a peer that could hold the
+// departures of this host.
+func (m *Membership) isAlone() bool {
+	return m.options.HostLog == nil && len(m.options.Seeds) == 0 && len(m.neighbours) == 0
+}
+
+// runRecovery is the task that lets the target take work once enough is known of the
+// departures that this daemon's predecessor acknowledged.
+func (m *Membership) runRecovery(ctx context.Context) {
+	for {
+		answered := m.recoveryAnswered.Wait()
+		recovered, next := m.checkRecovered()
+		if recovered {
+			return
+		}
+		timer := time.NewTimer(next)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-answered:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// checkRecovered ends the recovery if enough is known. Otherwise it returns after what
+// time to check again without an answer. What is learnt later still counts.
+func (m *Membership) checkRecovered() (recovered bool, next time.Duration) {
+	elapsed := time.Since(m.startedAt)
+	m.mu.Lock()
+	r := m.recovery
+	recovered = !m.lease.recovering || r.suffices(m.options.HostLog != nil, elapsed)
+	ended := recovered && m.lease.recovering
+	m.lease.recovering = !recovered
+	known := len(m.lease.departures)
+	m.mu.Unlock()
+	if ended {
+		m.log.WithFields(logrus.Fields{"log": r.logRead, "peers": r.peerAnswered, "departures": known, "after_ms": elapsed.Milliseconds()}).
+			Info("departures of this host's target recovered; the target may take work")
+		m.updateSelf(nil)
+	}
+	if elapsed < recoveryTimeout {
+		return recovered, recoveryTimeout - elapsed
+	}
+	return recovered, max(isolatedRecoveryTimeout-elapsed, recoveryTimeout)
+}
+
+// notePeerAnswer records that a peer that knows the mesh has sent what it knows of this
+// host. The caller holds the mutex.
+func (m *Membership) notePeerAnswer() {
+	m.recovery.peerAnswered = true
+	m.recoveryAnswered.Notify()
+}
+
+// suffices reports whether a daemon that started elapsed ago may let its target take
+// work. A daemon that heard neither from a log that holds departures nor from a peer
+// may not, however long it waits.
+func (r *recovery) suffices(hasLog bool, elapsed time.Duration) bool {
+	switch {
+	case !hasLog:
+		return r.peerAnswered || elapsed >= isolatedRecoveryTimeout
+	case r.logRead && r.peerAnswered:
+		return true
+	default:
+		return (r.logRead || r.peerAnswered) && elapsed >= recoveryTimeout
+	}
+}
--- a/internal/membership/server.go
+++ b/internal/membership/server.go
@@ -51,12 +51,16 @@
 	if r, ok := m.table.rows[remote.Host]; ok && containsOlder(request.GetEntries(), r) {
 		rows = append(rows, r)
 	}
+	rows, answer.Informed = m.informPeer(&conn.progress, rows, remote.Host)
 	if len(request.GetBuckets()) > 0 {
 		rows = append(rows, m.answerComparison(remote.Zone, request.GetBuckets(), answer)...)
 	}
 	answer.Entries = encodeEntries(rows, now)
 	answer.Offset, answer.Digest = conn.progress.positionToSend(offset, digest)
 	answer.Summary = m.table.summary()
+	if request.GetInformed() {
+		m.notePeerAnswer()
+	}
 	m.metrics.entriesSent.Add(len(rows))
 	return answer
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -35,6 +35,14 @@
 	return &r.entry
 }
 
+// knownDepartures returns the departures of a row, nil if there is no row.
+func (r *row) knownDepartures() departures {
+	if r == nil {
+		return nil
+	}
+	return r.departures
+}
+
 // change records that the row of a host changed.
 type change struct {
 	sequence uint64
@@ -70,7 +78,8 @@
 }
 
 // merge adds an entry received from a host and reports whether it is newer
-// than the one in the table.
+// than the one in the table. The departures of the entry before are kept, since a
+// process that has just started does not know those of its predecessor.
 func (t *table) merge(e entry, from string, now time.Time) bool {
 	if e.host == "" {
 		return false
@@ -86,6 +95,7 @@
 		return false
 	}
 	next := &row{entry: e, entryKey: e.key(), learnedFrom: from, targetStateSince: now, lastHeard: now}
+	next.departures = e.departures.merge(current.knownDepartures(), now)
 	if ok {
 		t.buckets[bucketOf(e.host)] ^= current.entryKey
 		if current.targetState == e.targetState && current.version.Incarnation == e.version.Incarnation {
--- a/internal/platform/instrument.go
+++ b/internal/platform/instrument.go
@@ -70,3 +70,10 @@
 	c.count("newest", err)
 	return records, next, err
 }
+
+// NewestWithPrefix calls NewestWithPrefix of the wrapped log and counts the call.
+func (c *instrumentedLog) NewestWithPrefix(ctx context.Context, stream, prefix string) ([]KeyedRecord, error) {
+	records, err := c.KeyedLog.NewestWithPrefix(ctx, stream, prefix)
+	c.count("newest_with_prefix", err)
+	return records, err
+}
--- a/internal/platform/keyed.go
+++ b/internal/platform/keyed.go
@@ -6,6 +6,10 @@
 // of the host.
 const HostStream = "hosts"
 
+// DepartureStream is a keyed stream with one record for each target instance that has
+// left. Its keys begin with the name of the host and a slash.
+const DepartureStream = "departures"
+
 // KeyedRecord is the newest record of a key in a keyed stream.
 type KeyedRecord struct {
 	Key string
@@ -22,4 +26,7 @@
 	// Newest returns the newest record of each key, ordered by offset, and the
 	// offset of the next append.
 	Newest(ctx context.Context, stream string) ([]KeyedRecord, uint64, error)
+	// NewestWithPrefix returns the newest record of each key that begins with a
+	// prefix. What it reads does not grow with the other keys.
+	NewestWithPrefix(ctx context.Context, stream, prefix string) ([]KeyedRecord, error)
 }
