An operator's drain outlives the daemon that acknowledged it

A host that an operator had drained took work again after a restart of its daemon, though the drain had been answered with 200.

Change: departures and the operator's last request together are the history of a target. Each request has a revision and a record of its own in the log, and travels in the entry of the host. The administration API answers 503 while neither the log nor enough peers hold it.

TestLateWritesChangeNoHistory: any order and repetition of records ends in the same history.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/admin"
 	"github.com/mulberrybank/mulberrybank/internal/admin/admintest"
+	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/standin/logservice"
 )
@@ -224,6 +225,11 @@
 	_, err = api.Drain(t.Context(), true)
 	assert.NilError(t, err)
 	assert.Assert(t, api.mesh.Drained())
+	api.mesh.SetDrainError(membership.ErrHistoryNotHeld)
+	for _, drain := range []bool{true, false} {
+		_, err = api.Drain(t.Context(), drain)
+		assert.Equal(t, statusOf(err), http.StatusServiceUnavailable, "a drain that a restart might forget is not acknowledged")
+	}
 	events, err := api.Timeline(t.Context())
 	assert.NilError(t, err)
 	assert.Assert(t, len(events) > 1)
--- a/internal/admin/admintest/mesh.go
+++ b/internal/admin/admintest/mesh.go
@@ -28,6 +28,7 @@
 	stopCause    error
 	submitError  error
 	drained      bool
+	drainError   error
 	leaving      bool
 	lowestActive func(offset uint64) uint64
 	enforcer     *enforce.Enforcer
@@ -180,15 +181,23 @@
 }
 
 // Drain marks the target as drained.
-func (m *Mesh) Drain() { m.setDrained(true) }
+func (m *Mesh) Drain(context.Context) error { return m.setDrained(true) }
 
 // Resume marks the target as in service.
-func (m *Mesh) Resume() { m.setDrained(false) }
+func (m *Mesh) Resume(context.Context) error { return m.setDrained(false) }
 
-func (m *Mesh) setDrained(drained bool) {
+func (m *Mesh) setDrained(drained bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.drained = drained
+	return m.drainError
+}
+
+// SetDrainError sets the error of Drain and Resume.
+func (m *Mesh) SetDrainError(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.drainError = err
 }
 
 func (m *Mesh) convergence() admin.Convergence {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -54,10 +54,11 @@
 	View() *membership.View
 }
 
-// Drainer takes the target of this host out of service and puts it back.
+// Drainer takes the target of this host out of service and puts it back. Both are in
+// force at once. An error means that a restart of the daemon might forget them.
 type Drainer interface {
-	Drain()
-	Resume()
+	Drain(ctx context.Context) error
+	Resume(ctx context.Context) error
 }
 
 // ReadinessCheck returns why a component of the daemon is not ready, nil when it is.
--- a/internal/admin/state.go
+++ b/internal/admin/state.go
@@ -56,7 +56,9 @@
 		return notFound("this daemon has no target to drain")
 	}
 	s.log.WithField("author", r.principal.Name).Info("draining the target")
-	s.Drainer.Drain()
+	if err := s.Drainer.Drain(r.Context()); err != nil {
+		return unavailable("drain", err)
+	}
 	return writeJSON(w, http.StatusOK, DrainState{Host: s.Host, Draining: true})
 }
 
@@ -66,7 +68,9 @@
 		return notFound("this daemon has no target to resume")
 	}
 	s.log.WithField("author", r.principal.Name).Info("resuming the target")
-	s.Drainer.Resume()
+	if err := s.Drainer.Resume(r.Context()); err != nil {
+		return unavailable("resume", err)
+	}
 	return writeJSON(w, http.StatusOK, DrainState{Host: s.Host})
 }
 
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -150,7 +150,7 @@
 		Directory:   d.members,
 		Convergence: d.convergence,
 		Staleness:   d.staleness,
-		Drainer:     d.members,
+		Drainer:     drainer{d.members},
 		Timeline:    d.events.Handler(),
 		Authorizer:  d.authorizer(),
 		Quota:       d.quota(),
--- a/internal/daemon/interfaces.go
+++ b/internal/daemon/interfaces.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/admin"
@@ -35,6 +36,20 @@
 	return announcement.Address, announcement.Instance
 }
 
+// drainer provides the drain of the target to the administration API. Both calls return
+// once the request would outlive this process.
+type drainer struct{ members *membership.Membership }
+
+func (d drainer) Drain(ctx context.Context) error {
+	d.members.Drain()
+	return d.members.AwaitHistoryHeld(ctx)
+}
+
+func (d drainer) Resume(ctx context.Context) error {
+	d.members.Resume()
+	return d.members.AwaitHistoryHeld(ctx)
+}
+
 // idempotencyKeys provides the deduplicator to the call server.
 type idempotencyKeys struct{ deduplicator *once.Deduplicator }
 
--- a/internal/membership/departures_test.go
+++ b/internal/membership/departures_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
@@ -93,7 +95,7 @@
 	apply(c.atDeparture)
 	assert.NilError(t, d.WithdrawInstance("i-1", 1000))
 	asked := time.Now()
-	assert.NilError(t, d.AwaitDeparturesHeld(t.Context()))
+	assert.NilError(t, d.AwaitHistoryHeld(t.Context()))
 	assert.Assert(t, time.Since(asked) < time.Second, "the target takes an answer after a second for none")
 	time.Sleep(settle)
 	m.kill(departingHost)
@@ -141,11 +143,11 @@
 		leaving.State = "draining"
 		assert.NilError(t, d.Announce(leaving))
 		assert.Equal(t, d.View().Self.TargetState, Draining, "the departure is in force at once")
-		assert.ErrorIs(t, d.AwaitDeparturesHeld(t.Context()), ErrDeparturesNotHeld)
+		assert.ErrorIs(t, d.AwaitHistoryHeld(t.Context()), ErrHistoryNotHeld)
 		log.setFaults(false, false)
-		time.Sleep(2 * maxDepartureRetryInterval)
-		assert.NilError(t, d.AwaitDeparturesHeld(t.Context()))
-		assert.Equal(t, len(log.records[platform.DepartureStream]), 1)
+		time.Sleep(2 * maxHistoryRetryInterval)
+		assert.NilError(t, d.AwaitHistoryHeld(t.Context()))
+		assert.Equal(t, len(log.records[platform.TargetHistoryStream]), 1)
 	})
 }
 
@@ -162,7 +164,7 @@
 		assert.NilError(t, d.Announce(readyHeartbeat(1)))
 		assert.Equal(t, d.View().Self.TargetState, NoTarget)
 		log.setFaults(false, false)
-		time.Sleep(2 * maxDepartureRetryInterval)
+		time.Sleep(2 * maxHistoryRetryInterval)
 		assert.NilError(t, d.Announce(readyHeartbeat(2)))
 		assert.Equal(t, d.View().Self.TargetState, Ready)
 	})
@@ -181,7 +183,7 @@
 		assert.NilError(t, d.WithdrawInstance("i-0", 500))
 		assert.NilError(t, d.WithdrawInstance("i-1", 1000))
 		held := func() int {
-			records, err := log.NewestWithPrefix(t.Context(), platform.DepartureStream, departureKeyPrefix(departingHost))
+			records, err := log.NewestWithPrefix(t.Context(), platform.TargetHistoryStream, historyKeyPrefix(departingHost))
 			assert.NilError(t, err)
 			return len(records)
 		}
@@ -204,7 +206,7 @@
 		defer m.killAll()
 		log := &hostLog{}
 		for i, payload := range []string{"{}", "\xff\xff\xff", "\x0a\x02\xff\xfe", "\x10\x01"} {
-			assert.NilError(t, log.Put(t.Context(), platform.DepartureStream, fmt.Sprintf("%sodd-%d", departureKeyPrefix(departingHost), i), []byte(payload)))
+			assert.NilError(t, log.Put(t.Context(), platform.TargetHistoryStream, fmt.Sprintf("%sodd-%d", historyKeyPrefix(departingHost), i), []byte(payload)))
 		}
 		d := startDeparting(m, log, 1)
 		time.Sleep(2 * time.Second)
@@ -242,3 +244,70 @@
 		assert.Equal(t, d.View().Self.TargetState, Draining)
 	})
 }
+
+// TestRestartRemembersOperatorDrain drains a target as an operator does, restarts its
+// daemon and resumes the target, while the log or the peers fail.
+// Guards against: a host that an operator had drained took work again after a restart.
+func TestRestartRemembersOperatorDrain(t *testing.T) {
+	for name, fault := range map[string]func(m *mesh, log *hostLog){
+		"no fault":             func(*mesh, *hostLog) {},
+		"log is out":           func(_ *mesh, log *hostLog) { log.setFaults(true, false) },
+		"peers are cut off":    cutOffDeparting,
+		"log loses its answer": func(_ *mesh, log *hostLog) { log.setFaults(false, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t)
+				defer m.killAll()
+				log := &hostLog{delay: 4 * time.Millisecond}
+				d := startDeparting(m, log, 1)
+				startOthers(m, log, 1)
+				m.waitUntil(10*time.Second, "complete", knowsAll(5))
+				fault(m, log)
+				for incarnation, drained := range []bool{true, false, true} {
+					if drained {
+						d.Drain()
+					} else {
+						d.Resume()
+					}
+					assert.NilError(t, d.AwaitHistoryHeld(t.Context()))
+					m.kill(departingHost)
+					time.Sleep(500 * time.Millisecond)
+					d = startDeparting(m, log, uint64(incarnation+2))
+					time.Sleep(5 * time.Second)
+					assert.NilError(t, d.Announce(readyHeartbeat(uint64(incarnation+1))))
+					synctest.Wait()
+					assert.Equal(t, d.View().Self.TargetState == Draining, drained)
+				}
+			})
+		})
+	}
+}
+
+// TestLateWritesChangeNoHistory merges and reads the records of a history in any order.
+func TestLateWritesChangeNoHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.UnixMilli(10_000)
+		drawn := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) targetRecord {
+			if rapid.Bool().Draw(t, "drain") {
+				revision := rapid.Uint64Range(1, 4).Draw(t, "revision")
+				return targetRecord{drain: operatorDrain{revision: revision, drained: revision%2 == 1}}
+			}
+			id := instanceID{instance: rapid.SampledFrom([]string{"", "i-1", "i-2"}).Draw(t, "instance"), startedUnixMs: rapid.Int64Range(0, 2).Draw(t, "started")}
+			return targetRecord{departure: departedInstance{instanceID: id, leftUnixMs: rapid.Int64Range(1, 3).Draw(t, "left")}}
+		}), 0, 12).Draw(t, "records")
+		var inOrder, shuffled targetHistory
+		for _, record := range drawn {
+			inOrder = inOrder.add(record, now)
+		}
+		for _, record := range rapid.Permutation(slices.Concat(drawn, drawn)).Draw(t, "order") {
+			shuffled = shuffled.add(record, now)
+		}
+		assert.Assert(t, inOrder.equal(shuffled), "%v %v", inOrder, shuffled)
+		var reread targetHistory
+		for _, record := range inOrder.records("h") {
+			reread = reread.add(decodeTargetRecord(encodeTargetRecord(record)), now)
+		}
+		assert.Assert(t, inOrder.equal(reread), "%v %v", inOrder, reread)
+	})
+}
--- a/internal/membership/encoding.go
+++ b/internal/membership/encoding.go
@@ -19,7 +19,8 @@
 		InForce:        r.appliedOffset,
 		Unreachable:    r.unreachableKeys,
 		SilentZones:    r.silentZones,
-		Departures:     encodeDepartures(r.departures),
+		Departures:     encodeDepartures(r.history.departures),
+		OperatorDrain:  encodeOperatorDrain(r.history.drain),
 	}
 	if !r.goneSince.IsZero() {
 		message.GoneSeconds = uint32(now.Sub(r.goneSince) / time.Second)
@@ -56,7 +57,10 @@
 		appliedOffset:   message.GetInForce(),
 		unreachableKeys: message.GetUnreachable(),
 		silentZones:     message.GetSilentZones(),
-		departures:      decodeDepartures(message.GetDepartures()),
+		history: targetHistory{
+			departures: decodeDepartures(message.GetDepartures()),
+			drain:      decodeOperatorDrain(message.GetOperatorDrain()),
+		},
 	}
 	return decoded, time.Duration(message.GetGoneSeconds()) * time.Second
 }
@@ -87,3 +91,29 @@
 	}
 	return decoded
 }
+
+// encodeOperatorDrain returns nil if there was no request of an operator.
+func encodeOperatorDrain(d operatorDrain) *OperatorDrain {
+	if d.revision == 0 {
+		return nil
+	}
+	return &OperatorDrain{Revision: d.revision, Drained: d.drained}
+}
+
+func decodeOperatorDrain(message *OperatorDrain) operatorDrain {
+	return operatorDrain{revision: message.GetRevision(), drained: message.GetDrained()}
+}
+
+func encodeTargetRecord(r targetRecord) *TargetRecord {
+	if r.drain.revision > 0 {
+		return &TargetRecord{OperatorDrain: encodeOperatorDrain(r.drain)}
+	}
+	return &TargetRecord{Departure: encodeDeparture(r.departure)}
+}
+
+func decodeTargetRecord(message *TargetRecord) targetRecord {
+	return targetRecord{
+		departure: decodeDeparture(message.GetDeparture()),
+		drain:     decodeOperatorDrain(message.GetOperatorDrain()),
+	}
+}
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -32,9 +32,9 @@
 	// silentZones are the zones, and by regionKey the regions, from which the
 	// writer, a bridge, hears nothing.
 	silentZones []string
-	// departures are the instances of the host's target that have left. Unlike the
-	// other fields they are merged with those of the entry before.
-	departures departures
+	// history is what outlives the process. Unlike the other fields it is merged with
+	// that of the entry before.
+	history targetHistory
 }
 
 // key returns a hash that identifies this version of the entry among the
@@ -76,5 +76,5 @@
 		e.logRTTMs == other.logRTTMs &&
 		slices.Equal(e.unreachableKeys, other.unreachableKeys) &&
 		slices.Equal(e.silentZones, other.silentZones) &&
-		slices.Equal(e.departures, other.departures)
+		e.history.equal(other.history)
 }
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -98,7 +98,7 @@
 }
 
 // informPeer adds the row of a peer to those that are sent to it, once on each
-// connection: it holds the departures that the peer may have forgotten by a restart. It
+// connection: it holds the history that the peer may have forgotten by a restart. It
 // waits until this daemon has compared its table, and reports whether the row was added
 // or is known to be missing. The caller holds the mutex.
 func (m *Membership) informPeer(progress *sendProgress, rows []*row, host string) ([]*row, bool) {
@@ -161,8 +161,8 @@
 
 // mergeEntries merges entries received from a peer into the table and returns
 // how many were new. If the peer holds a newer entry of this host, this
-// daemon's entry is republished with a version above it. Departures in any entry of this
-// host are learnt.
+// daemon's entry is republished with a version above it. The history in any entry of this
+// host is learnt.
 func (m *Membership) mergeEntries(messages []*Entry, from string) int {
 	if len(messages) == 0 {
 		return 0
@@ -176,7 +176,7 @@
 	for _, message := range messages {
 		e, goneFor := decodeEntry(message)
 		if e.host == m.options.Self.Host {
-			learnt = m.lease.learnDepartures(e.departures, now) || learnt
+			learnt = m.lease.learnHistory(e.history, now) || learnt
 			if e.version.After(self) && e.version.After(newerSelf) {
 				newerSelf = e.version
 			}
@@ -201,8 +201,8 @@
 	}
 	m.metrics.entriesMerged.Add(merged)
 	if learnt {
-		m.log.Infof("learnt departures of this host's target from peer %s", from)
-		m.publishDepartures()
+		m.log.Infof("learnt news of the history of this host's target from peer %s", from)
+		m.publishHistory()
 	}
 	switch {
 	case newerSelf != EntryVersion{}:
--- a/internal/membership/http.go
+++ b/internal/membership/http.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -32,10 +31,10 @@
 		err = m.Announce(announcement)
 	}
 	if err == nil && announcement.IsDeparture() {
-		err = m.AwaitDeparturesHeld(r.Context())
+		err = m.AwaitHistoryHeld(r.Context())
 	}
 	switch {
-	case errors.Is(err, ErrDeparturesNotHeld):
+	case errors.Is(err, ErrHistoryNotHeld):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -62,15 +61,15 @@
 // ErrAnnouncementRefused.
 func (m *Membership) Announce(a Announcement) error {
 	m.mu.Lock()
-	known := m.lease.departures
+	known := m.lease.history
 	err := m.lease.renew(a, time.Now())
-	departed := !slices.Equal(known, m.lease.departures)
+	departed := !m.lease.history.equal(known)
 	m.mu.Unlock()
 	switch {
 	case err != nil:
 		return err
 	case departed:
-		m.publishDepartures()
+		m.publishHistory()
 	default:
 		m.updateSelf(nil)
 	}
@@ -96,7 +95,7 @@
 	if current {
 		m.Withdraw()
 	}
-	m.publishDepartures()
+	m.publishHistory()
 	return nil
 }
 
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -49,15 +49,15 @@
 	// withdrawnAt is when the target withdrew or its announcement expired, zero
 	// if neither happened.
 	withdrawnAt time.Time
-	// departures holds the instances that have left. They do not become ready again.
-	departures departures
-	// recovering is set until this daemon knows the departures that its predecessor
-	// on this host acknowledged. Until then the target takes no work.
+	// history holds what also binds a later process beside this target.
+	history targetHistory
+	// recovering is set until this daemon knows what its predecessor on this host
+	// acknowledged. Until then the target takes no work.
 	recovering bool
 	// lastChecked is when expire was last called.
 	lastChecked time.Time
-	// drained is set by the operator, or when the daemon shuts down.
-	drained bool
+	// stopping is set when the daemon shuts down.
+	stopping bool
 }
 
 // validateAnnouncement checks an announcement and returns its target state.
@@ -120,36 +120,41 @@
 // name is not remembered and may become ready again. An instance that still announces
 // itself is recorded anew before its departure expires.
 func (l *lease) recordDeparture(leaving instanceID, now time.Time) {
-	if leaving.instance == "" || l.departures.holdsRecent(leaving, now) {
+	if leaving.instance == "" || l.history.departures.holdsRecent(leaving, now) {
 		return
 	}
-	l.departures = l.departures.merge(departures{{instanceID: leaving, leftUnixMs: now.UnixMilli()}}, now)
+	left := departedInstance{instanceID: leaving, leftUnixMs: now.UnixMilli()}
+	l.history.departures = l.history.departures.merge(departures{left}, now)
 }
 
-// learnDepartures adds departures that others remember. It reports whether any was
-// news.
-func (l *lease) learnDepartures(learnt departures, now time.Time) bool {
-	merged := l.departures.merge(learnt, now)
-	if slices.Equal(merged, l.departures) {
+// setOperatorDrain records an operator's request. Its revision is above those of a
+// predecessor that this daemon has not heard of yet, unless the clock was set back.
+func (l *lease) setOperatorDrain(drained bool, now time.Time) {
+	l.history.drain = operatorDrain{revision: max(l.history.drain.revision+1, uint64(now.UnixMilli())), drained: drained}
+}
+
+// learnHistory adds what others remember of this target. It reports whether any of it
+// was news.
+func (l *lease) learnHistory(learnt targetHistory, now time.Time) bool {
+	merged := l.history.merge(learnt, now)
+	if merged.equal(l.history) {
 		return false
 	}
-	l.departures = merged
+	l.history = merged
 	if l.state != NoTarget && l.hasDeparted(l.announcement.instanceID()) {
 		l.state = Draining
 	}
 	return true
 }
 
-// pruneDepartures drops the departures that have expired.
-func (l *lease) pruneDepartures(now time.Time) {
-	if len(l.departures) > 0 {
-		l.departures = l.departures.merge(nil, now)
-	}
+// pruneHistory drops what has expired.
+func (l *lease) pruneHistory(now time.Time) {
+	l.history = l.history.merge(targetHistory{}, now)
 }
 
 // hasDeparted reports whether an instance announced its departure.
 func (l *lease) hasDeparted(id instanceID) bool {
-	return slices.ContainsFunc(l.departures, func(d departedInstance) bool { return d.matches(id) })
+	return slices.ContainsFunc(l.history.departures, func(d departedInstance) bool { return d.matches(id) })
 }
 
 // leave records that an instance leaves. It reports whether that is news of the
@@ -207,7 +212,7 @@
 	if l.state == NoTarget || l.recovering {
 		return NoTarget
 	}
-	if l.drained || !l.withdrawnAt.IsZero() {
+	if l.stopping || l.history.drain.drained || !l.withdrawnAt.IsZero() {
 		return Draining
 	}
 	return l.state
--- a/internal/membership/lease_test.go
+++ b/internal/membership/lease_test.go
@@ -47,9 +47,11 @@
 				l.withdraw(now)
 				announced = NoTarget
 			case "drain":
-				drained, l.drained = true, true
+				drained = true
+				l.setOperatorDrain(true, now)
 			case "resume":
-				drained, l.drained = false, false
+				drained = false
+				l.setOperatorDrain(false, now)
 			case "wait":
 				now = now.Add(maintenanceInterval)
 				l.expire(now)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -34,12 +33,12 @@
 	// rebuildRequests wakes runViewBuilder.
 	rebuildRequests chan struct{}
 	// acknowledged is notified when a peer acknowledged entries, a connection
-	// to a peer ended, or the log acknowledged a departure.
+	// to a peer ended, or the log acknowledged a record of this host's history.
 	acknowledged wait.Broadcast
-	// departuresChanged is notified when a departure of this host's target is news.
-	departuresChanged wait.Broadcast
+	// historyChanged is notified when there is news in the history of this host's target.
+	historyChanged wait.Broadcast
 	// recoveryAnswered is notified when the log or a peer has answered what it knows
-	// of the departures of this host's target.
+	// of the history of this host's target.
 	recoveryAnswered wait.Broadcast
 	// comparisonLimiter limits the rate of table comparisons that are answered.
 	comparisonLimiter *rate.Limiter
@@ -131,7 +130,7 @@
 	tasks.Go(func() { m.runMaintenance(ctx) })
 	tasks.Go(func() { m.manageNeighbours(ctx) })
 	tasks.Go(func() { m.runDiscovery(ctx) })
-	tasks.Go(func() { m.runDepartureLog(ctx) })
+	tasks.Go(func() { m.runHistoryLog(ctx) })
 	tasks.Go(func() { m.runRecovery(ctx) })
 	tasks.Wait()
 	return nil
@@ -160,11 +159,12 @@
 	m.mu.Unlock()
 	if changed {
 		m.log.WithField("instance", instance).Info("target leaves, as its response says")
-		m.publishDepartures()
+		m.publishHistory()
 	}
 }
 
-// Drain sets the target of this host to draining: it takes no new work.
+// Drain sets the target of this host to draining: it takes no new work. That holds
+// until Resume, also after a restart of the daemon. AwaitHistoryHeld tells when it does.
 func (m *Membership) Drain() { m.setDrained(true) }
 
 // Resume ends what Drain began.
@@ -172,9 +172,9 @@
 
 func (m *Membership) setDrained(drained bool) {
 	m.mu.Lock()
-	m.lease.drained = drained
+	m.lease.setOperatorDrain(drained, time.Now())
 	m.mu.Unlock()
-	m.updateSelf(nil)
+	m.publishHistory()
 }
 
 // RecordLogRTT publishes the round-trip time from this host to the log. The
@@ -205,7 +205,7 @@
 
 func (m *Membership) publishLeave(state State) {
 	m.mu.Lock()
-	m.lease.drained = true
+	m.lease.stopping = true
 	m.mu.Unlock()
 	m.updateSelf(func(e *entry) { e.state = max(e.state, state) })
 }
@@ -265,7 +265,7 @@
 	if edit != nil {
 		edit(&after)
 	}
-	m.lease.pruneDepartures(now)
+	m.lease.pruneHistory(now)
 	m.lease.applyTo(&after)
 	m.setUnreachable(&after)
 	changed := always || !before.sameContent(&after)
@@ -277,7 +277,7 @@
 		m.publishLocked(now)
 		m.wakeNeighbours("")
 	}
-	if !slices.Equal(before.departures, after.departures) {
+	if !before.history.equal(after.history) {
 		m.recovery.publishedAt = m.table.sequence
 	}
 	m.mu.Unlock()
@@ -294,7 +294,7 @@
 	e.targetState = l.effectiveState()
 	e.service = l.announcement.Service
 	e.slots = l.announcement.Slots
-	e.departures = l.departures
+	e.history = l.history
 }
 
 // recordTargetChange logs and records a change of the target's state or service.
--- a/internal/membership/metrics.go
+++ b/internal/membership/metrics.go
@@ -14,8 +14,8 @@
 	selfUpdates        *metrics.Counter
 	refutations        *metrics.Counter
 	leaseExpirations   *metrics.Counter
-	departuresStored   *metrics.Counter
-	departuresNotHeld  *metrics.Counter
+	historyStored      *metrics.Counter
+	historyNotHeld     *metrics.Counter
 }
 
 func newMetrics(set *metrics.Set, m *Membership) *membershipMetrics {
@@ -36,8 +36,8 @@
 		selfUpdates:        set.NewCounter("mulberrybank_membership_entries_written_total"),
 		refutations:        set.NewCounter("mulberrybank_membership_disputes_total"),
 		leaseExpirations:   set.NewCounter("mulberrybank_membership_announcement_lapses_total"),
-		departuresStored:   set.NewCounter("mulberrybank_membership_departures_stored_total"),
-		departuresNotHeld:  set.NewCounter("mulberrybank_membership_departures_unacknowledged_total"),
+		historyStored:      set.NewCounter("mulberrybank_membership_history_stored_total"),
+		historyNotHeld:     set.NewCounter("mulberrybank_membership_history_unacknowledged_total"),
 	}
 }
 
--- a/internal/membership/recovery.go
+++ b/internal/membership/recovery.go
@@ -9,34 +9,34 @@
 
 const (
 	// recoveryTimeout is how long a daemon waits for both the log and a peer to say
-	// which departures its predecessor acknowledged. After that one of them suffices.
+	// what its predecessor acknowledged. After that one of them suffices.
 	recoveryTimeout = time.Second
-	// isolatedRecoveryTimeout is how long a daemon whose log holds no departures
+	// isolatedRecoveryTimeout is how long a daemon whose log holds no history
 	// waits for a peer.
 	isolatedRecoveryTimeout = 3 * time.Second
 )
 
-// recovery is what this daemon has heard of the departures that its predecessor on
-// this host acknowledged, and who else holds its own.
+// recovery is what this daemon has heard of the history of its host's target, and who
+// else holds it.
 type recovery struct {
-	// logRead is set once the departures were read from the log, peerAnswered once
+	// logRead is set once the history was read from the log, peerAnswered once
 	// a peer that knows the mesh has sent what it knows of this host.
 	logRead, peerAnswered bool
-	// stored holds the departures that the log has acknowledged or returned.
-	stored map[string]departedInstance
-	// publishedAt is the table's sequence number at which the departures were last
+	// stored holds the records that the log has acknowledged or returned, by key.
+	stored map[string]targetRecord
+	// publishedAt is the table's sequence number at which the history was last
 	// published.
 	publishedAt uint64
 }
 
 // isAlone reports whether there is neither a log nor a peer that could hold the
-// departures of this host.
+// history of this host.
 func (m *Membership) isAlone() bool {
 	return m.options.HostLog == nil && len(m.options.Seeds) == 0 && len(m.neighbours) == 0
 }
 
-// runRecovery is the task that lets the target take work once enough is known of the
-// departures that this daemon's predecessor acknowledged.
+// runRecovery is the task that lets the target take work once enough is known of what
+// this daemon's predecessor acknowledged.
 func (m *Membership) runRecovery(ctx context.Context) {
 	for {
 		answered := m.recoveryAnswered.Wait()
@@ -65,11 +65,11 @@
 	recovered = !m.lease.recovering || r.suffices(m.options.HostLog != nil, elapsed)
 	ended := recovered && m.lease.recovering
 	m.lease.recovering = !recovered
-	known := len(m.lease.departures)
+	history := m.lease.history
 	m.mu.Unlock()
 	if ended {
-		m.log.WithFields(logrus.Fields{"log": r.logRead, "peers": r.peerAnswered, "departures": known, "after_ms": elapsed.Milliseconds()}).
-			Info("departures of this host's target recovered; the target may take work")
+		m.log.WithFields(logrus.Fields{"log": r.logRead, "peers": r.peerAnswered, "departures": len(history.departures), "drained": history.drain.drained, "after_ms": elapsed.Milliseconds()}).
+			Info("history of this host's target recovered; the target may take work")
 		m.updateSelf(nil)
 	}
 	if elapsed < recoveryTimeout {
@@ -86,7 +86,7 @@
 }
 
 // suffices reports whether a daemon that started elapsed ago may let its target take
-// work. A daemon that heard neither from a log that holds departures nor from a peer
+// work. A daemon that heard neither from a log that holds histories nor from a peer
 // may not, however long it waits.
 func (r *recovery) suffices(hasLog bool, elapsed time.Duration) bool {
 	switch {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -35,12 +35,12 @@
 	return &r.entry
 }
 
-// knownDepartures returns the departures of a row, nil if there is no row.
-func (r *row) knownDepartures() departures {
+// knownHistory returns the history of a row, an empty one if there is no row.
+func (r *row) knownHistory() targetHistory {
 	if r == nil {
-		return nil
+		return targetHistory{}
 	}
-	return r.departures
+	return r.history
 }
 
 // change records that the row of a host changed.
@@ -78,8 +78,8 @@
 }
 
 // merge adds an entry received from a host and reports whether it is newer
-// than the one in the table. The departures of the entry before are kept, since a
-// process that has just started does not know those of its predecessor.
+// than the one in the table. The history in the entry before is kept, since a
+// process that has just started does not know that of its predecessor.
 func (t *table) merge(e entry, from string, now time.Time) bool {
 	if e.host == "" {
 		return false
@@ -95,7 +95,7 @@
 		return false
 	}
 	next := &row{entry: e, entryKey: e.key(), learnedFrom: from, targetStateSince: now, lastHeard: now}
-	next.departures = e.departures.merge(current.knownDepartures(), now)
+	next.history = e.history.merge(current.knownHistory(), now)
 	if ok {
 		t.buckets[bucketOf(e.host)] ^= current.entryKey
 		if current.targetState == e.targetState && current.version.Incarnation == e.version.Incarnation {
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -52,7 +52,7 @@
 	return entries
 }
 
-var compareEntries = gocmp.AllowUnexported(entry{})
+var compareEntries = gocmp.AllowUnexported(entry{}, targetHistory{}, operatorDrain{}, departedInstance{}, instanceID{})
 
 // TestAnyOrderConverges delivers all entries in random order, some of them twice.
 func TestAnyOrderConverges(t *testing.T) {
--- a/internal/platform/keyed.go
+++ b/internal/platform/keyed.go
@@ -6,9 +6,10 @@
 // of the host.
 const HostStream = "hosts"
 
-// DepartureStream is a keyed stream with one record for each target instance that has
-// left. Its keys begin with the name of the host and a slash.
-const DepartureStream = "departures"
+// TargetHistoryStream is a keyed stream of what has to outlive the daemon beside a target:
+// which of its instances have left, and whether an operator drained it. Its keys begin
+// with the name of the host and a slash.
+const TargetHistoryStream = "history"
 
 // KeyedRecord is the newest record of a key in a keyed stream.
 type KeyedRecord struct {
