--- a/internal/call/endless_test.go
+++ b/internal/call/endless_test.go
@@ -254,7 +254,7 @@
 	eventually(t, "the slot is free", func() bool { return e.to.server.Load().Busy == 0 })
 	eventually(t, "the connection is closed", func() bool { return e.target.open.Load() == 0 })
 	got := e.from.get(t, lookups)
-	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.status, http.StatusOK, "%s", got.body)
 	assert.Equal(t, string(got.body), "ok")
 }
 
