A request whose client has left is not sent on

Cause: net/http looks for the end of a connection in a task that begins with the handler. A daemon that lags reads a request together with the end of its connection, and sends it on before that task has run.

Change: before the first attempt, and at the daemon of the target, the socket is asked without waiting whether its peer has closed it.

--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -65,6 +65,11 @@
 		s.rejectCaller(w, in.ID, s.stoppingError(), writeErr)
 		return
 	}
+	if clientGone(r.Context()) {
+		w.Header().Set("Connection", "close")
+		s.rejectCaller(w, in.ID, s.clientGoneError(), writeErr)
+		return
+	}
 	c := s.newOutboundCall(r, in, deadline, body)
 	defer setConnDeadlines(w, deadline, body)()
 	ctx, cancel := s.inflight.callContext(r.Context(), deadline)
--- a/internal/call/mesh_test.go
+++ b/internal/call/mesh_test.go
@@ -310,8 +310,8 @@
 		change(i, &options)
 	}
 	n.server = call.New(options)
-	n.callers = httptest.NewServer(n.server.CallerHandler())
-	n.peers = httptest.NewServer(n.server.PeerHandler())
+	n.callers = startHTTPServer(n.server.CallerHandler())
+	n.peers = startHTTPServer(n.server.PeerHandler())
 	n.member = membership.Member{
 		Host: n.name, Zone: self.Zone, Region: self.Region, State: membership.Alive,
 		CallsAddress: strings.TrimPrefix(n.peers.URL, "http://"),
@@ -320,6 +320,14 @@
 	return n
 }
 
+// startHTTPServer serves a handler as a daemon does.
+func startHTTPServer(handler http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ConnContext = call.ConnContext
+	server.Start()
+	return server
+}
+
 // shareView gives every daemon the same view of all hosts.
 func (m *mesh) shareView() {
 	for _, n := range m.nodes {
--- a/internal/call/metrics.go
+++ b/internal/call/metrics.go
@@ -22,6 +22,8 @@
 	refused    *metrics.Counter
 	keyed      *metrics.Counter
 	replayed   *metrics.Counter
+	// clientsGone counts requests that were not sent on because their clients had left.
+	clientsGone *metrics.Counter
 	// connTimeouts counts attempts that got no connection in time.
 	connTimeouts *metrics.Counter
 	// peersGone counts attempts given up because their daemon was gone.
@@ -59,6 +61,7 @@
 		refused:      set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="refused"}`),
 		keyed:        set.GetOrCreateCounter(`mulberrybank_gate_keyed_requests_total`),
 		replayed:     set.GetOrCreateCounter(`mulberrybank_gate_replays_total`),
+		clientsGone:  set.GetOrCreateCounter(`mulberrybank_call_clients_gone_total`),
 		connTimeouts: set.GetOrCreateCounter(`mulberrybank_call_connection_timeouts_total`),
 		peersGone:    set.GetOrCreateCounter(`mulberrybank_call_peers_gone_total`),
 		queue:        stage("queue"),
--- a/internal/call/peer.go
+++ b/internal/call/peer.go
@@ -15,6 +15,9 @@
 	defer end()
 	s.observeClock(r.Header)
 	q, failure := s.parsePeerRequest(w, r)
+	if failure == nil && clientGone(r.Context()) {
+		failure = s.clientGoneError()
+	}
 	if failure != nil {
 		s.logInvalidRequest(r.Header, failure)
 		s.writePeerError(w, r.Header.Get(HeaderCall), unknownRank, failure)
--- a/internal/daemon/http_server.go
+++ b/internal/daemon/http_server.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/call"
 )
 
 const (
@@ -35,6 +37,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		ConnState:         requests.observe,
+		ConnContext:       call.ConnContext,
 	}
 	return &httpServer{server: server, listener: listener, requests: requests, served: make(chan struct{})}
 }
