A heartbeat that lacks a field names no upstream

Cause: missing fields were read as zeros, and a start of 0 as another instance of the same name, whose departure nobody knew.

For upstreams that never send their start, an announcement without one neither supersedes an instance whose start is known nor differs from its departure.

--- a/internal/membership/departures.go
+++ b/internal/membership/departures.go
@@ -44,12 +44,15 @@
 
 // matches reports whether an instance is the one that departed. An instance of
 // the same name that started after the departure, by the target's clock, is
-// another one.
+// another one. One that does not say when it started can't show that.
 func (d departedInstance) matches(id instanceID) bool {
 	if d.instance != id.instance {
 		return false
 	}
-	if d.startedUnixMs > 0 || id.startedUnixMs == 0 {
+	if id.startedUnixMs == 0 {
+		return true
+	}
+	if d.startedUnixMs > 0 {
 		return d.startedUnixMs == id.startedUnixMs
 	}
 	return !time.UnixMilli(id.startedUnixMs).After(time.UnixMilli(d.leftUnixMs).Add(-clockTolerance))
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -108,12 +108,17 @@
 
 // isSuperseded reports whether an announcement was superseded: by a later one of
 // the same instance, or by one of a later instance. The order of arrival does
-// not count.
+// not count. One that bears the name of an instance without its known start comes from
+// somebody else.
 func (l *lease) isSuperseded(a Announcement) bool {
-	if a.instanceID() == l.lastAnnouncement.instanceID() {
-		return a.Sequence > 0 && a.Sequence <= l.lastAnnouncement.Sequence
+	last := l.lastAnnouncement
+	if a.instanceID() == last.instanceID() {
+		return a.Sequence > 0 && a.Sequence <= last.Sequence
 	}
-	return a.StartedUnixMs > 0 && a.StartedUnixMs < l.lastAnnouncement.StartedUnixMs
+	if a.StartedUnixMs == 0 {
+		return a.Instance == last.Instance && last.StartedUnixMs > 0
+	}
+	return a.StartedUnixMs < last.StartedUnixMs
 }
 
 // recordDeparture remembers an instance as departed. An instance without a
