A request whose body stops is answered at its route's timeout

Cause, by reading each wait of a request: the body was read until half a second after the deadline. It then got 400, after which no client tries again.

Change: it is read until the deadline, and what is missing then is 408, not run.

--- a/internal/call/body.go
+++ b/internal/call/body.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,7 +61,7 @@
 	}
 	control := http.NewResponseController(w)
 	// A connection without support for deadlines is read without one.
-	_ = control.SetReadDeadline(deadline.Add(deadlineGrace))
+	_ = control.SetReadDeadline(deadline)
 	read, err := readBody(r)
 	if err == nil && read.stream == nil {
 		_ = control.SetReadDeadline(time.Time{})
@@ -68,6 +69,14 @@
 	return read, err
 }
 
+// bodyErrorStatus returns the status for a request whose body could not be read.
+func bodyErrorStatus(err error) int {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return http.StatusRequestTimeout
+	}
+	return http.StatusBadRequest
+}
+
 // resendable reports whether the body can still be sent from its start.
 func (b *body) resendable() bool { return b.stream == nil || !b.started.Load() }
 
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -57,7 +57,7 @@
 	}
 	body, err := readBodyByDeadline(w, r, deadline)
 	if err != nil {
-		s.rejectCaller(w, in.ID, s.fail(NotRun, StepRequest, http.StatusBadRequest, err), writeErr)
+		s.rejectCaller(w, in.ID, s.fail(NotRun, StepRequest, bodyErrorStatus(err), err), writeErr)
 		return
 	}
 	if s.inflight.isShuttingDown() {
--- a/internal/call/peer.go
+++ b/internal/call/peer.go
@@ -98,7 +98,7 @@
 	q.deadline = s.now().Add(remaining)
 	q.body, err = readBodyByDeadline(w, r, q.deadline)
 	if err != nil {
-		return nil, s.fail(NotRun, StepRequest, http.StatusBadRequest, err)
+		return nil, s.fail(NotRun, StepRequest, bodyErrorStatus(err), err)
 	}
 	return q, nil
 }
