Requests of other daemons outlast the abort of a stop's own callers

Cause: one time for the abort of all calls, though the callers of other daemons saw no stop of this one.

Change: at five sixths of the stop timeout only calls of callers are aborted; requests of other daemons go on until 0.3 s before its end, and the daemon says that it has left after them.

TestRequestOfAnotherDaemonOutlastsAbortOfCallers fails with both aborts together.

--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -72,7 +72,7 @@
 	}
 	c := s.newOutboundCall(r, in, deadline, body)
 	defer setConnDeadlines(w, deadline, body)()
-	ctx, cancel := s.inflight.callContext(r.Context(), deadline)
+	ctx, cancel := s.inflight.callContext(r.Context(), s.inflight.callers, deadline)
 	defer cancel()
 	s.respondToCaller(ctx, w, c, writeErr)
 }
--- a/internal/call/inflight.go
+++ b/internal/call/inflight.go
@@ -22,23 +22,32 @@
 	idle         chan struct{}
 	// shutdownEnd is when the shutdown ends at the latest, zero if it has no limit.
 	shutdownEnd time.Time
-	// aborted ends when the calls in progress are aborted.
+	// callers and peers are the requests in progress by where they came from.
+	callers, peers abortable
+}
+
+// abortable are requests in progress that are aborted together.
+type abortable struct {
+	// aborted ends when they are.
 	aborted context.Context
 	abort   context.CancelFunc
 }
 
+func newAbortable() abortable {
+	ctx, cancel := context.WithCancel(context.Background())
+	return abortable{aborted: ctx, abort: cancel}
+}
+
 func newInflight() *inflight {
-	f := &inflight{idle: make(chan struct{})}
-	f.aborted, f.abort = context.WithCancel(context.Background())
-	return f
+	return &inflight{idle: make(chan struct{}), callers: newAbortable(), peers: newAbortable()}
 }
 
-// callContext returns the context of a call, which ends at its deadline or, with
-// the cause errStopTimeout, when the calls in progress are aborted.
-func (f *inflight) callContext(parent context.Context, deadline time.Time) (ctx context.Context, cancel func()) {
+// callContext returns the context of a request, which ends at its deadline or, with
+// the cause errStopTimeout, when the requests of its origin are aborted.
+func (f *inflight) callContext(parent context.Context, origin abortable, deadline time.Time) (ctx context.Context, cancel func()) {
 	ctx, cancelCause := context.WithCancelCause(parent)
 	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
-	stop := context.AfterFunc(f.aborted, func() { cancelCause(f.stopError(phaseAbort, errStopTimeout)) })
+	stop := context.AfterFunc(origin.aborted, func() { cancelCause(f.stopError(phaseAbort, errStopTimeout)) })
 	return ctx, func() {
 		stop()
 		cancelDeadline()
--- a/internal/call/keyed.go
+++ b/internal/call/keyed.go
@@ -34,7 +34,7 @@
 		s.counters.replayed.Inc()
 		return replayResponse(stored), nil
 	}
-	ctx, cancel := s.inflight.callContext(context.WithoutCancel(ctx), q.deadline)
+	ctx, cancel := s.inflight.callContext(context.WithoutCancel(ctx), s.inflight.peers, q.deadline)
 	defer cancel()
 	result, failure, mayHaveSent := s.runOnTarget(ctx, q, self)
 	if !mayHaveSent {
--- a/internal/call/peer.go
+++ b/internal/call/peer.go
@@ -24,7 +24,7 @@
 		return
 	}
 	defer setConnDeadlines(w, q.deadline, q.body)()
-	ctx, cancel := s.inflight.callContext(r.Context(), q.deadline)
+	ctx, cancel := s.inflight.callContext(r.Context(), s.inflight.peers, q.deadline)
 	defer cancel()
 	result, failure := s.serveTarget(ctx, q)
 	if failure != nil {
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -214,13 +214,21 @@
 	return nil
 }
 
-// Abort ends the calls in progress with an error and returns once their responses
-// have been written. The error says how many were in progress when ctx ended.
+// Abort ends the calls in progress with an error, and with them the requests of other
+// daemons, and returns once the responses have been written. The error says how many were
+// in progress when ctx ended.
 func (s *Server) Abort(ctx context.Context) error {
+	s.inflight.peers.abort()
+	return s.AbortCallers(ctx)
+}
+
+// AbortCallers is Abort for the calls of callers alone. Requests of other daemons go on:
+// their callers are not told to expect an end by the stop of this daemon.
+func (s *Server) AbortCallers(ctx context.Context) error {
 	count := s.inflight.inProgress()
 	s.log.WithField("in_progress", count).Warn("calls in progress are aborted")
 	s.counters.aborted.Add(count)
-	s.inflight.abort()
+	s.inflight.callers.abort()
 	return s.inflight.shutdown(ctx)
 }
 
--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/call"
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/settings"
 	"github.com/mulberrybank/mulberrybank/internal/standin/target"
 )
 
@@ -208,3 +209,25 @@
 	assert.Equal(t, response.Header.Get(call.HeaderOutcome), string(call.NotRun))
 	assert.Equal(t, len(n.target.Runs()), 0)
 }
+
+// Guards against: a stop broke off runs for other daemons that would have ended within its
+// time, and the daemon of the caller answered 502 (review case 3, LOST).
+func TestRequestOfAnotherDaemonOutlastsAbortOfCallers(t *testing.T) {
+	m := newMesh(t, 2, config(oneSlot), nil)
+	stopping, from := m.nodes[0], m.nodes[1]
+	from.routeOnlyTo(stopping)
+	stopping.setBehaviour(target.Behaviour{Delay: settings.Duration(300 * time.Millisecond)})
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	results := make(chan result, 1)
+	tasks.Go(func() {
+		got, err := from.do(t, t.Context(), http.MethodGet, lookups, nil)
+		assert.Check(t, err)
+		results <- got
+	})
+	eventually(t, "the call runs", func() bool { return len(stopping.target.Runs()) == 1 })
+	stopping.server.Drain()
+	assert.ErrorContains(t, stopping.server.Shutdown(expired(t)), "1 calls in progress")
+	assert.NilError(t, stopping.server.AbortCallers(t.Context()))
+	assert.Equal(t, (<-results).status, http.StatusOK)
+}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -29,6 +29,11 @@
 	maxAbortTimeout = 200 * time.Millisecond
 	// maxFinishLeaveTimeout limits how long a daemon announces that it has stopped.
 	maxFinishLeaveTimeout = 400 * time.Millisecond
+	// peerAbortLead is how long before the end of the stop timeout the requests of
+	// other daemons are aborted; their responses and the last announcement get
+	// peerAbortTimeout of that.
+	peerAbortLead    = 300 * time.Millisecond
+	peerAbortTimeout = 100 * time.Millisecond
 )
 
 // stopSchedule holds the times at which the phases of a graceful stop begin. A
@@ -38,8 +43,11 @@
 	drain time.Time
 	// refuse is when new calls of callers are refused.
 	refuse time.Time
-	// finish is when the calls that are still in progress are aborted.
+	// finish is when the calls of callers that are still in progress are aborted.
 	finish time.Time
+	// abortPeers is when the requests of other daemons are aborted. Other daemons may
+	// still have time to wait for them.
+	abortPeers time.Time
 	// abortTimeout and finishLeaveTimeout limit what happens after finish.
 	abortTimeout, finishLeaveTimeout time.Duration
 }
@@ -55,6 +63,7 @@
 		refuse: start.Add(linger),
 		finish: start.Add(finish),
 
+		abortPeers:         start.Add(max(finish, timeout-peerAbortLead)),
 		abortTimeout:       min(maxAbortTimeout, exit*2/5),
 		finishLeaveTimeout: min(maxFinishLeaveTimeout, exit*2/5),
 	}
@@ -79,9 +88,16 @@
 	wait.For(ctx, time.Until(schedule.refuse))
 	err := d.calls.Shutdown(ctx)
 	announcement.Wait()
-	var end conc.WaitGroup
 	if err != nil {
 		d.log.WithError(err).Warn("stop timeout")
+	}
+	if err != nil && schedule.abortPeers.After(schedule.finish) {
+		err = d.finishPeerRequests(schedule.abortPeers)
+		schedule.abortTimeout = min(schedule.abortTimeout, peerAbortTimeout)
+		schedule.finishLeaveTimeout = min(schedule.finishLeaveTimeout, peerAbortTimeout)
+	}
+	var end conc.WaitGroup
+	if err != nil {
 		end.Go(func() { d.abortCalls(schedule.abortTimeout) })
 	}
 	end.Go(func() { d.finishLeave(schedule.finishLeaveTimeout) })
@@ -98,6 +114,14 @@
 	}
 }
 
+// finishPeerRequests ends the calls of callers, so that each still gets a response, and
+// waits until a time for the requests of other daemons. The error says how many are left.
+func (d *Daemon) finishPeerRequests(until time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	return d.calls.AbortCallers(ctx)
+}
+
 // abortCalls ends the calls in progress, so that each caller still gets a response.
 func (d *Daemon) abortCalls(timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -40,3 +40,18 @@
 		assert.Assert(t, latestExit.Before(start.Add(timeout)), "timeout %s", timeout)
 	}
 }
+
+// The requests of other daemons are aborted late, but in time for their responses, the last
+// announcement and the end of the connections.
+func TestRequestsOfOtherDaemonsGetMostOfTheStopTimeout(t *testing.T) {
+	start := time.Now()
+	for _, timeout := range []time.Duration{1200 * time.Millisecond, 3 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
+		schedule := newStopSchedule(start, 2700*time.Millisecond, timeout)
+		if !schedule.abortPeers.After(schedule.finish) {
+			assert.Equal(t, schedule.abortPeers, schedule.finish)
+			continue
+		}
+		assert.Equal(t, schedule.abortPeers, start.Add(timeout-peerAbortLead))
+		assert.Assert(t, schedule.abortPeers.Add(peerAbortTimeout+closeTimeout).Before(start.Add(timeout)), "timeout %s", timeout)
+	}
+}
