--- a/internal/membership/history_log.go
+++ b/internal/membership/history_log.go
@@ -24,8 +24,9 @@
 	// pause after a failed call.
 	historyRetryInterval    = 100 * time.Millisecond
 	maxHistoryRetryInterval = 2 * time.Second
-	// logAckTimeout is how long an acknowledgement waits for the log alone, and historyAckTimeout how long for the log or peers. The target takes
-	// an answer after a second for none.
+	// logAckTimeout is how long an acknowledgement waits for the log alone, and
+	// historyAckTimeout how long for the log or peers. The target takes an answer
+	// after a second for none.
 	logAckTimeout     = 400 * time.Millisecond
 	historyAckTimeout = 800 * time.Millisecond
 	// minHistoryHolders is the number of peers that have to hold the history while
@@ -98,7 +99,7 @@
 }
 
 // historyHolders returns the number of connected neighbours that have acknowledged
-// the entry of this host with its history.
+// the entry of this host with its history. The caller holds the mutex.
 func (m *Membership) historyHolders() int {
 	holders := 0
 	for _, n := range m.neighbours {
@@ -132,7 +133,8 @@
 }
 
 // runHistoryLog is the task that reads from the log what a predecessor on this host
-// acknowledged, and keeps the history of this host's target in the log. It repeats what fails for as long as the process runs.
+// acknowledged, and keeps the history of this host's target in the log. It repeats what
+// fails for as long as the process runs.
 func (m *Membership) runHistoryLog(ctx context.Context) {
 	if m.options.HostLog == nil {
 		return
