Test of given-up attempts waits for what is sent, not for a time

Cause, in the test: its callers left after 50 ms, and under load some had sent nothing by then, so fewer attempts came. It now cancels once all 40 have been written.

--- a/internal/call/gone_callers_test.go
+++ b/internal/call/gone_callers_test.go
@@ -6,9 +6,9 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
@@ -79,24 +79,43 @@
 	})
 }
 
+// firstWriteConn counts the connections that have been written to.
+type firstWriteConn struct {
+	net.Conn
+	once    sync.Once
+	written *atomic.Int64
+}
+
+func (c *firstWriteConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.once.Do(func() { c.written.Add(1) })
+	return n, err
+}
+
 // Guards against: the same at the daemon of the target, when the daemon of the caller
 // has given the attempt up.
 func TestAttemptOfGoneDaemonIsNotSentOn(t *testing.T) {
 	const attempts = 40
 	forProcessors(t, func(t *testing.T) {
-		m := newMesh(t, 2, config(nil), withoutSampling)
+		var written atomic.Int64
+		m := newMesh(t, 2, config(nil), func(_ int, o *call.Options) {
+			o.DialPeers = func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return &firstWriteConn{Conn: conn, written: &written}, err
+			}
+		})
 		from, to := m.nodes[0], m.nodes[1]
 		listener, serve := stalledListener(t)
 		to.member.CallsAddress = listener.Addr().String()
 		from.routeOnlyTo(to)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
 		var calls conc.WaitGroup
 		for range attempts {
-			calls.Go(func() {
-				ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-				defer cancel()
-				_, _ = from.do(t, ctx, http.MethodGet, lookups, nil)
-			})
+			calls.Go(func() { _, _ = from.do(t, ctx, http.MethodGet, lookups, nil) })
 		}
+		eventually(t, "all attempts are sent", func() bool { return written.Load() == attempts })
+		cancel()
 		calls.Wait()
 		eventually(t, "all calls have ended", func() bool { return from.server.InProgress() == 0 })
 		var served atomic.Int64
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -222,8 +222,8 @@
 	return s.AbortCallers(ctx)
 }
 
-// AbortCallers is Abort for the calls of callers alone. Requests of other daemons go on:
-// their callers are not told to expect an end by the stop of this daemon.
+// AbortCallers is Abort for the calls of callers alone. Requests of other daemons go on,
+// since their callers know nothing of the stop of this daemon.
 func (s *Server) AbortCallers(ctx context.Context) error {
 	count := s.inflight.inProgress()
 	s.log.WithField("in_progress", count).Warn("calls in progress are aborted")
