--- a/cmd/mulberrybank/platform_test.go
+++ b/cmd/mulberrybank/platform_test.go
@@ -328,6 +328,10 @@
 			got, err := f.send(h, http.MethodGet, "/lookup/ledger/1", "")
 			return err == nil && got.status == http.StatusOK
 		})
+		f.await("the service huts is reachable from "+h.name, func() bool {
+			got, err := f.send(h, http.MethodGet, "/lookup/1", "")
+			return err == nil && got.status == http.StatusOK
+		})
 	}
 	f.store.SetFaultFunc(func(string, string) metastore.Fault { return metastore.Fault{Status: http.StatusServiceUnavailable} })
 	f.mustSend(first, http.MethodGet, "/lookup/1", "")
