--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -61,6 +61,9 @@
 	result, failure := s.execute(ctx, c)
 	s.closeIfStopping(w)
 	if failure != nil {
+		if failure.Outcome == NotRun {
+			c.giveBackQuota()
+		}
 		c.trace.failed(failure)
 		s.countFailure(failure)
 		c.request.body.stopReading(w)
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -19,6 +19,8 @@
 	// Key is the idempotency key of a call that runs at most once over several
 	// requests, empty for others.
 	Key string
+	// Client is the workspace of the caller's API key, nil if the call carries none.
+	Client *publish.ClientWorkspace
 	// Timeout is the time that the caller gives, 0 for none. The deadline of the
 	// route is an upper bound.
 	Timeout time.Duration
@@ -70,7 +72,14 @@
 		s.rejectCaller(w, in.ID, s.clientGoneError(), writeErr)
 		return
 	}
+	giveBack, failure := s.admitByQuota(in.Client)
+	if failure != nil {
+		body.stopReading(w)
+		s.rejectCaller(w, in.ID, failure, writeErr)
+		return
+	}
 	c := s.newOutboundCall(r, in, deadline, body)
+	c.giveBackQuota = giveBack
 	defer setConnDeadlines(w, deadline, body)()
 	ctx, cancel := s.inflight.callContext(r.Context(), s.inflight.callers, deadline)
 	defer cancel()
@@ -131,6 +140,16 @@
 	return limit
 }
 
+// payer returns the workspace that the call is accounted to and the call's priority:
+// those of the caller's workspace, else those of the route.
+func (in InboundCall) payer() (workspace string, priority int) {
+	if in.Client != nil {
+		return in.Client.Name, in.Client.Priority
+	}
+	workspace, _, _ = strings.Cut(in.Route.Name, "/")
+	return workspace, in.Route.Priority
+}
+
 // isLate reports whether half of the objective of a call has already passed
 // because its caller retried after refusals.
 func (s *Server) isLate(in InboundCall) bool {
@@ -150,7 +169,7 @@
 // route.
 func (s *Server) newOutboundCall(r *http.Request, in InboundCall, deadline time.Time, body *body) *outboundCall {
 	service := s.splits.Pick(in.Route)
-	workspace, _, _ := strings.Cut(in.Route.Name, "/")
+	workspace, priority := in.payer()
 	c := &outboundCall{
 		route:       in.Route,
 		retriesLeft: min(in.Retries, in.Route.Retries),
@@ -160,7 +179,7 @@
 			key:       in.Key,
 			service:   in.Config.Services[service],
 			workspace: workspace,
-			priority:  in.Route.Priority,
+			priority:  priority,
 			objective: in.Route.Objective,
 			late:      s.isLate(in),
 			config:    in.Config,
@@ -183,6 +202,12 @@
 	return s.fail(NotRun, StepConfiguration, http.StatusServiceUnavailable, errNoConfiguration)
 }
 
+// UnknownKeyError returns the error of calls without an API key that the active
+// configuration contains.
+func (s *Server) UnknownKeyError() *Error {
+	return s.fail(NotRun, StepKey, http.StatusUnauthorized, errUnknownAPIKey)
+}
+
 // NoRouteError returns the error of calls that match no route.
 func (s *Server) NoRouteError(host, path string) *Error {
 	return s.fail(NotRun, StepRoute, http.StatusNotFound, fmt.Errorf("%w: host %q path %q", errNoRoute, host, path))
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -25,6 +25,8 @@
 	// before it reached a target.
 	refusals int
 	trace    *trace
+	// giveBackQuota returns the call to the quota of its workspace if it has not run.
+	giveBackQuota func()
 	// failedHosts holds the hosts on which an attempt failed.
 	failedHosts map[string]bool
 	// mayHaveRun is set when a failed attempt may have run on a target.
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -54,7 +54,9 @@
 	// instance leaves; nil for nothing to do.
 	OnTargetLeaving func(instance string)
 	// Keys is nil if calls with idempotency keys are not supported.
-	Keys   IdempotencyKeys
+	Keys IdempotencyKeys
+	// Quota is nil if client workspaces have no quotas.
+	Quota  QuotaLimiter
 	Router *route.Router
 	Events timeline.Recorder
 	// Clock is the hybrid logical clock that stamps events and is sent along with
@@ -97,6 +99,7 @@
 	splits          *route.Splits
 	elapsed         *elapsedEstimator
 	keys            IdempotencyKeys
+	quota           QuotaLimiter
 	router          *route.Router
 	budgets         *route.Budgets
 	events          timeline.Recorder
@@ -129,6 +132,7 @@
 		splits:          route.NewSplits(),
 		elapsed:         newElapsedEstimator(),
 		keys:            options.Keys,
+		quota:           options.Quota,
 		router:          options.Router,
 		budgets:         route.NewBudgets(options.RetrySlack, options.RetryRatio, options.Directory),
 		events:          options.Events,
--- a/internal/call/steps.go
+++ b/internal/call/steps.go
@@ -14,11 +14,14 @@
 	StepRequest = "request"
 	// StepRoute means that no route matches.
 	StepRoute = "route"
+	// StepQuota means that the quota of the caller's workspace is exhausted.
+	StepQuota = "quota"
 	// StepPick means that no target is available.
 	StepPick = "pick"
 	// StepHome means that the home of a key is unknown or unreachable.
 	StepHome = "home"
-	// StepKey means that the home refuses the key.
+	// StepKey means that the home refuses the idempotency key, or that the API key is
+	// unknown.
 	StepKey = "key"
 	// StepHost means that the request is meant for another host, whose address
 	// this one has taken over.
@@ -59,6 +62,8 @@
 	errNoConfiguration    = errors.New("no configuration is in force")
 	errNoRoute            = errors.New("no such route")
 	errNoID               = errors.New("request has no id")
+	errUnknownAPIKey      = errors.New("no workspace has the API key of the call")
+	errOverQuota          = errors.New("quota of the workspace is exhausted")
 	errKeyRequired        = errors.New("route requires an idempotency key")
 	errKeysNotServed      = errors.New("calls with idempotency keys are not supported by this daemon")
 	errHomeUnknown        = errors.New("address of the key's home is unknown")
--- a/internal/publish/configuration.go
+++ b/internal/publish/configuration.go
@@ -46,6 +46,9 @@
 	Tokens []Token
 	// Limits restrict what callers may send, nil for the defaults.
 	Limits *Limits
+	// Clients are the workspaces whose callers present an API key, nil if calls need
+	// none.
+	Clients *ClientWorkspaces
 }
 
 // Limits restrict what callers of a workspace with a full configuration may send.
@@ -101,6 +104,8 @@
 	// Objective is the latency within which a response has its full value, 0 for no
 	// objective.
 	Objective time.Duration
+	// Public routes take calls without an API key.
+	Public bool
 	// Priority is the priority of the route's calls under overload, 0 the highest.
 	Priority int
 	// Deadline applies to calls that carry no deadline.
