--- a/internal/publish/change.go
+++ b/internal/publish/change.go
@@ -16,14 +16,14 @@
 // applied.
 var ErrBaseMismatch = errors.New("the change has another base edition")
 
-// namedMessage is a service or route of a full configuration.
+// namedMessage is a service, route or client workspace of a full configuration.
 type namedMessage interface {
 	proto.Message
 	GetName() string
 }
 
-// canonical returns a full configuration with its services and routes sorted by
-// name, so that equal configurations are equal messages.
+// canonical returns a full configuration with its services, routes and client
+// workspaces sorted by name, so that equal configurations are equal messages.
 func canonical(full *Whole) *Whole {
 	sorted := &Whole{
 		Workspace: full.GetWorkspace(),
@@ -31,6 +31,7 @@
 		Services:  slices.Clone(full.GetServices()),
 		Routes:    slices.Clone(full.GetRoutes()),
 		Limits:    full.GetLimits(),
+		Clients:   canonicalClients(full.GetClients()),
 	}
 	sortByName(sorted.Services)
 	sortByName(sorted.Routes)
@@ -42,13 +43,18 @@
 }
 
 // changeBetween returns the difference between two canonical full
-// configurations, nil when either has two services or routes of one name.
+// configurations, nil when either has two services, routes or client workspaces of one
+// name.
 func changeBetween(base, next *Whole) *WholeChange {
-	setServices, removeServices, ok := diffByName(base.GetServices(), next.GetServices())
+	setServices, removeServices, ok := diffByName(base.GetServices(), next.GetServices(), equalMessages)
 	if !ok {
 		return nil
 	}
-	setRoutes, removeRoutes, ok := diffByName(base.GetRoutes(), next.GetRoutes())
+	setRoutes, removeRoutes, ok := diffByName(base.GetRoutes(), next.GetRoutes(), equalMessages)
+	if !ok {
+		return nil
+	}
+	setClients, removeClients, ok := diffByName(base.GetClients(), next.GetClients(), equalClient)
 	if !ok {
 		return nil
 	}
@@ -61,13 +67,15 @@
 		SetRoutes:      setRoutes,
 		RemoveRoutes:   removeRoutes,
 		Limits:         next.GetLimits(),
+		SetClients:     setClients,
+		RemoveClients:  removeClients,
 	}
 }
 
 // diffByName returns the items to set and the names to remove that turn base into
 // next, which must both be sorted by name. It reports false when a name occurs
 // twice.
-func diffByName[T namedMessage](base, next []T) (set []T, remove []string, ok bool) {
+func diffByName[T namedMessage](base, next []T, equal func(a, b T) bool) (set []T, remove []string, ok bool) {
 	for i, j := 0, 0; i < len(base) || j < len(next); {
 		if isDuplicateName(base, i) || isDuplicateName(next, j) {
 			return nil, nil, false
@@ -80,7 +88,7 @@
 			set = append(set, next[j])
 			j++
 		default:
-			if !proto.Equal(base[i], next[j]) {
+			if !equal(base[i], next[j]) {
 				set = append(set, next[j])
 			}
 			i++
@@ -90,6 +98,8 @@
 	return set, remove, true
 }
 
+func equalMessages[T proto.Message](a, b T) bool { return proto.Equal(a, b) }
+
 // isDuplicateName reports whether an item has the same name as its predecessor.
 func isDuplicateName[T namedMessage](items []T, i int) bool {
 	return i > 0 && i < len(items) && items[i].GetName() == items[i-1].GetName()
@@ -108,17 +118,23 @@
 	}
 }
 
-// apply returns the full configuration that results from a change to its base.
-func (c *WholeChange) apply(base *Whole) (*Whole, error) {
+// apply returns the full configuration that results from a change, of a record with a
+// schema number, to its base. A change that a binary without client workspaces made lacks
+// what changed in those, so it does not apply to a base that has them.
+func (c *WholeChange) apply(schema uint32, base *Whole) (*Whole, error) {
 	if base == nil || base.GetEdition() != c.GetBase() {
 		return nil, fmt.Errorf("%w: base is %d, current edition is %d", ErrBaseMismatch, c.GetBase(), base.GetEdition())
 	}
+	if schema < schemaOfFullConfig(base) {
+		return nil, fmt.Errorf("%w: the change has schema %d, its base has client workspaces or public routes", ErrBaseMismatch, schema)
+	}
 	return &Whole{
 		Workspace: c.GetWorkspace(),
 		Edition:   c.GetEdition(),
 		Services:  applyChanges(base.GetServices(), c.GetSetServices(), c.GetRemoveServices()),
 		Routes:    applyChanges(base.GetRoutes(), c.GetSetRoutes(), c.GetRemoveRoutes()),
 		Limits:    c.GetLimits(),
+		Clients:   applyChanges(base.GetClients(), c.GetSetClients(), c.GetRemoveClients()),
 	}, nil
 }
 
@@ -151,7 +167,7 @@
 	if record.Offset != m.offset || m.change == nil {
 		return record
 	}
-	payload, err := encodeEntry(&Entry{Schema: Schema, Kind: &Entry_WholeChange{WholeChange: m.change}})
+	payload, err := encodeEntry(&Entry{Schema: m.changeSchema, Kind: &Entry_WholeChange{WholeChange: m.change}})
 	if err != nil || len(payload) >= len(record.Payload) {
 		return record
 	}
--- a/internal/publish/client_workspaces.go
+++ b/internal/publish/client_workspaces.go
@@ -1,12 +1,21 @@
 package publish
 
-import "crypto/sha256"
+import (
+	"bytes"
+	"crypto/sha256"
+	"math"
+	"slices"
+	"unsafe"
+)
 
 // KeyHash is the SHA-256 hash of an API key. Keys themselves are never stored.
 type KeyHash [sha256.Size]byte
 
 // HashKey returns the hash of an API key.
-func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+func HashKey(key string) KeyHash {
+	// The bytes are only read; a conversion would allocate a copy of a long key.
+	return sha256.Sum256(unsafe.Slice(unsafe.StringData(key), len(key)))
+}
 
 // ClientWorkspace is a workspace whose callers present an API key.
 type ClientWorkspace struct {
@@ -32,3 +41,171 @@
 
 // Named returns the client workspace with a name, nil if there is none.
 func (c *ClientWorkspaces) Named(name string) *ClientWorkspace { return c.byName[name] }
+
+// ClientsOrNil returns the client workspaces, nil also for a workspace that does not
+// exist.
+func (w *Workspace) ClientsOrNil() *ClientWorkspaces {
+	if w == nil {
+		return nil
+	}
+	return w.Clients
+}
+
+// renderClients converts the client workspaces of a full configuration. It returns
+// those of the previous one if they are equal, so that a configuration that changes
+// nothing but routes does not build the index again.
+func renderClients(wire, previousWire []*WholeClient, previous *ClientWorkspaces) *ClientWorkspaces {
+	if len(wire) == 0 {
+		return nil
+	}
+	if previous != nil && equalClients(wire, previousWire) {
+		return previous
+	}
+	keys := 0
+	for _, client := range wire {
+		keys += len(client.GetKeyHashes())
+	}
+	rendered := &ClientWorkspaces{
+		byKey:  make(map[KeyHash]*ClientWorkspace, keys),
+		byName: make(map[string]*ClientWorkspace, len(wire)),
+	}
+	for _, client := range wire {
+		workspace := &ClientWorkspace{
+			Name:     client.GetName(),
+			Priority: int(client.GetPriority()),
+			Rate:     client.GetRate(),
+			Burst:    client.GetBurst(),
+		}
+		rendered.byName[workspace.Name] = workspace
+		for _, hash := range client.GetKeyHashes() {
+			rendered.byKey[KeyHash(hash)] = workspace
+		}
+	}
+	return rendered
+}
+
+func equalClients(a, b []*WholeClient) bool { return slices.EqualFunc(a, b, equalClient) }
+
+// equalClient is proto.Equal for client workspaces, without reflection: it runs for each
+// client workspace at each new configuration.
+func equalClient(a, b *WholeClient) bool {
+	return a.GetName() == b.GetName() && a.GetPriority() == b.GetPriority() &&
+		a.GetRate() == b.GetRate() && a.GetBurst() == b.GetBurst() &&
+		slices.EqualFunc(a.GetKeyHashes(), b.GetKeyHashes(), bytes.Equal)
+}
+
+// canonicalClients returns the client workspaces sorted by name, each with its hashes
+// sorted and without repetitions.
+func canonicalClients(clients []*WholeClient) []*WholeClient {
+	if len(clients) == 0 {
+		return nil
+	}
+	sorted := make([]*WholeClient, len(clients))
+	for i, client := range clients {
+		if hasSortedHashes(client) {
+			sorted[i] = client
+			continue
+		}
+		hashes := slices.Clone(client.GetKeyHashes())
+		slices.SortFunc(hashes, bytes.Compare)
+		sorted[i] = &WholeClient{
+			Name:      client.GetName(),
+			KeyHashes: slices.CompactFunc(hashes, bytes.Equal),
+			Priority:  client.GetPriority(),
+			Rate:      client.GetRate(),
+			Burst:     client.GetBurst(),
+		}
+	}
+	sortByName(sorted)
+	return sorted
+}
+
+// hasSortedHashes reports whether the hashes of a client workspace are sorted and
+// without repetitions.
+func hasSortedHashes(client *WholeClient) bool {
+	hashes := client.GetKeyHashes()
+	for i := 1; i < len(hashes); i++ {
+		if bytes.Compare(hashes[i-1], hashes[i]) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// emptyKeyHash is the hash of a key without characters, which no caller may present.
+var emptyKeyHash = HashKey("")
+
+// checkClients checks the client workspaces of a full configuration. The problems name
+// workspaces, never a key or its hash.
+func checkClients(clients []*WholeClient) []Problem {
+	var found problems
+	holders := make(map[KeyHash]string)
+	names := make(map[string]bool, len(clients))
+	for _, client := range clients {
+		name := client.GetName()
+		place := "client workspace " + truncate(name, MaxNameBytes)
+		if !validClientName(name) {
+			found.add(place, "name is empty, longer than %d bytes or not valid in a header", MaxNameBytes)
+		}
+		if names[name] {
+			found.add(place, "is defined twice")
+		}
+		names[name] = true
+		checkRange(&found, place, "priority", client.GetPriority(), 0, MaxPriority)
+		checkRange(&found, place, "rate", client.GetRate(), 0, math.MaxFloat64)
+		checkRange(&found, place, "burst", client.GetBurst(), 0, math.MaxFloat64)
+		checkKeyHashes(&found, place, client, holders)
+	}
+	return found
+}
+
+// checkKeyHashes checks the key hashes of one client workspace and adds them to holders,
+// the names of the workspaces by hash.
+func checkKeyHashes(found *problems, place string, client *WholeClient, holders map[KeyHash]string) {
+	for _, wire := range client.GetKeyHashes() {
+		if len(wire) != len(KeyHash{}) {
+			found.add(place, "a key hash has %d bytes, want %d", len(wire), len(KeyHash{}))
+			continue
+		}
+		hash := KeyHash(wire)
+		if hash == emptyKeyHash {
+			found.add(place, "has an empty key")
+			continue
+		}
+		if holder, taken := holders[hash]; taken && holder != client.GetName() {
+			found.add(place, "has a key that client workspace %s has too", truncate(holder, MaxNameBytes))
+		}
+		holders[hash] = client.GetName()
+	}
+}
+
+// validClientName reports whether a name can be the value of a header: it has no control
+// characters and no space at its ends.
+func validClientName(name string) bool {
+	if name == "" || len(name) > MaxNameBytes || name[0] == ' ' || name[len(name)-1] == ' ' {
+		return false
+	}
+	for i := range len(name) {
+		if name[i] < ' ' || name[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// schemaOfFullConfig returns the schema number of records that hold a full
+// configuration. A binary that knows only schema 1 would drop the API keys and serve
+// every caller, so it must stop at such a record.
+func schemaOfFullConfig(full *Whole) uint32 {
+	isPublic := func(route *WholeRoute) bool { return route.GetPublic() }
+	if len(full.GetClients()) > 0 || slices.ContainsFunc(full.GetRoutes(), isPublic) {
+		return clientsSchema
+	}
+	return baseSchema
+}
+
+// schemaOfChange returns the schema number of a difference between two full
+// configurations.
+func schemaOfChange(base, next *Whole) uint32 {
+	return max(schemaOfFullConfig(base), schemaOfFullConfig(next))
+}
--- a/internal/publish/configuration.go
+++ b/internal/publish/configuration.go
@@ -14,7 +14,16 @@
 // Schema is the newest Entry schema number that this binary supports. Every
 // change that may alter a verdict needs a new number, including changes in
 // libraries that render or decode.
-const Schema = 1
+const Schema = 2
+
+const (
+	// baseSchema is the schema number of entries that a binary without client
+	// workspaces applies correctly.
+	baseSchema = 1
+	// clientsSchema is the schema number of entries that depend on client workspaces or
+	// public routes.
+	clientsSchema = 2
+)
 
 // Version is the log offset of the publication that a configuration results from.
 type Version uint64
--- a/internal/publish/encoding.go
+++ b/internal/publish/encoding.go
@@ -13,12 +13,12 @@
 
 // EncodePublication encodes a record payload with a publication.
 func EncodePublication(publication *Publication) ([]byte, error) {
-	return encodeEntry(&Entry{Schema: Schema, Kind: &Entry_Publication{Publication: publication}})
+	return encodeEntry(&Entry{Schema: baseSchema, Kind: &Entry_Publication{Publication: publication}})
 }
 
 // EncodeGrant encodes a record payload with a grant.
 func EncodeGrant(grant *once.Grant) ([]byte, error) {
-	return encodeEntry(&Entry{Schema: Schema, Kind: &Entry_Grant{Grant: grant}})
+	return encodeEntry(&Entry{Schema: baseSchema, Kind: &Entry_Grant{Grant: grant}})
 }
 
 func encodeEntry(entry *Entry) ([]byte, error) {
@@ -26,15 +26,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(payload) > MaxEntryBytes {
-		return nil, entryTooLarge(len(payload))
+	if limit := entryLimit(entry); len(payload) > limit {
+		return nil, entryTooLarge(len(payload), limit)
 	}
 	return payload, nil
 }
 
 func decodeEntry(payload []byte) (*Entry, error) {
-	if len(payload) > MaxEntryBytes {
-		return nil, entryTooLarge(len(payload))
+	if len(payload) > MaxClientEntryBytes {
+		return nil, entryTooLarge(len(payload), MaxClientEntryBytes)
 	}
 	entry := &Entry{}
 	if err := proto.Unmarshal(payload, entry); err != nil {
@@ -42,9 +42,20 @@
 		// every daemon.
 		return nil, errors.New("does not decode as an entry")
 	}
+	if limit := entryLimit(entry); len(payload) > limit {
+		return nil, entryTooLarge(len(payload), limit)
+	}
 	return entry, nil
 }
 
+// entryLimit returns the largest size of the payload with an entry, in bytes.
+func entryLimit(entry *Entry) int {
+	if entry.GetSchema() >= clientsSchema {
+		return MaxClientEntryBytes
+	}
+	return MaxEntryBytes
+}
+
 func sourceToWire(source *Source, version Version, author string) *WorkspaceSource {
 	return &WorkspaceSource{
 		Name:       source.Name,
--- a/internal/publish/full_config.go
+++ b/internal/publish/full_config.go
@@ -26,12 +26,12 @@
 
 // EncodeFullConfig encodes a record payload with a full configuration.
 func EncodeFullConfig(full *Whole) ([]byte, error) {
-	return encodeEntry(&Entry{Schema: Schema, Kind: &Entry_Whole{Whole: full}})
+	return encodeEntry(&Entry{Schema: schemaOfFullConfig(full), Kind: &Entry_Whole{Whole: full}})
 }
 
 // EncodeNoOp encodes a record payload that changes nothing.
 func EncodeNoOp() ([]byte, error) {
-	return encodeEntry(&Entry{Schema: Schema, Kind: &Entry_Skip{Skip: &Skip{}}})
+	return encodeEntry(&Entry{Schema: baseSchema, Kind: &Entry_Skip{Skip: &Skip{}}})
 }
 
 // IsSelfContained reports whether a record holds a full configuration, which can
@@ -52,6 +52,7 @@
 	m.advanceTo(offset)
 	if verdict.Outcome == Accepted && before != nil {
 		m.change = changeBetween(before, full)
+		m.changeSchema = schemaOfChange(before, full)
 	}
 	return &verdict
 }
@@ -63,15 +64,28 @@
 		ID:        fmt.Sprintf("%s/%d", truncate(full.GetWorkspace(), MaxNameBytes), full.GetEdition()),
 		Workspace: truncate(full.GetWorkspace(), MaxNameBytes),
 	}
-	if found := checkFullConfig(full); len(found) > 0 {
+	current := m.workspaces[full.GetWorkspace()]
+	found := checkFullConfig(full)
+	if !equalClients(full.GetClients(), current.full.GetClients()) {
+		found = append(found, checkClients(full.GetClients())...)
+	}
+	if len(found) > 0 {
 		return refuse(verdict, found...)
 	}
-	current := m.workspaces[full.GetWorkspace()]
 	if current.full != nil && full.GetEdition() <= current.full.GetEdition() {
 		reason := fmt.Sprintf("%d is not above %d", full.GetEdition(), current.full.GetEdition())
 		return refuse(verdict, Problem{Place: "edition", Reason: reason})
 	}
 	workspace := renderFullConfig(full)
+	var previous *ClientWorkspaces
+	if rendered := m.config.Workspaces[workspace.Name]; rendered != nil && current.full != nil {
+		previous = rendered.Clients
+	}
+	workspace.Clients = renderClients(full.GetClients(), current.full.GetClients(), previous)
+	if previous != nil && workspace.Clients == previous {
+		// The hashes of the new record would be a second copy.
+		full.Clients = current.full.GetClients()
+	}
 	next := withWorkspace(m.config, workspace)
 	if dangling := checkReferences(next); len(dangling) > 0 {
 		return refuse(verdict, dangling...)
@@ -92,7 +106,8 @@
 	return workspaceState{full: full, version: version, digest: digestMessage(wire)}
 }
 
-// checkFullConfig checks the fields that rendering a full configuration needs.
+// checkFullConfig checks the fields that rendering a full configuration needs, without
+// those of its client workspaces.
 func checkFullConfig(full *Whole) []Problem {
 	var found problems
 	found.checkName("workspace", full.GetWorkspace(), namePattern)
@@ -114,7 +129,8 @@
 	return found
 }
 
-// renderFullConfig converts a full configuration to a workspace.
+// renderFullConfig converts a full configuration to a workspace without its client
+// workspaces.
 func renderFullConfig(full *Whole) *Workspace {
 	workspace := &Workspace{Name: full.GetWorkspace(), Limits: fullConfigLimits(full.GetLimits())}
 	for _, service := range full.GetServices() {
@@ -141,6 +157,7 @@
 		Prefix:      wire.GetPrefix(),
 		Idempotent:  wire.GetIdempotent(),
 		Keyless:     true,
+		Public:      wire.GetPublic(),
 		Deadline:    time.Duration(wire.GetDeadlineUs()) * time.Microsecond,
 		Objective:   time.Duration(wire.GetObjectiveUs()) * time.Microsecond,
 		Priority:    int(wire.GetPriority()),
--- a/internal/publish/limits.go
+++ b/internal/publish/limits.go
@@ -6,6 +6,10 @@
 const (
 	// MaxEntryBytes limits the payload of one record, in bytes.
 	MaxEntryBytes = 1 << 20
+	// MaxClientEntryBytes replaces MaxEntryBytes for entries with client workspaces:
+	// 10,000 workspaces with three keys each and 2,600 routes take 1.7 MB. It stays
+	// below the 4 MiB of the largest message between daemons.
+	MaxClientEntryBytes = 3 << 20
 	// MaxWorkspaces limits the workspaces of one log.
 	MaxWorkspaces = 1000
 	// MaxSourceBytes limits the templates and parameters of a workspace, in bytes.
--- a/internal/publish/snapshot.go
+++ b/internal/publish/snapshot.go
@@ -17,7 +17,7 @@
 // Snapshot encodes the state. Equal states have equal snapshots.
 func (m *StateMachine) Snapshot() ([]byte, error) {
 	snapshot := &Snapshot{
-		Schema:  Schema,
+		Schema:  baseSchema,
 		Offset:  m.offset,
 		Version: uint64(m.config.Version),
 		Digest:  m.Digest(),
@@ -28,6 +28,7 @@
 		if state.full != nil {
 			wire := &WorkspaceSource{Name: name, Version: uint64(state.version), Whole: state.full}
 			snapshot.Workspaces = append(snapshot.Workspaces, wire)
+			snapshot.Schema = max(snapshot.GetSchema(), schemaOfFullConfig(state.full))
 			continue
 		}
 		snapshot.Workspaces = append(snapshot.Workspaces, sourceToWire(state.source, state.version, state.author))
@@ -108,10 +109,11 @@
 }
 
 func (m *StateMachine) restoreFullConfig(full *Whole, version Version) error {
-	if found := checkFullConfig(full); len(found) > 0 {
+	if found := append(checkFullConfig(full), checkClients(full.GetClients())...); len(found) > 0 {
 		return errors.New(found[0].String())
 	}
 	workspace := renderFullConfig(full)
+	workspace.Clients = renderClients(full.GetClients(), nil, nil)
 	workspace.Version = version
 	m.config = withWorkspace(m.config, workspace)
 	m.workspaces[workspace.Name] = fullConfigState(full, version)
--- a/internal/publish/state_machine.go
+++ b/internal/publish/state_machine.go
@@ -48,6 +48,8 @@
 	// configuration of its workspace, nil when the record held none or there
 	// was no previous one.
 	change *WholeChange
+	// changeSchema is the schema number of the record with change.
+	changeSchema uint32
 	// digest caches Digest, nil until it is computed.
 	digest []byte
 }
@@ -105,7 +107,7 @@
 		return m.applyFullConfig(record.Offset, full), nil
 	}
 	if change := entry.GetWholeChange(); change != nil {
-		full, err := change.apply(m.workspaces[change.GetWorkspace()].full)
+		full, err := change.apply(entry.GetSchema(), m.workspaces[change.GetWorkspace()].full)
 		if err != nil {
 			return nil, fmt.Errorf("record %d: %w", record.Offset, err)
 		}
--- a/internal/settings/constraint.go
+++ b/internal/settings/constraint.go
@@ -68,6 +68,8 @@
 		return `an http or https URL without user, query or fragment, such as "http://10.0.0.1:7000"`
 	case "switch":
 		return `"on" or "off"`
+	case "only off":
+		return `"off"; "on" is not built: a daemon without contact to the log goes on with the keys it knows`
 	case "file":
 		return "the name of a file"
 	case "level":
@@ -116,6 +118,8 @@
 		return isBaseURL(text)
 	case "switch":
 		return text == SwitchOn || text == SwitchOff
+	case "only off":
+		return text == SwitchOff
 	case "level":
 		return text != "warn" && isLevel(text)
 	case "access":
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,7 +37,8 @@
 	Pace string `json:"pace" default:"calm" form:"pace"`
 	// Keys is "on" when calls with idempotency keys are served. When it is "off", this
 	// daemon writes no grants.
-	Keys string `json:"keys" default:"on" form:"switch"`
+	Keys    string  `json:"keys" default:"on" form:"switch"`
+	APIKeys APIKeys `json:"api_keys"`
 	// Snapshots is "on" when this daemon may write snapshots to the log.
 	Snapshots string `json:"snapshots" default:"on" form:"switch"`
 	// Memory is the memory limit of the process, 0B for no limit.
@@ -105,6 +106,14 @@
 	Lease Duration `json:"lease" default:"3s" min:"100ms" max:"10m"`
 }
 
+// APIKeys configures how the API keys of callers are checked.
+type APIKeys struct {
+	// StrictRevoke is "on" when a daemon without contact to the log must stop accepting
+	// keys, which might have been revoked. That mode does not exist, so only "off" is
+	// accepted.
+	StrictRevoke string `json:"strict_revoke" default:"off" form:"only off"`
+}
+
 // Retries limits the retries of calls, in addition to the budget of each route.
 type Retries struct {
 	// Slack is how many unused retries of one service all daemons together may
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -117,3 +117,19 @@
 		assert.Assert(t, invalid.Line >= 1 && invalid.Field != "" && invalid.Expected != "")
 	})
 }
+
+// TestStrictRevokeIsRefused guards against a daemon that starts in a mode that does not
+// exist and would go on with revoked keys.
+func TestStrictRevokeIsRefused(t *testing.T) {
+	for value, want := range map[string]bool{SwitchOff: true, SwitchOn: false, "": false, "true": false} {
+		text := strings.Replace(validSettings, `"peers"`, `"api_keys": {"strict_revoke": "`+value+`"}, "peers"`, 1)
+		_, err := Parse("daemon.json", []byte(text))
+		assert.Equal(t, err == nil, want, "%q", value)
+		if !want {
+			assert.ErrorContains(t, err, `daemon.json:9: api_keys.strict_revoke: found "`+value+`", expected "off"; "on" is not built`)
+		}
+	}
+	s, err := Parse("daemon.json", []byte(validSettings))
+	assert.NilError(t, err)
+	assert.Equal(t, s.APIKeys.StrictRevoke, SwitchOff)
+}
