Quota of client workspaces over all daemons

Cause: clients of a workspace reach any daemon, so a limit needs one place that sums. Change: each daemon counts and reports to the home of the workspace, whose ledger grants rates once the quota is exceeded. Off unless quota.window is set.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -16,6 +16,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/quota"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
@@ -42,6 +43,9 @@
 	if err := d.buildDistribution(dialer); err != nil {
 		return err
 	}
+	if err := d.buildQuotas(dialer); err != nil {
+		return err
+	}
 	d.buildCalls(clock, call.DialFunc(options.Dial))
 	d.buildAdmin()
 	d.events.RegisterMetrics(d.metrics)
@@ -97,6 +101,52 @@
 	return d.distributor.Register(d.server.Mux())
 }
 
+// buildQuotas creates the quotas of client workspaces, unless they are off.
+func (d *Daemon) buildQuotas(dialer *peer.Dialer) error {
+	if d.settings.Quota.Window == 0 {
+		return nil
+	}
+	d.quotas = quota.New(quota.Options{
+		Self:      d.identity,
+		Directory: d.members,
+		Dialer:    dialer,
+		Limit:     d.quotaLimit,
+		Bound: quota.Bound{
+			Window:  time.Duration(d.settings.Quota.Window),
+			Overage: d.settings.Quota.Overage,
+			Slack:   d.settings.Quota.Slack,
+		},
+		Logger:  d.logger,
+		Metrics: d.metrics,
+	})
+	return d.quotas.Register(d.server.Mux())
+}
+
+// quotaLimit returns the limit of a client workspace in the configuration in force.
+func (d *Daemon) quotaLimit(workspace string) (quota.Limit, bool) {
+	table := d.enforcer.Table()
+	if table == nil {
+		return quota.Limit{}, false
+	}
+	for _, publisher := range table.Config.Workspaces {
+		if publisher.Clients == nil {
+			continue
+		}
+		if client := publisher.Clients.Named(workspace); client != nil {
+			return quota.Limit{Rate: client.Rate, Burst: client.Burst}, true
+		}
+	}
+	return quota.Limit{}, false
+}
+
+// quotaLimiter returns the limiter for calls, nil when quotas are off.
+func (d *Daemon) quotaLimiter() call.QuotaLimiter {
+	if d.quotas == nil {
+		return nil
+	}
+	return d.quotas
+}
+
 func (d *Daemon) buildCalls(clock *timeline.Clock, dialPeers call.DialFunc) {
 	d.router = route.New(route.Options{
 		Directory: d.members,
@@ -134,6 +184,7 @@
 		Clock:           clock,
 		Logger:          d.logger,
 		Metrics:         d.metrics,
+		Quota:           d.quotaLimiter(),
 		DialPeers:       dialPeers,
 		SampleRatio:     eventSampleRatio,
 		LinkMbps:        d.settings.LinkMbps,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/quota"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 	"github.com/mulberrybank/mulberrybank/internal/secure"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
@@ -63,7 +64,9 @@
 	calls        *call.Server
 	deduplicator *once.Deduplicator
 	proposer     *once.Proposer
-	admin        *admin.Server
+	// quotas is nil when they are off.
+	quotas *quota.Quota
+	admin  *admin.Server
 	// tlsIdentity is nil when TLS is off.
 	tlsIdentity *secure.Identity
 	platformLog platform.Log
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,7 @@
 	Adapter string  `json:"adapter" default:"none" form:"adapter"`
 	Target  Target  `json:"target"`
 	Retries Retries `json:"retries"`
+	Quota   Quota   `json:"quota"`
 	// FirstStart is "on" when all daemons start for the first time. Each then takes
 	// time to discover the others before calls arrive.
 	FirstStart string `json:"first_start" default:"off" form:"switch"`
@@ -115,6 +116,16 @@
 	Ratio float64 `json:"ratio" default:"0" min:"0" max:"1"`
 }
 
+// Quota bounds how many requests of a client workspace run on all daemons together: in
+// each Window at most (rate x Window + burst) x (1 + Overage) + Slack.
+type Quota struct {
+	// Window is 0s if quotas are not enforced.
+	Window  Duration `json:"window" default:"0s" min:"0s" max:"10m"`
+	Overage float64  `json:"overage" default:"0.1" min:"0" max:"10"`
+	// Slack is in requests.
+	Slack float64 `json:"slack" default:"20" min:"0" max:"1000000"`
+}
+
 // Values of Settings.Pace.
 const (
 	PaceDefault = "calm"
