Rollout orders and target versions reach every daemon

Orders that the operator writes under rollout/SERVICE, and the version that a target announces, were dropped at the edge. An order may follow a gap and activates no table before the first full configuration.

--- a/internal/distribute/fakes_test.go
+++ b/internal/distribute/fakes_test.go
@@ -51,6 +51,9 @@
 	return nil, nil
 }
 
+// HasConfiguration implements enforce.StateMachine.
+func (*fakeStateMachine) HasConfiguration() bool { return true }
+
 func (f *fakeStateMachine) Configuration() *publish.Configuration {
 	return &publish.Configuration{Version: publish.Version(f.offset)}
 }
--- a/internal/distribute/read.go
+++ b/internal/distribute/read.go
@@ -116,6 +116,10 @@
 	if err != nil {
 		return 0, fmt.Errorf("read newest records: %w", err)
 	}
+	if len(newest) > 0 {
+		// Without the later records the first table would lack rollout orders.
+		d.enforcer.DeferFirstTable(newest[len(newest)-1].Offset)
+	}
 	for _, record := range newest {
 		if err := d.applyRecords(nil, []platform.Record{record.Record}); err != nil {
 			return 0, fmt.Errorf("apply newest record %d: %w", record.Offset, err)
--- a/internal/enforce/enforce.go
+++ b/internal/enforce/enforce.go
@@ -33,6 +33,9 @@
 	Snapshot() ([]byte, error)
 	// Restore replaces the state. The state is unchanged on an error.
 	Restore(snapshot []byte) error
+	// HasConfiguration reports whether the state can be activated: it is false for one
+	// that began with records other than a configuration.
+	HasConfiguration() bool
 	// IsSelfContained reports whether a record can be applied without those before
 	// it.
 	IsSelfContained(record platform.Record) bool
@@ -283,7 +286,7 @@
 	defer e.notifyWaiters()
 	offset := e.machine.Offset()
 	e.position.Store(&position{offset: offset, digest: e.machine.Digest()})
-	if offset < max(e.floor, e.deferUntil) {
+	if offset < max(e.floor, e.deferUntil) || !e.machine.HasConfiguration() {
 		return
 	}
 	e.deferUntil = 0
--- a/internal/enforce/enforce_test.go
+++ b/internal/enforce/enforce_test.go
@@ -200,3 +200,18 @@
 	assert.Equal(t, enforcer.Table(), before)
 	assert.Assert(t, enforcer.Apply([]platform.Record{{Offset: 2, Payload: []byte("malformed")}}) != nil)
 }
+
+// TestOrderAloneActivatesNoTable guards against a table without routes on a daemon that
+// has read a rollout order and no configuration, and against a gap before an order that
+// stops the daemon.
+func TestOrderAloneActivatesNoTable(t *testing.T) {
+	order, err := publish.EncodeRolloutOrder(&publish.RolloutOrder{Workspace: "heaters", Service: "status", Version: "v2", DurationUs: 1})
+	assert.NilError(t, err)
+	full, err := publish.EncodeFullConfig(&publish.Whole{Workspace: "heaters", Edition: 1})
+	assert.NilError(t, err)
+	enforcer := enforce.New(publish.NewStateMachine(), timeline.Discard{})
+	assert.NilError(t, enforcer.Apply([]platform.Record{{Offset: 3, Payload: order}}))
+	assert.Assert(t, enforcer.Table() == nil)
+	assert.NilError(t, enforcer.Apply([]platform.Record{{Offset: 5, Payload: full}}))
+	assert.Equal(t, enforcer.Table().Config.Rollouts["heaters/status"].Version, "v2")
+}
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -20,6 +20,7 @@
 	service        string
 	slots          int
 	targetState    TargetState
+	targetVersion  string
 	// logRTTMs is the round-trip time to the log in whole milliseconds plus one,
 	// 0 if unknown.
 	logRTTMs uint32
@@ -73,6 +74,7 @@
 		e.targetState == other.targetState &&
 		e.service == other.service &&
 		e.slots == other.slots &&
+		e.targetVersion == other.targetVersion &&
 		e.logRTTMs == other.logRTTMs &&
 		slices.Equal(e.unreachableKeys, other.unreachableKeys) &&
 		slices.Equal(e.silentZones, other.silentZones) &&
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -85,6 +85,9 @@
 	Service     string
 	Slots       int
 	TargetState TargetState
+	// TargetVersion is the program version that the target announced, empty if it
+	// announced none.
+	TargetVersion string
 	// TargetStateSince is when this daemon learnt of TargetState.
 	TargetStateSince time.Time
 	Reachability     Reachability
@@ -127,6 +130,8 @@
 	Address string `json:"address"`
 	// Slots is how many requests the target runs concurrently.
 	Slots int `json:"slots"`
+	// Version is the version of the program that the target runs, empty if not given.
+	Version string `json:"version,omitempty"`
 	// State is "cold", "ready" or "draining".
 	State string `json:"state"`
 	// Instance identifies the running process of the target, empty if not given.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -294,6 +294,7 @@
 	e.targetState = l.effectiveState()
 	e.service = l.announcement.Service
 	e.slots = l.announcement.Slots
+	e.targetVersion = l.announcement.Version
 	e.history = l.history
 }
 
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -34,6 +34,7 @@
 		Service:          r.service,
 		Slots:            r.slots,
 		TargetState:      r.targetState,
+		TargetVersion:    r.targetVersion,
 		LogRTT:           time.Duration(r.logRTTMs) * time.Millisecond,
 		TargetStateSince: r.targetStateSince,
 		LastHeard:        r.lastHeard,
--- a/internal/publish/compose.go
+++ b/internal/publish/compose.go
@@ -11,6 +11,7 @@
 		Services:   map[string]*Service{},
 		Routes:     map[string]*Route{},
 		Grants:     config.Grants,
+		Rollouts:   config.Rollouts,
 	}
 	next.Workspaces[workspace.Name] = workspace
 	for _, w := range next.Workspaces {
--- a/internal/publish/configuration.go
+++ b/internal/publish/configuration.go
@@ -32,6 +32,9 @@
 	Routes map[string]*Route
 	// Grants assign idempotency keys of non-idempotent calls to their home hosts.
 	Grants once.Grants
+	// Rollouts holds the newest order of each service that has one, by full name of the
+	// service. The service need not exist.
+	Rollouts map[string]*Rollout
 	// Hosts holds the routes that match by host and path prefix.
 	Hosts HostTable
 }
--- a/internal/publish/digest.go
+++ b/internal/publish/digest.go
@@ -39,6 +39,10 @@
 		_, _ = hash.Write(entry.digest[:])
 	}
 	_, _ = hash.Write(m.grantsDigest[:])
+	// A state without orders keeps the digest of binaries that know none.
+	if len(m.orders.byService) > 0 {
+		_, _ = hash.Write(m.orders.digest[:])
+	}
 	return hash.Sum(nil)[:digestBytes]
 }
 
--- a/internal/publish/full_config.go
+++ b/internal/publish/full_config.go
@@ -34,11 +34,11 @@
 	return encodeEntry(&Entry{Schema: Schema, Kind: &Entry_Skip{Skip: &Skip{}}})
 }
 
-// IsSelfContained reports whether a record holds a full configuration, which can
-// be applied without the records before it.
+// IsSelfContained reports whether a record holds a full configuration or an order,
+// which can be applied without the records before it.
 func (m *StateMachine) IsSelfContained(record platform.Record) bool {
 	entry, err := decodeEntry(record.Payload)
-	return err == nil && entry.GetSchema() <= Schema && entry.GetWhole() != nil
+	return err == nil && entry.GetSchema() <= Schema && (entry.GetWhole() != nil || entry.GetRolloutOrder() != nil)
 }
 
 // applyFullConfig applies a record with a full configuration. The verdict is not
--- a/internal/publish/snapshot.go
+++ b/internal/publish/snapshot.go
@@ -22,6 +22,8 @@
 		Version: uint64(m.config.Version),
 		Digest:  m.Digest(),
 		Grants:  m.config.Grants.Compact(),
+
+		RolloutOrders: m.orders.sorted(),
 	}
 	for _, name := range m.workspaceNames() {
 		state := m.workspaces[name]
@@ -83,6 +85,13 @@
 		return nil, errors.New("the grants do not form a chain")
 	}
 	machine.setGrants(grants)
+	for _, order := range snapshot.GetRolloutOrders() {
+		if found := checkRolloutOrder(order); len(found) > 0 {
+			return nil, errors.New(found[0].String())
+		}
+		machine.setOrders(machine.orders.with(order, true))
+	}
+	machine.awaitsConfiguration = len(machine.orders.byService) > 0 && len(machine.workspaces) == 0
 	return machine, nil
 }
 
--- a/internal/publish/state_machine.go
+++ b/internal/publish/state_machine.go
@@ -48,6 +48,10 @@
 	// configuration of its workspace, nil when the record held none or there
 	// was no previous one.
 	change *WholeChange
+	// orders holds the newest order of each service.
+	orders rolloutOrders
+	// awaitsConfiguration is set when an order was applied before any configuration.
+	awaitsConfiguration bool
 	// digest caches Digest, nil until it is computed.
 	digest []byte
 }
@@ -104,6 +108,9 @@
 	if full := entry.GetWhole(); full != nil {
 		return m.applyFullConfig(record.Offset, full), nil
 	}
+	if order := entry.GetRolloutOrder(); order != nil {
+		return m.applyRolloutOrder(record.Offset, order), nil
+	}
 	if change := entry.GetWholeChange(); change != nil {
 		full, err := change.apply(m.workspaces[change.GetWorkspace()].full)
 		if err != nil {
