Calls can be restricted to targets of some versions

Routing chose among all targets of a service, whatever they run. A request may now bear a version filter. A daemon asked by Mulberry-Timed tells how long its target took, without the wait at the gate.

TestChoiceMatchesModel draws versions and filters now, and was seen to fail with an index that ignores its filter.

--- a/internal/call/conn_wait.go
+++ b/internal/call/conn_wait.go
@@ -48,7 +48,8 @@
 	failedHosts := maps.Clone(c.failedHosts)
 	if c.refusals < c.route.Refusals || c.retriesLeft > 0 {
 		q.mayGoElsewhere = func() bool {
-			return q.body.resendable() && s.router.HasTarget(c.routeRequest(s.excludedHosts(failedHosts, host)))
+			exclude := s.excludedHosts(failedHosts, host)
+			return q.body.resendable() && s.router.HasTarget(c.routeRequest(exclude, c.versionFilter(false)))
 		}
 	}
 	if c.route.Idempotent && c.retriesLeft > 0 {
--- a/internal/call/hedge.go
+++ b/internal/call/hedge.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/route"
 )
 
 // hedgeAttempt is one of the two attempts of a hedged call.
@@ -104,7 +105,7 @@
 // up or no other target has spare slots.
 func (h *hedgedCall) startHedge(ctx context.Context, primary *hedgeAttempt) *hedgeAttempt {
 	exclude := withHost(h.call.failedHosts, primary.member.Host)
-	member, err := h.server.router.PickWithSpareSlots(h.call.request.service, exclude)
+	member, err := h.server.router.ChooseWithSpareSlots(route.Request{Service: h.call.request.service, Exclude: exclude, Version: h.call.versionFilter(false)})
 	if err != nil || !h.server.budgets.Withdraw(h.call.route, h.call.request.service) {
 		return nil
 	}
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -172,6 +172,7 @@
 	workspace, priority := in.payer()
 	c := &outboundCall{
 		route:       in.Route,
+		versioned:   s.pickVersion(in, service),
 		retriesLeft: min(in.Retries, in.Route.Retries),
 		trace:       s.newTrace(in.ID, in.Key, service),
 		request: request{
@@ -192,6 +193,7 @@
 			body:      body,
 		},
 	}
+	c.request.timed = c.versioned != nil
 	c.trace.callBegan(uint64(in.Config.Version), in.Route.Name)
 	return c
 }
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -17,6 +17,8 @@
 // outboundCall is the state of a call while attempts are made on targets.
 type outboundCall struct {
 	route *publish.Route
+	// versioned restricts the targets by their version, nil for all.
+	versioned VersionedCall
 	// request is copied for each attempt.
 	request request
 	// retriesLeft is the number of retries that the call may still use.
@@ -97,9 +99,9 @@
 	if s.inflight.isDraining() {
 		exclude = withHost(exclude, s.self.Host)
 	}
-	wanted := c.routeRequest(exclude)
+	wanted := c.routeRequest(exclude, c.versionFilter(len(c.failedHosts) == 0))
 	wanted.NearOnly = !s.budgets.AllowsFull(c.request.service)
-	choice, err := s.router.Choose(wanted)
+	choice, err := s.chooseVersion(c, wanted)
 	if err != nil {
 		return route.Choice{}, s.fail(NotRun, StepPick, http.StatusServiceUnavailable, err)
 	}
@@ -107,8 +109,8 @@
 }
 
 // routeRequest returns what the router needs to know of the call.
-func (c *outboundCall) routeRequest(exclude map[string]bool) route.Request {
-	return route.Request{Service: c.request.service, Exclude: exclude, Priority: c.request.rank(), Repeatable: c.route.Idempotent}
+func (c *outboundCall) routeRequest(exclude map[string]bool, version *route.VersionFilter) route.Request {
+	return route.Request{Service: c.request.service, Exclude: exclude, Priority: c.request.rank(), Repeatable: c.route.Idempotent, Version: version}
 }
 
 func withHost(hosts map[string]bool, host string) map[string]bool {
@@ -152,11 +154,18 @@
 	}
 	c.trace.sent(number, member.Host)
 	s.router.Begin(member.Host)
+	if c.versioned != nil {
+		c.versioned.Began(member.TargetVersion)
+	}
 	return func(ctx context.Context) (*targetResponse, *Error) {
+		start := s.now()
+		attempt := s.attemptRemote
 		if member.Host == s.self.Host {
-			return s.attemptLocal(ctx, &q, member)
+			attempt = s.attemptLocal
 		}
-		return s.attemptRemote(ctx, &q, member)
+		result, failure := attempt(ctx, &q, member)
+		c.attemptEnded(&member, result, failure, s.now().Sub(start))
+		return result, failure
 	}
 }
 
@@ -247,6 +256,7 @@
 		return nil, &Error{Outcome: Unknown, Step: StepAnswer, Peer: host, Status: statusOf(ctx, err), Err: err}
 	}
 	result.host, result.attempt = host, q.attempt
+	result.targetTime = parseTargetTime(response.Header)
 	return result, nil
 }
 
@@ -284,6 +294,9 @@
 	if q.freeSlotOnly {
 		header.Set(headerFreeSlotOnly, "1")
 	}
+	if q.timed {
+		header.Set(headerTimed, "1")
+	}
 	header.Set(HeaderVersion, strconv.FormatUint(uint64(q.config.Version), 10))
 	if s.clock != nil {
 		header.Set(HeaderClock, s.clock.Now().String())
--- a/internal/call/peer.go
+++ b/internal/call/peer.go
@@ -35,6 +35,7 @@
 		return
 	}
 	s.setPeerHeaders(w.Header(), q.id, q.rank())
+	q.setTargetTime(w.Header(), result)
 	q.body.enableFullDuplex(w)
 	if err := result.relay(ctx, w, s.pacer); err != nil {
 		s.counters.truncated.Inc()
@@ -147,6 +148,7 @@
 		objective:    objective,
 		late:         r.Header.Get(headerLate) != "",
 		freeSlotOnly: r.Header.Get(headerFreeSlotOnly) != "",
+		timed:        r.Header.Get(headerTimed) != "",
 		retries:      retries,
 		method:       r.Method,
 		host:         r.Host,
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -36,8 +36,10 @@
 	late bool
 	// freeSlotOnly says that the request must not wait for a slot.
 	freeSlotOnly bool
-	config       *publish.Configuration
-	deadline     time.Time
+	// timed says that the daemon of the target shall report how long that took.
+	timed    bool
+	config   *publish.Configuration
+	deadline time.Time
 	// retries is the number of retries that the next hop may use.
 	retries int
 	// mayGoElsewhere reports whether another host could serve the call if this
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // copyBufferSize is the size in bytes of the buffer that copies a body to the
@@ -26,6 +27,9 @@
 	// host and attempt say which attempt got the response.
 	host    string
 	attempt int
+	// targetTime is the time from the request to the target to its response, 0 if it is
+	// not known.
+	targetTime time.Duration
 	// header holds the end-to-end headers of the target.
 	header http.Header
 	// length is the length of the body, -1 if unknown.
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -56,9 +56,11 @@
 	// Keys is nil if calls with idempotency keys are not supported.
 	Keys IdempotencyKeys
 	// Quota is nil if client workspaces have no quotas.
-	Quota  QuotaLimiter
-	Router *route.Router
-	Events timeline.Recorder
+	Quota QuotaLimiter
+	// Versions is nil if targets are chosen without regard to their version.
+	Versions VersionPicker
+	Router   *route.Router
+	Events   timeline.Recorder
 	// Clock is the hybrid logical clock that stamps events and is sent along with
 	// calls; nil for none.
 	Clock   *timeline.Clock
@@ -100,6 +102,7 @@
 	elapsed         *elapsedEstimator
 	keys            IdempotencyKeys
 	quota           QuotaLimiter
+	versions        VersionPicker
 	router          *route.Router
 	budgets         *route.Budgets
 	events          timeline.Recorder
@@ -133,6 +136,7 @@
 		elapsed:         newElapsedEstimator(),
 		keys:            options.Keys,
 		quota:           options.Quota,
+		versions:        options.Versions,
 		router:          options.Router,
 		budgets:         route.NewBudgets(options.RetrySlack, options.RetryRatio, options.Directory),
 		events:          options.Events,
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -77,8 +77,9 @@
 	}
 	sent := TargetRequest{ID: q.id, Instance: instance}
 	response, failed, err := s.roundTrip(ctx, s.targetConns.current(), address, q, s.ranRecorder(q), s.headerRewriter(&sent))
-	s.counters.target.Update(s.now().Sub(start).Seconds())
-	s.logRequestRan(q, instance, statusOrNone(response), s.now().Sub(start))
+	took := s.now().Sub(start)
+	s.counters.target.Update(took.Seconds())
+	s.logRequestRan(q, instance, statusOrNone(response), took)
 	if err != nil {
 		s.recordSendFailure(ctx, q, failed, instance)
 		release()
@@ -98,6 +99,7 @@
 	if err != nil {
 		return nil, s.fail(Unknown, StepAnswer, statusOf(ctx, err), err), true
 	}
+	result.targetTime = took
 	return result, nil, true
 }
 
--- a/internal/route/index.go
+++ b/internal/route/index.go
@@ -38,7 +38,9 @@
 
 // target is one target in the index of its service.
 type target struct {
-	index    *serviceIndex
+	index *serviceIndex
+	// next is the target of the same host in another index of the service.
+	next     *target
 	member   *membership.Member
 	locality locality
 	tier     tier
@@ -56,7 +58,10 @@
 // choosing one does not look at all. It is updated when a target changes in the view,
 // when a call shows something of it, and when that expires.
 type serviceIndex struct {
-	router *Router
+	router  *Router
+	service string
+	// filter restricts the targets, nil for all of the service.
+	filter *VersionFilter
 	// members is the service's part of the view that the index holds.
 	members []membership.Member
 	syncs   uint64
@@ -78,14 +83,10 @@
 	count int
 }
 
-// indexOf returns the up-to-date index of a service.
-func (r *Router) indexOf(service string, now time.Time) *serviceIndex {
-	members := r.directory.View().ByService.At(service)
-	ix := r.services[service]
-	if ix == nil {
-		ix = &serviceIndex{router: r, targets: make(map[string]*target), rates: make(map[int]rateSum)}
-		r.services[service] = ix
-	}
+// indexOf returns the up-to-date index of the targets that a request may get.
+func (r *Router) indexOf(request Request, now time.Time) *serviceIndex {
+	members := r.directory.View().ByService.At(request.Service.Name)
+	ix := r.findIndex(request)
 	ix.usedAt = now
 	ix.sync(members, now)
 	ix.expire(now)
@@ -100,10 +101,14 @@
 	}
 	ix.members = members
 	ix.syncs++
+	held := 0
 	for i := range members {
-		ix.syncTarget(&members[i], now)
+		if ix.holds(&members[i]) {
+			ix.syncTarget(&members[i], now)
+			held++
+		}
 	}
-	if len(ix.targets) == len(members) {
+	if len(ix.targets) == held {
 		return
 	}
 	for host, t := range ix.targets {
@@ -134,10 +139,12 @@
 // add adds a target that has no place yet. Its host may have been one of another
 // service before.
 func (ix *serviceIndex) add(member *membership.Member) *target {
-	if former := ix.router.targets[member.Host]; former != nil {
-		former.index.remove(member.Host, former)
+	for former := ix.router.targets[member.Host]; former != nil; former = former.next {
+		if former.index.service != ix.service {
+			former.index.remove(member.Host, former)
+		}
 	}
-	t := &target{index: ix, member: member, tier: closed, wake: notQueued, places: make([]place, len(ix.classes))}
+	t := &target{index: ix, next: ix.router.targets[member.Host], member: member, tier: closed, wake: notQueued, places: make([]place, len(ix.classes))}
 	ix.targets[member.Host] = t
 	ix.router.targets[member.Host] = t
 	return t
@@ -167,7 +174,25 @@
 		heap.Remove(&ix.wakes, t.wake)
 	}
 	delete(ix.targets, host)
-	delete(ix.router.targets, host)
+	ix.router.unlink(host, t)
+}
+
+// unlink takes a target out of the list of its host.
+func (r *Router) unlink(host string, t *target) {
+	first := r.targets[host]
+	if first == t {
+		first = t.next
+	}
+	for other := first; other != nil; other = other.next {
+		if other.next == t {
+			other.next = t.next
+		}
+	}
+	if first == nil {
+		delete(r.targets, host)
+		return
+	}
+	r.targets[host] = first
 }
 
 // unplace takes a target out of all classes.
--- a/internal/route/model_test.go
+++ b/internal/route/model_test.go
@@ -217,11 +217,24 @@
 		TargetState:  rapid.SampledFrom([]membership.TargetState{membership.Ready, membership.Ready, membership.Cold, membership.Draining}).Draw(t, "target"),
 		Reachability: rapid.SampledFrom([]membership.Reachability{membership.Reachable, membership.Reachable, membership.Suspect}).Draw(t, "reach"),
 		Version:      membership.EntryVersion{Counter: uint64(rapid.IntRange(1, 3).Draw(t, "version"))},
+
+		TargetVersion: rapid.SampledFrom([]string{"v1", "v1", "v2", ""}).Draw(t, "target version"),
 	}
 }
 
 func drawRequest(t *rapid.T, hosts int) Request {
 	request := Request{Service: modelService, Exclude: map[string]bool{}, Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Repeatable: rapid.Bool().Draw(t, "repeatable")}
+	switch rapid.IntRange(0, 3).Draw(t, "filter") {
+	case 0:
+		filter := OnlyVersion("v2")
+		request.Version = &filter
+	case 1:
+		filter := ExceptVersions("v2", "")
+		request.Version = &filter
+	case 2:
+		filter := ExceptVersions("v1")
+		request.Version = &filter
+	}
 	for range rapid.IntRange(0, 3).Draw(t, "excluded") {
 		request.Exclude[fmt.Sprintf("host-%d", rapid.IntRange(0, hosts).Draw(t, "host"))] = rapid.Bool().Draw(t, "exclude")
 	}
@@ -287,6 +300,12 @@
 	if ix := r.services[modelService.Name]; ix != nil {
 		ix.refreshedAt = time.Time{}
 	}
+	for _, ix := range r.versions {
+		ix.refreshedAt = time.Time{}
+	}
+	if request.Version != nil {
+		members = slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return !request.Version.Matches(m.TargetVersion) })
+	}
 	eligible := model{r}.eligible(members, request)
 	open := notFull(eligible)
 	healthy, _ := model{r}.candidates(members, request)
@@ -309,7 +328,7 @@
 // checkDrawn checks that each eligible target can be drawn in its locality.
 func checkDrawn(t *rapid.T, r *Router, request Request, open []modelCandidate) {
 	now := r.now()
-	ix := r.indexOf(modelService.Name, now)
+	ix := r.indexOf(request, now)
 	s, found := r.newSelection(ix, ix.classOf(request.class(), now), healthy, request, now)
 	if !found {
 		s, _ = r.newSelection(ix, ix.classOf(request.class(), now), fallback, request, now)
--- a/internal/route/outcome.go
+++ b/internal/route/outcome.go
@@ -97,23 +97,25 @@
 	if stats.recordOutcome(result.Outcome, now) {
 		r.counters.ejections.Inc()
 	}
-	if t != nil {
+	for ; t != nil; t = t.next {
 		t.index.classify(t, now)
 	}
 }
 
-// recordReport records what a host reported with a response. The target is nil if no
-// index holds it.
+// recordReport records what a host reported with a response. The target is the first
+// of the host, nil if no index holds it.
 func (r *Router) recordReport(t *target, stats *hostStats, result Result, now time.Time) {
 	load := result.Load
 	stats.recordLoad(*load, now)
 	stats.reportedFailures = failureReport{rate: load.FailureRate, at: now}
-	if t == nil {
-		stats.recordServiceTime(result.Priority, load.ServiceTime, now)
-		return
+	previous, found := stats.serviceTimes[result.Priority]
+	recorded := stats.recordServiceTime(result.Priority, load.ServiceTime, now)
+	for ; t != nil; t = t.next {
+		if recorded && t.tier == healthy {
+			t.index.replaceRate(result.Priority, previous.mean, found, load.ServiceTime)
+		}
+		t.index.failuresKnown = t.index.failuresKnown || load.FailureRate > 0
 	}
-	t.index.recordServiceTime(t, stats, result.Priority, load.ServiceTime, now)
-	t.index.failuresKnown = t.index.failuresKnown || load.FailureRate > 0
 }
 
 // recordOutcome counts one outcome and ejects the host when most of its recent
@@ -176,6 +178,12 @@
 			delete(r.services, name)
 		}
 	}
+	for key, ix := range r.versions {
+		if now.Sub(ix.usedAt) > hostIdleTimeout {
+			ix.sync(nil, now)
+			delete(r.versions, key)
+		}
+	}
 	for name, stats := range r.hosts {
 		if stats.outstanding == 0 && now.Sub(stats.usedAt) > hostIdleTimeout {
 			r.evict(name, now)
@@ -184,12 +192,12 @@
 }
 
 func (r *Router) evict(name string, now time.Time) {
-	t := r.targets[name]
-	if t != nil {
+	first := r.targets[name]
+	for t := first; t != nil; t = t.next {
 		t.index.setTier(t, closed)
 	}
 	delete(r.hosts, name)
-	if t != nil {
+	for t := first; t != nil; t = t.next {
 		t.index.classify(t, now)
 	}
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -45,9 +45,10 @@
 	mu    sync.Mutex
 	rand  Rand
 	hosts map[string]*hostStats
-	// services holds the indexes of the services that were called, targets their
-	// targets by host.
+	// services holds the indexes of the services that were called, versions those of
+	// calls with a filter, targets the first of a host's targets in all of them.
 	services map[string]*serviceIndex
+	versions map[versionedService]*serviceIndex
 	targets  map[string]*target
 	// evictedAt is when idle hosts and services were last evicted.
 	evictedAt time.Time
@@ -72,6 +73,7 @@
 		counters:  newCounters(options.Metrics),
 		hosts:     make(map[string]*hostStats),
 		services:  make(map[string]*serviceIndex),
+		versions:  make(map[versionedService]*serviceIndex),
 		targets:   make(map[string]*target),
 	}
 }
@@ -86,6 +88,8 @@
 	Priority int
 	// Repeatable reports whether the call may run on another target after a failure.
 	Repeatable bool
+	// Version restricts the targets by their version, nil for all.
+	Version *VersionFilter
 	// NearOnly rules out targets that should be tried only for a free slot.
 	NearOnly bool
 }
@@ -118,7 +122,12 @@
 // PickWithSpareSlots is Pick for optional work: it also fails with ErrNoTarget
 // when the chosen target has no spare slots.
 func (r *Router) PickWithSpareSlots(service *publish.Service, exclude map[string]bool) (membership.Member, error) {
-	chosen, _, err := r.pick(Request{Service: service, Exclude: exclude})
+	return r.ChooseWithSpareSlots(Request{Service: service, Exclude: exclude})
+}
+
+// ChooseWithSpareSlots is PickWithSpareSlots for any request.
+func (r *Router) ChooseWithSpareSlots(request Request) (membership.Member, error) {
+	chosen, _, err := r.pick(request)
 	if err != nil {
 		return membership.Member{}, err
 	}
@@ -134,7 +143,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	ix := r.indexOf(request.Service.Name, now)
+	ix := r.indexOf(request, now)
 	s, found := r.newSelection(ix, ix.classOf(request.class(), now), healthy, request, now)
 	return found && s.anyNotFull()
 }
@@ -143,7 +152,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	ix := r.indexOf(request.Service.Name, now)
+	ix := r.indexOf(request, now)
 	class := ix.classOf(request.class(), now)
 	s, found := r.newSelection(ix, class, healthy, request, now)
 	if !found {
@@ -151,7 +160,7 @@
 	}
 	if !found {
 		r.counters.noTarget.Inc()
-		return candidate{}, false, &NoTargetError{Known: len(ix.members), Excluded: len(request.Exclude)}
+		return candidate{}, false, &NoTargetError{Known: len(ix.targets), Excluded: len(request.Exclude)}
 	}
 	if s.withEjected {
 		r.counters.ejectionsSuspended.Inc()
--- a/internal/route/service_time.go
+++ b/internal/route/service_time.go
@@ -37,15 +37,11 @@
 	return true
 }
 
-// recordServiceTime records the time that the host of a target reported for calls of
-// a priority.
-func (ix *serviceIndex) recordServiceTime(t *target, stats *hostStats, priority int, mean time.Duration, now time.Time) {
-	previous, found := stats.serviceTimes[priority]
-	if !stats.recordServiceTime(priority, mean, now) || t.tier != healthy {
-		return
-	}
+// replaceRate replaces the time that the host of a healthy target had reported for calls
+// of a priority, if it had, in the sums.
+func (ix *serviceIndex) replaceRate(priority int, previous time.Duration, found bool, mean time.Duration) {
 	if found {
-		ix.addRate(priority, previous.mean, -1)
+		ix.addRate(priority, previous, -1)
 	}
 	ix.addRate(priority, mean, 1)
 }
