Rollouts: counting, reports to a home host, decision, status record

A daemon with rollout.canary_share above 0 counts the answers of both versions of a service with an order, reports totals to the home of the service every 250 ms and enforces its answer. The home compares the versions by two cumulative sums and records states in keyed.status by a conditional append. Off by default: no task, no message.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -16,6 +16,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/rollout"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
@@ -42,7 +43,9 @@
 	if err := d.buildDistribution(dialer); err != nil {
 		return err
 	}
-	d.buildCalls(clock, call.DialFunc(options.Dial))
+	if err := d.buildCalls(clock, dialer, call.DialFunc(options.Dial)); err != nil {
+		return err
+	}
 	d.buildAdmin()
 	d.events.RegisterMetrics(d.metrics)
 	d.metrics.NewGauge(`mulberrybank_log_lines_dropped`, func() float64 { return float64(logging.DroppedLines()) })
@@ -97,7 +100,26 @@
 	return d.distributor.Register(d.server.Mux())
 }
 
-func (d *Daemon) buildCalls(clock *timeline.Clock, dialPeers call.DialFunc) {
+// buildRollouts returns nil if rollouts are off.
+func (d *Daemon) buildRollouts(dialer *peer.Dialer) (call.VersionPicker, error) {
+	if d.settings.Rollout.CanaryShare <= 0 {
+		return nil, nil
+	}
+	statusLog, _ := d.platformLog.(platform.KeyedLog)
+	d.rollouts = rollout.New(rollout.Options{
+		Self:      d.identity,
+		Limits:    rollout.Limits{CanaryShare: d.settings.Rollout.CanaryShare, Slack: d.settings.Rollout.CanarySlack},
+		Config:    d.enforcer,
+		Directory: d.members,
+		Dialer:    dialer,
+		Log:       statusLog,
+		Logger:    d.logger,
+		Metrics:   d.metrics,
+	})
+	return d.rollouts, d.rollouts.Register(d.server.Mux())
+}
+
+func (d *Daemon) buildCalls(clock *timeline.Clock, dialer *peer.Dialer, dialPeers call.DialFunc) error {
 	d.router = route.New(route.Options{
 		Directory: d.members,
 		Self:      d.identity,
@@ -119,6 +141,10 @@
 		Events:    d.events,
 		Logger:    d.logger,
 	})
+	versions, err := d.buildRollouts(dialer)
+	if err != nil {
+		return err
+	}
 	d.calls = call.New(call.Options{
 		Self:            d.identity,
 		Config:          d.enforcer,
@@ -129,6 +155,7 @@
 		RetrySlack:      d.settings.Retries.Slack,
 		RetryRatio:      d.settings.Retries.Ratio,
 		Keys:            idempotencyKeys{d.deduplicator},
+		Versions:        versions,
 		Router:          d.router,
 		Events:          d.events,
 		Clock:           clock,
@@ -138,6 +165,7 @@
 		SampleRatio:     eventSampleRatio,
 		LinkMbps:        d.settings.LinkMbps,
 	})
+	return nil
 }
 
 func (d *Daemon) buildAdmin() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/peer"
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/rollout"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 	"github.com/mulberrybank/mulberrybank/internal/secure"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
@@ -55,12 +56,14 @@
 	traffic   *peer.TrafficCounter
 	events    *timeline.Buffer
 
-	server       *peer.Server
-	enforcer     *enforce.Enforcer
-	distributor  *distribute.Distributor
-	members      *membership.Membership
-	router       *route.Router
-	calls        *call.Server
+	server      *peer.Server
+	enforcer    *enforce.Enforcer
+	distributor *distribute.Distributor
+	members     *membership.Membership
+	router      *route.Router
+	calls       *call.Server
+	// rollouts is nil when rollouts are off.
+	rollouts     *rollout.Rollouts
 	deduplicator *once.Deduplicator
 	proposer     *once.Proposer
 	admin        *admin.Server
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -72,6 +72,9 @@
 	if d.settings.Keys != settings.SwitchOff {
 		c.start(ctx, d.proposer.Run)
 	}
+	if d.rollouts != nil {
+		c.start(ctx, d.rollouts.Run)
+	}
 	if d.tlsIdentity != nil {
 		c.start(ctx, d.tlsIdentity.Run)
 	}
--- a/internal/platform/instrument.go
+++ b/internal/platform/instrument.go
@@ -64,6 +64,13 @@
 	return err
 }
 
+// PutAt calls PutAt of the wrapped log and counts the call.
+func (c *instrumentedLog) PutAt(ctx context.Context, stream, key string, payload []byte, next uint64) error {
+	err := c.KeyedLog.PutAt(ctx, stream, key, payload, next)
+	c.count("put_at", err)
+	return err
+}
+
 // Newest calls Newest of the wrapped log and counts the call.
 func (c *instrumentedLog) Newest(ctx context.Context, stream string) ([]KeyedRecord, uint64, error) {
 	records, next, err := c.KeyedLog.Newest(ctx, stream)
--- a/internal/platform/keyed.go
+++ b/internal/platform/keyed.go
@@ -1,6 +1,9 @@
 package platform
 
-import "context"
+import (
+	"context"
+	"fmt"
+)
 
 // HostStream is a keyed stream with one record for each host. Its key is the name
 // of the host.
@@ -11,6 +14,21 @@
 // with the name of the host and a slash.
 const TargetHistoryStream = "history"
 
+// RolloutStatusStream is a keyed stream with the newest status of each service's rollout.
+// Its keys are "rollout/" and the name of the service.
+const RolloutStatusStream = "rollout-status"
+
+// EndMovedError means that a conditional append was refused, because the stream does not
+// end at the expected offset.
+type EndMovedError struct {
+	// Next is the offset of the next append, 0 if the log did not tell.
+	Next uint64
+}
+
+func (e *EndMovedError) Error() string {
+	return fmt.Sprintf("stream ends elsewhere: next offset is %d", e.Next)
+}
+
 // KeyedRecord is the newest record of a key in a keyed stream.
 type KeyedRecord struct {
 	Key string
@@ -24,6 +42,10 @@
 	// Put adds a record for a key. An empty payload deletes the key. Errors wrap
 	// ErrUnknown or ErrRefused as those of Append do.
 	Put(ctx context.Context, stream, key string, payload []byte) error
+	// PutAt is Put on the condition that next is the offset of the next append. If it
+	// is not, the error wraps ErrRefused and an *EndMovedError. After an error that wraps
+	// ErrUnknown the record may be written later, while the condition holds.
+	PutAt(ctx context.Context, stream, key string, payload []byte, next uint64) error
 	// Newest returns the newest record of each key, ordered by offset, and the
 	// offset of the next append.
 	Newest(ctx context.Context, stream string) ([]KeyedRecord, uint64, error)
--- /dev/null
+++ b/internal/rollout/service.go
@@ -0,0 +1,546 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+	"github.com/mulberrybank/mulberrybank/internal/route"
+	"github.com/mulberrybank/mulberrybank/internal/wait"
+)
+
+const (
+	// answerAge is how long an answer of the home holds without another one.
+	answerAge = time.Second
+	// reportTimeout limits one report.
+	reportTimeout = 500 * time.Millisecond
+	// settleTime is how long the share must be 1 before a daemon reports that it has
+	// moved, so that calls that chose their target before have begun.
+	settleTime = 100 * time.Millisecond
+	// readGrace is how long the home of a new order waits for the log.
+	readGrace = time.Second
+	// oldGoneTime is how long no old target must have been known before calls go to the
+	// new version without a decision.
+	oldGoneTime = time.Second
+	// largeMesh is the number of daemons above which those without calls of the service
+	// report less often.
+	largeMesh = 200
+	// idleReportInterval is the time between their reports.
+	idleReportInterval = 2 * time.Second
+	// trafficKind names the connections of reports in the traffic counters.
+	trafficKind = "rollout"
+)
+
+// inForce is what a daemon enforces. It is immutable.
+type inForce struct {
+	state State
+	// finalSince is when this daemon learnt of the final state.
+	finalSince time.Time
+	reason     string
+	step       Step
+	share      float64
+	answeredAt time.Time
+	// statusKnown is set once the status in the log, or an answer of a home, is known.
+	statusKnown bool
+	recorded    bool
+}
+
+// shareAt returns the share at a time. Without an answer for answerAge it is 0, unless
+// all calls go to the new version already.
+func (f *inForce) shareAt(now time.Time) float64 {
+	if f.share < 1 && now.Sub(f.answeredAt) > answerAge {
+		return 0
+	}
+	return f.share
+}
+
+// liveTotals are Totals that are still counted.
+type liveTotals struct {
+	SentOld, SentNew uint64
+	Routes           map[string]*VersionTallies
+}
+
+// answer is what the home answers to a report.
+type answer struct {
+	unknown  bool
+	share    float64
+	step     Step
+	state    State
+	reason   string
+	age      time.Duration
+	recorded bool
+}
+
+// service is one order as a daemon knows it, and its trial if the daemon is its home.
+type service struct {
+	rollouts         *Rollouts
+	order            publish.Rollout
+	onlyOld, onlyNew route.VersionFilter
+	// fresh says that the order is new to all: no verdict on it can exist.
+	fresh    bool
+	current  atomic.Pointer[inForce]
+	targets  atomic.Pointer[knownTargets]
+	finished chan struct{}
+	finish   sync.Once
+
+	mu            sync.Mutex
+	began         time.Time
+	totals        liveTotals
+	oldInProgress int
+	movedSince    time.Time
+	reportedSent  uint64
+	reportedAt    time.Time
+	// trial is nil unless reports came in.
+	trial     *Trial
+	lastStep  Step
+	lastState State
+	// statusRead is set once the log was read; replaces is the version that it named.
+	statusRead bool
+	replaces   string
+	// recordedState is the state known to be in the log for this version.
+	recordedState State
+	superseded    bool
+}
+
+// knownTargets counts the targets of one list of members.
+type knownTargets struct {
+	members []membership.Member
+	versionCounts
+	// oldGoneSince is since when there is no old target, zero if there is one.
+	oldGoneSince time.Time
+}
+
+func newService(r *Rollouts, order publish.Rollout, now time.Time, fresh bool) *service {
+	s := &service{
+		rollouts: r,
+		order:    order,
+		onlyOld:  route.ExceptVersions(order.Version),
+		onlyNew:  route.OnlyVersion(order.Version),
+		fresh:    fresh,
+		finished: make(chan struct{}),
+		began:    now,
+		totals:   liveTotals{Routes: make(map[string]*VersionTallies)},
+		lastStep: -1,
+	}
+	s.current.Store(&inForce{state: Serving, statusKnown: fresh || r.options.Log == nil})
+	return s
+}
+
+// inherit takes over what was known of the verdict on the version.
+func (s *service) inherit(other *service) {
+	current := *other.current.Load()
+	if current.state == Serving {
+		return
+	}
+	s.current.Store(&current)
+}
+
+// versions returns the numbers of targets by version.
+func (s *service) versions(now time.Time) *knownTargets {
+	members := s.rollouts.options.Directory.View().ByService.At(s.order.Service)
+	known := s.targets.Load()
+	if known != nil && len(known.members) == len(members) && (len(members) == 0 || &known.members[0] == &members[0]) {
+		return known
+	}
+	next := &knownTargets{members: members, versionCounts: countVersions(members, s.order.Version)}
+	if next.old == 0 {
+		next.oldGoneSince = now
+		if known != nil && !known.oldGoneSince.IsZero() {
+			next.oldGoneSince = known.oldGoneSince
+		}
+	}
+	s.targets.Store(next)
+	return next
+}
+
+// oldGone reports whether only targets of the new version have been known for a while.
+func (k *knownTargets) oldGone(now time.Time) bool {
+	return k.new > 0 && !k.oldGoneSince.IsZero() && now.Sub(k.oldGoneSince) >= oldGoneTime
+}
+
+// updateLocked replaces what is in force.
+func (s *service) updateLocked(change func(*inForce)) {
+	next := *s.current.Load()
+	change(&next)
+	s.current.Store(&next)
+}
+
+// adopt makes a final state known to this daemon. Completed stands above Reverted.
+func (s *service) adopt(state State, reason string, recorded bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adoptLocked(state, reason, recorded)
+}
+
+func (s *service) adoptLocked(state State, reason string, recorded bool) {
+	current := s.current.Load()
+	// Completed is told only after it was recorded.
+	recorded = recorded || state == Completed
+	if state == Serving || current.state == Completed && state == Reverted {
+		return
+	}
+	if current.state == state && (current.recorded || !recorded) {
+		return
+	}
+	if current.state != state {
+		s.rollouts.countVerdict(state)
+		s.rollouts.log.WithFields(logrus.Fields{"service": s.order.Service, "target_version": s.order.Version, "state": state, "reason": reason}).Info("rollout decided")
+	}
+	if recorded {
+		s.recordedState = state
+	}
+	s.updateLocked(func(next *inForce) {
+		if next.state != state {
+			next.finalSince, next.reason = s.rollouts.now(), reason
+		}
+		next.state, next.statusKnown = state, true
+		next.recorded = next.recorded && next.state == state || recorded
+		next.share = 0
+		if state == Completed {
+			next.share = 1
+		}
+	})
+	if s.trial != nil {
+		s.trial.adopt(state, reason)
+	}
+}
+
+func (r *Rollouts) countVerdict(state State) {
+	if state == Completed {
+		r.metrics.completed.Inc()
+		return
+	}
+	r.metrics.reverted.Inc()
+}
+
+// run reports to the home until the final state is recorded.
+func (s *service) run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	if s.rollouts.options.Log != nil {
+		tasks.Go(func() { s.keepStatus(ctx) })
+	}
+	link := &homeLink{service: s}
+	defer link.close()
+	if !wait.For(ctx, time.Duration(float64(reportInterval)*jitterFraction())) {
+		return
+	}
+	for {
+		now := s.rollouts.now()
+		if s.reportDue(now) {
+			s.reportTo(ctx, link, s.rollouts.homeOf(s.order))
+		}
+		if current := s.current.Load(); current.state != Serving && current.recorded {
+			s.finish.Do(func() { close(s.finished) })
+			return
+		}
+		if !wait.For(ctx, jitter(reportInterval)) {
+			return
+		}
+	}
+}
+
+// reportDue reports whether to report now. In a large mesh most daemons have no calls of
+// the service; they report less often.
+func (s *service) reportDue(now time.Time) bool {
+	if s.rollouts.options.Directory.View().Members.Len() <= largeMesh {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sent := s.totals.SentOld + s.totals.SentNew
+	if sent == s.reportedSent && now.Sub(s.reportedAt) < idleReportInterval {
+		return false
+	}
+	s.reportedSent, s.reportedAt = sent, now
+	return true
+}
+
+// reportTo sends one report and applies the answer.
+func (s *service) reportTo(ctx context.Context, link *homeLink, home membership.Member) {
+	report := s.report()
+	self := s.rollouts.options.Self
+	var got answer
+	if home.Host == self.Host {
+		link.close()
+		got = s.handle(self.Host, report)
+	} else {
+		var err error
+		got, err = link.send(ctx, home, report)
+		if err != nil {
+			s.rollouts.metrics.reportsLost.Inc()
+			if ctx.Err() == nil {
+				s.rollouts.log.WithError(err).WithFields(logrus.Fields{"service": s.order.Service, "home": home.Host}).Debug("report failed")
+			}
+			return
+		}
+	}
+	s.rollouts.metrics.reports.Inc()
+	s.apply(got)
+}
+
+// report returns the report of this daemon.
+func (s *service) report() Report {
+	now := s.rollouts.now()
+	counts := s.versions(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.current.Load()
+	all := current.shareAt(now) >= 1 && counts.new > 0
+	switch {
+	case !all:
+		s.movedSince = time.Time{}
+	case s.movedSince.IsZero():
+		s.movedSince = now
+	}
+	report := Report{
+		Incarnation: s.rollouts.options.Self.Incarnation,
+		Age:         now.Sub(s.began),
+		State:       current.state,
+		Reason:      current.reason,
+		Moved:       all && now.Sub(s.movedSince) >= settleTime && s.oldInProgress == 0,
+		Totals: Totals{
+			SentOld: s.totals.SentOld,
+			SentNew: s.totals.SentNew,
+			Routes:  make(map[string]VersionTallies, len(s.totals.Routes)),
+		},
+	}
+	for route, tallies := range s.totals.Routes {
+		report.Totals.Routes[route] = *tallies
+	}
+	return report
+}
+
+// apply applies an answer of the home.
+func (s *service) apply(got answer) {
+	if got.unknown {
+		return
+	}
+	now := s.rollouts.now()
+	if got.state != Serving {
+		s.adopt(got.state, got.reason, got.recorded)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if began := now.Add(-got.age); began.Before(s.began) {
+		s.began = began
+	}
+	if s.current.Load().state != Serving {
+		return
+	}
+	s.updateLocked(func(next *inForce) {
+		next.share, next.step, next.answeredAt, next.statusKnown = got.share, got.step, now, true
+	})
+}
+
+// handle merges a report at the home and decides.
+func (s *service) handle(host string, report Report) answer {
+	now := s.rollouts.now()
+	reach := s.rollouts.reachOf(s.order)
+	s.adopt(report.State, report.Reason, false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.current.Load()
+	if s.trial == nil {
+		s.trial = NewTrial(s.order, s.rollouts.options.Limits, s.began)
+		s.trial.adopt(current.state, current.reason)
+	}
+	s.trial.Merge(host, report, now)
+	if s.mayDecide(now) {
+		s.trial.Decide(now, reach)
+	}
+	s.logChange(now, reach)
+	step, share, state := s.trial.Step()
+	recorded := s.rollouts.options.Log == nil || s.recordedState == state
+	if state == Reverted && current.state == Serving {
+		s.adoptLocked(Reverted, s.trial.Reason(), recorded)
+	}
+	if state == Completed && recorded {
+		s.adoptLocked(Completed, s.trial.Reason(), true)
+	}
+	if state == Completed && !recorded {
+		// Daemons go on sending everything to the new version until the log has it.
+		state = Serving
+	}
+	if state == Reverted {
+		share = 0
+	}
+	return answer{share: share, step: step, state: state, reason: s.trial.Reason(), age: now.Sub(s.trial.began), recorded: recorded && state != Serving}
+}
+
+// mayDecide reports whether this home may send calls to the new version: not before it
+// has read the log, unless the order is new to all and the log does not answer.
+func (s *service) mayDecide(now time.Time) bool {
+	return s.rollouts.options.Log == nil || s.statusRead || s.fresh && now.Sub(s.began) >= readGrace
+}
+
+// logChange logs a change of step or state with its inputs.
+func (s *service) logChange(now time.Time, reach Reach) {
+	step, share, state := s.trial.Step()
+	if step == s.lastStep && state == s.lastState {
+		return
+	}
+	s.lastStep, s.lastState = step, state
+	s.rollouts.log.WithFields(logrus.Fields{
+		"service": s.order.Service, "target_version": s.order.Version,
+		"step": step, "share": share, "state": state, "reason": s.trial.Reason(),
+		"age": now.Sub(s.trial.began).Round(time.Millisecond), "duration": s.order.Duration,
+		"counts": s.trial.summary(), "sent_old": s.trial.sentOld, "sent_new": s.trial.sentNew,
+		"daemons": len(s.trial.reports), "reach": len(reach.Hosts), "known": reach.Known,
+		"old_targets": reach.OldTargets, "new_targets": reach.NewTargets,
+	}).Info("rollout step")
+}
+
+// keepStatus reads the status from the log and, at the home, records the states of the
+// trial, until a final one is recorded.
+func (s *service) keepStatus(ctx context.Context) {
+	log := statusLog{s.rollouts.options.Log}
+	for {
+		s.keepStatusOnce(ctx, log)
+		pause := reportInterval / 5
+		if s.statusIdle() {
+			pause = reportInterval
+		}
+		select {
+		case <-s.finished:
+			return
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+// statusIdle reports whether there is nothing to read or record at the moment.
+func (s *service) statusIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.trial == nil
+}
+
+// keepStatusOnce makes one read or write if one is due.
+func (s *service) keepStatusOnce(ctx context.Context, log statusLog) {
+	s.mu.Lock()
+	isHome := s.trial != nil && s.rollouts.homeOf(s.order).Host == s.rollouts.options.Self.Host
+	needsRead := !s.statusRead && (isHome || !s.fresh)
+	wanted := State(0)
+	if isHome && s.statusRead && !s.superseded {
+		if _, _, state := s.trial.Step(); state != s.recordedState {
+			wanted = state
+		}
+	}
+	replaces := s.replaces
+	s.mu.Unlock()
+	switch {
+	case needsRead:
+		newest, _, err := log.read(ctx, s.order.Service)
+		if err != nil {
+			s.retryStatus(ctx, "read", err)
+			return
+		}
+		s.learnStatus(newest)
+	case wanted != 0:
+		recorded, err := log.record(ctx, Status{Service: s.order.Service, Version: s.order.Version, State: wanted}, replaces)
+		if err != nil {
+			s.rollouts.metrics.writesFailed.Inc()
+			if errors.Is(err, errSuperseded) {
+				s.mu.Lock()
+				s.superseded = true
+				s.mu.Unlock()
+			}
+			s.retryStatus(ctx, "record", err)
+			return
+		}
+		s.rollouts.metrics.writes.Inc()
+		s.learnStatus(recorded)
+	}
+}
+
+func (s *service) retryStatus(ctx context.Context, call string, err error) {
+	s.rollouts.log.WithError(err).WithFields(logrus.Fields{"service": s.order.Service, "call": call}).Warn("rollout status failed")
+	wait.For(ctx, jitter(statusRetry))
+}
+
+// learnStatus takes the status that the log holds.
+func (s *service) learnStatus(newest Status) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.statusRead = true
+	if newest.Version != s.order.Version {
+		s.replaces = newest.Version
+		s.updateLocked(func(next *inForce) { next.statusKnown = true })
+		return
+	}
+	s.recordedState = newest.State
+	if newest.State == Completed || newest.State == Reverted {
+		reason := "recorded in the log"
+		if s.trial != nil && s.trial.Reason() != "" {
+			reason = s.trial.Reason()
+		}
+		s.adoptLocked(newest.State, reason, true)
+		return
+	}
+	s.updateLocked(func(next *inForce) { next.statusKnown = true })
+}
+
+// status describes the rollout for operators.
+func (s *service) status() RolloutStatus {
+	home := s.rollouts.homeOf(s.order).Host
+	now := s.rollouts.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.current.Load()
+	status := RolloutStatus{
+		Service: s.order.Service, Version: s.order.Version, State: current.state.String(), Step: current.step.String(),
+		Share: current.shareAt(now), Reason: current.reason, Recorded: current.recorded, Home: home,
+		KnownSince: s.began, Deadline: s.began.Add(s.order.Duration), SentOld: s.totals.SentOld, SentNew: s.totals.SentNew,
+	}
+	if s.trial != nil && home == s.rollouts.options.Self.Host {
+		status.Counts = s.trial.summary()
+	}
+	return status
+}
+
+// homeLink is the connection to the home.
+type homeLink struct {
+	service *service
+	address string
+	conn    *peer.Conn
+}
+
+// send sends one report to the home.
+func (l *homeLink) send(ctx context.Context, home membership.Member, report Report) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if l.address != home.ControlAddress {
+		l.close()
+	}
+	if l.conn == nil {
+		conn, err := l.service.rollouts.options.Dialer.Dial(ctx, trafficKind, home.ControlAddress)
+		if err != nil {
+			return answer{}, err
+		}
+		l.conn, l.address = conn, home.ControlAddress
+	}
+	got, err := sendReport(ctx, l.conn, l.service.order, report)
+	if err != nil {
+		l.close()
+	}
+	return got, err
+}
+
+func (l *homeLink) close() {
+	if l.conn != nil {
+		_ = l.conn.Close()
+	}
+	l.conn, l.address = nil, ""
+}
--- /dev/null
+++ b/internal/rollout/trial.go
@@ -0,0 +1,281 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+)
+
+// State is the state of a rollout, as recorded for the operator.
+type State int
+
+// States of a rollout. Completed and Reverted are final.
+const (
+	Serving State = iota + 1
+	Completed
+	Reverted
+)
+
+func (s State) String() string {
+	return [...]string{"", "serving", "completed", "reverted"}[s]
+}
+
+const (
+	// reportInterval is the time between two reports of one daemon.
+	reportInterval = 250 * time.Millisecond
+	// evaluationInterval is the shortest time between two evaluations of the counts.
+	evaluationInterval = 100 * time.Millisecond
+	// silentAfter is how long after its last report a daemon is not waited for.
+	silentAfter = 1500 * time.Millisecond
+	// minAllTime is the shortest duration of the step All, in which the version is
+	// observed under full load.
+	minAllTime = 750 * time.Millisecond
+	// lastChance is how long before the deadline a version that shows no sign of being
+	// bad is completed although it has not passed the test.
+	lastChance = time.Second
+	// budgetReserve is the part of the exposure bound up to which calls are sent to a
+	// version that has not passed. The rest is for calls sent until daemons know.
+	budgetReserve = 0.9
+)
+
+// Limits bound what a bad version may get.
+type Limits struct {
+	// CanaryShare is the share of a service's requests, Slack a number of requests in
+	// addition.
+	CanaryShare float64
+	Slack       float64
+}
+
+// Report is what one daemon tells the home of a rollout.
+type Report struct {
+	Incarnation uint64
+	// Age is how long ago the daemon learnt of the order.
+	Age time.Duration
+	// State is the verdict that the daemon knows, Serving for none.
+	State  State
+	Reason string
+	Totals Totals
+	// Moved says that all calls go to the new version and none is in progress at the
+	// old one.
+	Moved bool
+}
+
+// Reach is the view of the mesh that a decision is based on.
+type Reach struct {
+	// Hosts are the hosts in reach, the home among them.
+	Hosts []string
+	// Known is the number of hosts that have not left.
+	Known int
+	// OldTargets and NewTargets are the numbers of targets that accept calls.
+	OldTargets, NewTargets int
+}
+
+// hostReport is the newest report of a daemon.
+type hostReport struct {
+	Report
+	at time.Time
+}
+
+// Trial decides on one order at its home. It is not safe for concurrent use.
+type Trial struct {
+	order  publish.Rollout
+	limits Limits
+	plan   Plan
+	// began is when the order came, as far as known.
+	began   time.Time
+	reports map[string]hostReport
+	// pending are the counts that no evaluation has seen yet.
+	pending map[string]VersionTallies
+	totals  map[string]*VersionTallies
+	// sentOld and sentNew add up over all daemons and incarnations.
+	sentOld, sentNew uint64
+	judge            judge
+	// evaluated is when the test last saw the counts.
+	evaluated time.Time
+	step      Step
+	share     float64
+	allSince  time.Time
+	state     State
+	reason    string
+}
+
+// NewTrial returns the trial of an order that came at a time.
+func NewTrial(order publish.Rollout, limits Limits, began time.Time) *Trial {
+	return &Trial{
+		order:   order,
+		limits:  limits,
+		plan:    NewPlan(order.Duration, limits.CanaryShare),
+		began:   began,
+		reports: make(map[string]hostReport),
+		pending: make(map[string]VersionTallies),
+		totals:  make(map[string]*VersionTallies),
+		state:   Serving,
+	}
+}
+
+// Merge takes the report of a daemon. Repeated and late reports change nothing.
+func (t *Trial) Merge(host string, report Report, now time.Time) {
+	t.adopt(report.State, report.Reason)
+	if began := now.Add(-report.Age); began.Before(t.began) {
+		t.began = began
+	}
+	last := t.reports[host]
+	if report.Incarnation < last.Incarnation {
+		return
+	}
+	earlier := last.Totals
+	if report.Incarnation > last.Incarnation {
+		earlier = Totals{}
+	} else if report.Totals.SentOld < earlier.SentOld || report.Totals.SentNew < earlier.SentNew {
+		return
+	}
+	t.sentOld += report.Totals.SentOld - earlier.SentOld
+	t.sentNew += report.Totals.SentNew - earlier.SentNew
+	for route, tallies := range report.Totals.Routes {
+		before := earlier.Routes[route]
+		news := VersionTallies{Old: tallies.Old.since(before.Old), New: tallies.New.since(before.New)}
+		pending := t.pending[route]
+		pending.Old.plus(&news.Old)
+		pending.New.plus(&news.New)
+		t.pending[route] = pending
+		total := t.totals[route]
+		if total == nil {
+			total = &VersionTallies{}
+			t.totals[route] = total
+		}
+		total.Old.plus(&news.Old)
+		total.New.plus(&news.New)
+	}
+	t.reports[host] = hostReport{Report: report, at: now}
+}
+
+// adopt takes a verdict that others know. Completed was recorded before it was told, so
+// it stands above a verdict of this home that is not recorded yet.
+func (t *Trial) adopt(state State, reason string) {
+	if state == Completed || state == Reverted && t.state == Serving {
+		t.state, t.reason = state, reason
+	}
+}
+
+// Decide evaluates what was reported. The result Completed is a decision that must be
+// recorded before daemons are told.
+func (t *Trial) Decide(now time.Time, reach Reach) {
+	if t.state != Serving {
+		return
+	}
+	bad := t.evaluate(now)
+	elapsed := now.Sub(t.began)
+	switch {
+	case bad:
+		t.revert(t.judge.reason)
+	case reach.NewTargets == 0:
+		t.setStep(Waiting, 0, now)
+		if elapsed >= t.order.Duration {
+			t.revert("no target of the version before the deadline")
+		}
+	case reach.OldTargets == 0:
+		t.setStep(All, 1, now)
+	default:
+		step, share := t.plan.At(elapsed)
+		if t.step == All {
+			// The step is not left again because a daemon knows an earlier order time.
+			step, share = All, 1
+		}
+		if t.overBudget(elapsed) {
+			step, share = Held, 0
+		}
+		t.setStep(step, share, now)
+		if step == Held && elapsed >= t.order.Duration {
+			t.revert("no decision within the exposure budget")
+		}
+	}
+	if t.state == Serving && t.step == All && t.complete(now, reach) {
+		t.state, t.reason = Completed, "all daemons send their calls to the new version"
+	}
+}
+
+// evaluate passes the new counts to the test, at most once in evaluationInterval.
+func (t *Trial) evaluate(now time.Time) bool {
+	if len(t.pending) == 0 || now.Sub(t.evaluated) < evaluationInterval {
+		return false
+	}
+	t.evaluated = now
+	news := make(map[string]Tally, len(t.pending))
+	old := make(map[string]routeBaseline, len(t.totals))
+	for route, pending := range t.pending {
+		if pending.New.Answers() > 0 {
+			news[route] = pending.New
+		}
+	}
+	for route, total := range t.totals {
+		pending := t.pending[route]
+		old[route] = routeBaseline{total: &total.Old, news: &pending.Old}
+	}
+	clear(t.pending)
+	return t.judge.observe(t.step, news, old)
+}
+
+// overBudget reports whether the version has had what a bad one may get, without having
+// passed the test under full load.
+func (t *Trial) overBudget(elapsed time.Duration) bool {
+	if t.judge.accepted() {
+		return false
+	}
+	expected := float64(t.sentOld+t.sentNew) * max(1, float64(t.order.Duration)/float64(max(elapsed, time.Second)))
+	return float64(t.sentNew) > budgetReserve*t.limits.CanaryShare*expected+t.limits.Slack
+}
+
+func (t *Trial) setStep(step Step, share float64, now time.Time) {
+	if step == All && t.step != All {
+		t.allSince = now
+	}
+	t.step, t.share = step, share
+}
+
+func (t *Trial) revert(reason string) {
+	t.state, t.reason, t.share = Reverted, reason, 0
+}
+
+// complete reports whether all daemons in reach have moved, and these are most of the
+// known ones.
+func (t *Trial) complete(now time.Time, reach Reach) bool {
+	// A service with few requests does not pass the test in time.
+	passed := t.judge.accepted() || now.Sub(t.began) >= t.order.Duration-lastChance
+	if !passed || !t.judge.calm() || now.Sub(t.allSince) < minAllTime || 2*len(reach.Hosts) <= reach.Known {
+		return false
+	}
+	moved := 0
+	for _, host := range reach.Hosts {
+		report, found := t.reports[host]
+		switch {
+		case found && now.Sub(report.at) <= silentAfter && !report.Moved:
+			return false
+		case found && now.Sub(report.at) <= silentAfter:
+			moved++
+		case now.Sub(t.allSince) < silentAfter:
+			return false
+		}
+	}
+	return 2*moved > reach.Known
+}
+
+// Step returns the step, the share of calls for the new version, and the state.
+func (t *Trial) Step() (Step, float64, State) { return t.step, t.share, t.state }
+
+// Reason returns why a final state was reached.
+func (t *Trial) Reason() string { return t.reason }
+
+// summary returns the counts of both versions for log lines.
+func (t *Trial) summary() string {
+	var old, tested Tally
+	slowOld, slowNew := uint64(0), uint64(0)
+	for _, total := range t.totals {
+		limit := slowLimit(&total.Old)
+		old.plus(&total.Old)
+		tested.plus(&total.New)
+		slowOld, slowNew = slowOld+total.Old.slow(limit), slowNew+total.New.slow(limit)
+	}
+	return fmt.Sprintf("old version: %d answers, %d failed, %d slow; new version: %d answers, %d failed, %d slow",
+		old.Answers(), old.Failures, slowOld, tested.Answers(), tested.Failures, slowNew)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,7 @@
 	Adapter string  `json:"adapter" default:"none" form:"adapter"`
 	Target  Target  `json:"target"`
 	Retries Retries `json:"retries"`
+	Rollout Rollout `json:"rollout"`
 	// FirstStart is "on" when all daemons start for the first time. Each then takes
 	// time to discover the others before calls arrive.
 	FirstStart string `json:"first_start" default:"off" form:"switch"`
@@ -115,6 +116,18 @@
 	Ratio float64 `json:"ratio" default:"0" min:"0" max:"1"`
 }
 
+// Rollout limits what a new version of a service may get before it is known to be good.
+type Rollout struct {
+	// CanaryShare is the share of a service's requests that a bad version may get, 0 to
+	// ignore rollout orders.
+	CanaryShare float64 `json:"canary_share" default:"0" min:"0" max:"1"`
+	// CanarySlack is the number of requests that it may get in addition.
+	CanarySlack float64 `json:"canary_slack" default:"50" min:"0" max:"1000000"`
+	// Rollback is the time within which a bad version must get no more requests. The
+	// steps of a rollout need less than the lowest value.
+	Rollback Duration `json:"rollback" default:"5s" min:"2s" max:"10m"`
+}
+
 // Values of Settings.Pace.
 const (
 	PaceDefault = "calm"
--- a/internal/standin/metastore/http.go
+++ b/internal/standin/metastore/http.go
@@ -86,7 +86,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	offset := s.append(name, records)
+	offset, ok := s.appendAt(name, records, r.URL.Query().Get("at"))
+	if !ok {
+		writeJSON(w, http.StatusPreconditionFailed, map[string]uint64{"end_offset": offset})
+		return
+	}
 	writeJSON(w, http.StatusOK, map[string]uint64{"offset": offset, "end_offset": offset + uint64(len(records))})
 }
 
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -125,10 +126,20 @@
 
 // append appends records and returns the offset of the first.
 func (s *Service) append(name string, records [][]byte) uint64 {
+	offset, _ := s.appendAt(name, records, "")
+	return offset
+}
+
+// appendAt is append on the condition that the topic ends at an offset, "" for none. It
+// returns the end of the topic and false if it does not.
+func (s *Service) appendAt(name string, records [][]byte, at string) (uint64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
 	offset := t.end()
+	if at != "" && at != strconv.FormatUint(offset, 10) {
+		return offset, false
+	}
 	for _, record := range records {
 		if strings.HasPrefix(name, keyedPrefix) {
 			t.index(record)
@@ -136,7 +147,7 @@
 		t.records = append(t.records, record)
 	}
 	s.appended.Notify()
-	return offset
+	return offset, true
 }
 
 func (t *topic) end() uint64 { return t.first + uint64(len(t.records)) }
