--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/mulberrybank/mulberrybank/internal/platform"
 	"github.com/mulberrybank/mulberrybank/internal/publish"
 	"github.com/mulberrybank/mulberrybank/internal/quota"
+	"github.com/mulberrybank/mulberrybank/internal/rollout"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 	"github.com/mulberrybank/mulberrybank/internal/secure"
 	"github.com/mulberrybank/mulberrybank/internal/settings"
@@ -56,12 +57,14 @@
 	traffic   *peer.TrafficCounter
 	events    *timeline.Buffer
 
-	server       *peer.Server
-	enforcer     *enforce.Enforcer
-	distributor  *distribute.Distributor
-	members      *membership.Membership
-	router       *route.Router
-	calls        *call.Server
+	server      *peer.Server
+	enforcer    *enforce.Enforcer
+	distributor *distribute.Distributor
+	members     *membership.Membership
+	router      *route.Router
+	calls       *call.Server
+	// rollouts is nil when rollouts are off.
+	rollouts     *rollout.Rollouts
 	deduplicator *once.Deduplicator
 	proposer     *once.Proposer
 	// quotas is nil when they are off.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -75,6 +75,9 @@
 	if d.quotas != nil {
 		c.start(ctx, d.quotas.Run)
 	}
+	if d.rollouts != nil {
+		c.start(ctx, d.rollouts.Run)
+	}
 	if d.tlsIdentity != nil {
 		c.start(ctx, d.tlsIdentity.Run)
 	}
--- a/internal/publish/state_machine.go
+++ b/internal/publish/state_machine.go
@@ -50,6 +50,10 @@
 	change *WholeChange
 	// changeSchema is the schema number of the record with change.
 	changeSchema uint32
+	// orders holds the newest order of each service.
+	orders rolloutOrders
+	// awaitsConfiguration is set when an order was applied before any configuration.
+	awaitsConfiguration bool
 	// digest caches Digest, nil until it is computed.
 	digest []byte
 }
@@ -106,6 +110,9 @@
 	if full := entry.GetWhole(); full != nil {
 		return m.applyFullConfig(record.Offset, full), nil
 	}
+	if order := entry.GetRolloutOrder(); order != nil {
+		return m.applyRolloutOrder(record.Offset, order), nil
+	}
 	if change := entry.GetWholeChange(); change != nil {
 		full, err := change.apply(entry.GetSchema(), m.workspaces[change.GetWorkspace()].full)
 		if err != nil {
