--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -91,6 +92,8 @@
 type Options struct {
 	ID      string
 	Service string
+	// Version is the version of the program, "v1" if empty.
+	Version string
 	Slots   int
 	// DaemonAddress is the address to which heartbeats are sent.
 	DaemonAddress string
@@ -223,7 +226,7 @@
 	return map[string]any{
 		"address":   u.Address(),
 		"born":      u.options.StartedUnixMs,
-		"node_info": map[string]any{"service": u.options.Service, "version": "v1", "zone": "z", "slots": u.options.Slots},
+		"node_info": map[string]any{"service": u.options.Service, "version": cmp.Or(u.options.Version, "v1"), "zone": "z", "slots": u.options.Slots},
 		"status":    map[string]any{"state": state, "sequence": sequence, "cold_left_s": 0},
 	}
 }
