Rollouts survive faults of the home and of the log; bounds of exposure

A table test plays 8 faults (home killed, restarted, paused, cut off; all restarted; answers of the log lost, log out) at 6 times of good and bad rollouts.

--- a/internal/rollout/counts.go
+++ b/internal/rollout/counts.go
@@ -35,6 +35,11 @@
 	return min(max(bucket, 0), bucketCount-1)
 }
 
+// bucketEnd returns the upper bound of a bucket.
+func bucketEnd(bucket int) time.Duration {
+	return time.Duration(float64(firstBucket) * math.Pow(2, float64(bucket)/2))
+}
+
 // add counts one answer.
 func (t *Tally) add(failed bool, took time.Duration, cold bool) {
 	if failed {
--- a/internal/rollout/encoding.go
+++ b/internal/rollout/encoding.go
@@ -35,6 +35,7 @@
 		Age:         time.Duration(min(request.GetAgeMs(), uint64(maxAge/time.Millisecond))) * time.Millisecond,
 		State:       State(request.GetState()),
 		Reason:      request.GetReason(),
+		All:         request.GetAll(),
 		Moved:       request.GetMoved(),
 		Totals: Totals{
 			SentOld: request.GetSentOld(),
--- a/internal/rollout/picker.go
+++ b/internal/rollout/picker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,18 +28,20 @@
 
 // Pick implements call.VersionPicker.
 func (r *Rollouts) Pick(config *publish.Configuration, service, route string) call.VersionedCall {
+	var replaced []string
 	if order := config.Rollouts[service]; order != nil {
 		s := r.ofOrder(order)
 		if versioned := s.pick(route); versioned != nil {
 			return versioned
 		}
+		replaced = s.current.Load().oldVersions
 	}
-	return r.pickUnheld(service)
+	return r.pickUnheld(service, replaced)
 }
 
 // pickUnheld returns a call to the versions of a service without a running order, nil
-// if all of them may get it.
-func (r *Rollouts) pickUnheld(service string) call.VersionedCall {
+// if all of them may get it. Versions that a completed order replaced get none.
+func (r *Rollouts) pickUnheld(service string, replaced []string) call.VersionedCall {
 	r.mu.RLock()
 	h := r.holds[service]
 	r.mu.RUnlock()
@@ -51,7 +54,7 @@
 		}
 		r.mu.Unlock()
 	}
-	filter, began := h.filter(r.options.Directory.View().ByService.At(service), r.now())
+	filter, began := h.filter(r.options.Directory.View().ByService.At(service), replaced, r.now())
 	if began {
 		r.metrics.held.Inc()
 		r.log.WithField("service", service).Info("version that appeared beside another one gets no calls for now")
@@ -82,7 +85,7 @@
 
 // filter returns which versions may get calls, nil for all, and whether the hold of
 // a version began.
-func (h *hold) filter(members []membership.Member, now time.Time) (held *route.VersionFilter, began bool) {
+func (h *hold) filter(members []membership.Member, replaced []string, now time.Time) (held *route.VersionFilter, began bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	same := len(h.members) == len(members) && (len(members) == 0 || &h.members[0] == &members[0])
@@ -90,17 +93,22 @@
 		return h.held, false
 	}
 	h.members = members
-	began = h.update(members, now)
+	began = h.update(members, replaced, now)
 	return h.held, began
 }
 
-func (h *hold) update(members []membership.Member, now time.Time) (began bool) {
+func (h *hold) update(members []membership.Member, replaced []string, now time.Time) (began bool) {
 	live := make(map[string]int)
+	var held []string
 	for i := range members {
-		if acceptsCalls(&members[i]) {
-			live[members[i].TargetVersion]++
+		switch version := members[i].TargetVersion; {
+		case slices.Contains(replaced, version):
+			held = append(held, version)
+		case acceptsCalls(&members[i]):
+			live[version]++
 		}
 	}
+	others := len(live)
 	if h.versions == nil {
 		h.versions, h.began = make(map[string]*seenVersion), now
 	}
@@ -130,17 +138,18 @@
 		}
 	}
 	h.until = time.Time{}
-	var held []string
+	delayed := 0
 	for version := range live {
 		if until := h.versions[version].heldUntil; now.Before(until) {
 			held = append(held, version)
+			delayed++
 			if h.until.IsZero() || until.Before(h.until) {
 				h.until = until
 			}
 		}
 	}
 	h.held = nil
-	if len(held) > 0 && len(held) < len(live) {
+	if len(held) > 0 && delayed < others {
 		filter := route.ExceptVersions(held...)
 		h.held = &filter
 	}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -27,8 +27,9 @@
 	// completionLead is how long before the deadline the status shall be recorded.
 	completionLead = 1750 * time.Millisecond
 	// allTime is the time for the step All: 0.3 s until all daemons know of it, about
-	// 0.5 s for calls in progress, 0.3 s until all have reported, and the write.
-	allTime = 1350 * time.Millisecond
+	// 0.7 s for calls in progress and slow answers, 0.4 s until all have reported, and
+	// the write.
+	allTime = 1500 * time.Millisecond
 	// rampTime is the duration of the step Ramp.
 	rampTime = 600 * time.Millisecond
 	// maxRampShare limits the share of the step Ramp, rampBudget its part of the
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -63,6 +63,7 @@
 	now     func() time.Time
 	metrics counters
 	started time.Time
+	newLink func(*service) reportLink
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -90,6 +91,7 @@
 		now:      options.Now,
 		metrics:  newCounters(options.Metrics),
 		started:  options.Now(),
+		newLink:  func(s *service) reportLink { return &homeLink{service: s} },
 		services: make(map[string]*service),
 		holds:    make(map[string]*hold),
 	}
--- a/internal/rollout/rpc.go
+++ b/internal/rollout/rpc.go
@@ -23,6 +23,7 @@
 		AgeMs:   uint64(report.Age / time.Millisecond),
 		State:   uint32(report.State),
 		Reason:  report.Reason,
+		All:     report.All,
 		Moved:   report.Moved,
 	}
 	encodeTotals(request, report.Totals)
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,10 +45,12 @@
 	state State
 	// finalSince is when this daemon learnt of the final state.
 	finalSince time.Time
-	reason     string
-	step       Step
-	share      float64
-	answeredAt time.Time
+	// oldVersions are the versions that the completed one replaced.
+	oldVersions []string
+	reason      string
+	step        Step
+	share       float64
+	answeredAt  time.Time
 	// statusKnown is set once the status in the log, or an answer of a home, is known.
 	statusKnown bool
 	recorded    bool
@@ -161,6 +164,16 @@
 	return next
 }
 
+// otherVersions returns the versions of the targets known now, other than the new one.
+func (s *service) otherVersions() (versions []string) {
+	for _, member := range s.rollouts.options.Directory.View().ByService.At(s.order.Service) {
+		if version := member.TargetVersion; version != s.order.Version && !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+	}
+	return versions
+}
+
 // oldGone reports whether only targets of the new version have been known for a while.
 func (k *knownTargets) oldGone(now time.Time) bool {
 	return k.new > 0 && !k.oldGoneSince.IsZero() && now.Sub(k.oldGoneSince) >= oldGoneTime
@@ -206,6 +219,7 @@
 		next.share = 0
 		if state == Completed {
 			next.share = 1
+			next.oldVersions = s.otherVersions()
 		}
 	})
 	if s.trial != nil {
@@ -228,7 +242,7 @@
 	if s.rollouts.options.Log != nil {
 		tasks.Go(func() { s.keepStatus(ctx) })
 	}
-	link := &homeLink{service: s}
+	link := s.rollouts.newLink(s)
 	defer link.close()
 	if !wait.For(ctx, time.Duration(float64(reportInterval)*jitterFraction())) {
 		return
@@ -265,7 +279,7 @@
 }
 
 // reportTo sends one report and applies the answer.
-func (s *service) reportTo(ctx context.Context, link *homeLink, home membership.Member) {
+func (s *service) reportTo(ctx context.Context, link reportLink, home membership.Member) {
 	report := s.report()
 	self := s.rollouts.options.Self
 	var got answer
@@ -273,8 +287,10 @@
 		link.close()
 		got = s.handle(self.Host, report)
 	} else {
+		sendCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		var err error
-		got, err = link.send(ctx, home, report)
+		got, err = link.send(sendCtx, home, report)
+		cancel()
 		if err != nil {
 			s.rollouts.metrics.reportsLost.Inc()
 			if ctx.Err() == nil {
@@ -306,6 +322,7 @@
 		Age:         now.Sub(s.began),
 		State:       current.state,
 		Reason:      current.reason,
+		All:         all,
 		Moved:       all && now.Sub(s.movedSince) >= settleTime && s.oldInProgress == 0,
 		Totals: Totals{
 			SentOld: s.totals.SentOld,
@@ -510,6 +527,12 @@
 	return status
 }
 
+// reportLink sends the reports of one service to its home.
+type reportLink interface {
+	send(ctx context.Context, home membership.Member, report Report) (answer, error)
+	close()
+}
+
 // homeLink is the connection to the home.
 type homeLink struct {
 	service *service
@@ -519,8 +542,6 @@
 
 // send sends one report to the home.
 func (l *homeLink) send(ctx context.Context, home membership.Member, report Report) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
 	if l.address != home.ControlAddress {
 		l.close()
 	}
--- /dev/null
+++ b/internal/rollout/transition_test.go
@@ -0,0 +1,398 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/enforce"
+	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/peer"
+	"github.com/mulberrybank/mulberrybank/internal/platform"
+	"github.com/mulberrybank/mulberrybank/internal/publish"
+)
+
+// fakeConfig is a table that never changes after its order came.
+type fakeConfig struct{ table *enforce.Table }
+
+func (c fakeConfig) Table() *enforce.Table    { return c.table }
+func (c fakeConfig) Changed() <-chan struct{} { return nil }
+
+// fakeDirectory is the view of one daemon.
+type fakeDirectory struct {
+	mu   sync.Mutex
+	view *membership.View
+}
+
+func (d *fakeDirectory) View() *membership.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view
+}
+func (d *fakeDirectory) Changed() <-chan struct{} { return nil }
+
+// fakeLog is the stream of statuses with faults.
+type fakeLog struct {
+	platform.KeyedLog
+	mu      sync.Mutex
+	records []Status
+	// out makes calls fail without effect, loseAnswers lets writes take effect without
+	// an answer.
+	out, loseAnswers bool
+}
+
+var errFault = errors.New("fault of the test")
+
+func (l *fakeLog) Newest(context.Context, string) ([]platform.KeyedRecord, uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.out {
+		return nil, 0, errFault
+	}
+	if len(l.records) == 0 {
+		return nil, 1, nil
+	}
+	newest := l.records[len(l.records)-1]
+	payload, err := EncodeStatus(newest)
+	record := platform.KeyedRecord{Key: statusKey(newest.Service), Record: platform.Record{Payload: payload}}
+	return []platform.KeyedRecord{record}, uint64(len(l.records)) + 1, err
+}
+
+func (l *fakeLog) PutAt(_ context.Context, _, _ string, payload []byte, next uint64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.out {
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, errFault)
+	}
+	if next != uint64(len(l.records))+1 {
+		return fmt.Errorf("%w: %w", platform.ErrRefused, &platform.EndMovedError{Next: uint64(len(l.records)) + 1})
+	}
+	status, err := DecodeStatus(payload)
+	if err != nil {
+		return err
+	}
+	l.records = append(l.records, status)
+	if l.loseAnswers {
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, errFault)
+	}
+	return nil
+}
+
+// fakeMesh is several daemons in a bubble of synctest, linked by calls.
+type fakeMesh struct {
+	t       *testing.T
+	log     *fakeLog
+	order   *publish.Rollout
+	bad     bool
+	daemons []*fakeDaemon
+	mu      sync.Mutex
+	// newCalls counts the calls sent to the new version, and those sent by a daemon
+	// after it knew of the reversal, which must be none.
+	newCalls, afterRevert int
+	// oldAfterCompleted counts calls to the old version after its record.
+	oldAfterCompleted int
+	tasks             conc.WaitGroup
+}
+
+type fakeDaemon struct {
+	mesh        *fakeMesh
+	name        string
+	incarnation uint64
+	directory   *fakeDirectory
+	rollouts    *Rollouts
+	cancel      context.CancelFunc
+	// paused daemons answer nothing and send nothing.
+	paused, dead, cut bool
+}
+
+// fakeLink delivers reports by calls.
+type fakeLink struct{ from *fakeDaemon }
+
+func (l fakeLink) close() {}
+
+func (l fakeLink) send(ctx context.Context, home membership.Member, report Report) (answer, error) {
+	m := l.from.mesh
+	m.mu.Lock()
+	to := m.find(home.Host)
+	broken := to == nil || to.dead || to.paused || to.cut != l.from.cut || l.from.paused
+	var rollouts *Rollouts
+	if !broken {
+		rollouts = to.rollouts
+	}
+	m.mu.Unlock()
+	if broken {
+		<-ctx.Done()
+		return answer{}, ctx.Err()
+	}
+	s := rollouts.find(m.order.Service, m.order.Version)
+	if s == nil {
+		return answer{unknown: true, state: Serving}, nil
+	}
+	return s.handle(l.from.name, report), nil
+}
+
+func (m *fakeMesh) find(host string) *fakeDaemon {
+	for _, d := range m.daemons {
+		if d.name == host {
+			return d
+		}
+	}
+	return nil
+}
+
+const fakeDaemons = 8
+
+func startFakeMesh(t *testing.T, bad bool) *fakeMesh {
+	m := &fakeMesh{t: t, log: &fakeLog{}, bad: bad, order: &publish.Rollout{Service: "mesh/huts", Version: "v2", Duration: 12 * time.Second}}
+	for i := range fakeDaemons {
+		d := &fakeDaemon{mesh: m, name: fmt.Sprintf("host-%d", i), directory: &fakeDirectory{}}
+		m.daemons = append(m.daemons, d)
+	}
+	m.updateViews()
+	for _, d := range m.daemons {
+		m.start(d)
+	}
+	return m
+}
+
+// updateViews gives each daemon the view that membership would: dead, paused and cut
+// hosts are out of reach.
+func (m *fakeMesh) updateViews() {
+	for _, self := range m.daemons {
+		members := make(map[string]membership.Member)
+		var targets []membership.Member
+		for i, d := range m.daemons {
+			member := membership.Member{
+				Host: d.name, Zone: "z", Region: "r", State: membership.Alive, Service: "mesh/huts",
+				TargetState: membership.Ready, TargetVersion: "v1", ControlAddress: d.name,
+			}
+			if i >= fakeDaemons-3 {
+				member.TargetVersion = "v2"
+			}
+			if d.dead || d.paused || d.cut != self.cut {
+				member.Reachability = membership.Unreachable
+			}
+			members[d.name] = member
+			targets = append(targets, member)
+		}
+		view := &membership.View{
+			Self: members[self.name], Members: membership.NewMap(members),
+			ByService: membership.NewMap(map[string][]membership.Member{"mesh/huts": targets}),
+		}
+		self.directory.mu.Lock()
+		self.directory.view = view
+		self.directory.mu.Unlock()
+	}
+}
+
+func (m *fakeMesh) start(d *fakeDaemon) {
+	config := &publish.Configuration{Rollouts: map[string]*publish.Rollout{m.order.Service: m.order}}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d.incarnation++
+	d.rollouts = New(Options{
+		Self: peer.Identity{Host: d.name, Incarnation: d.incarnation}, Limits: Limits{CanaryShare: 0.1, Slack: 50},
+		Config: fakeConfig{&enforce.Table{Config: config}}, Directory: d.directory, Log: m.log,
+	})
+	d.rollouts.newLink = func(*service) reportLink { return fakeLink{d} }
+	ctx, cancel := context.WithCancel(m.t.Context())
+	d.cancel, d.dead = cancel, false
+	rollouts := d.rollouts
+	m.tasks.Go(func() { _ = rollouts.Run(ctx) })
+	m.tasks.Go(func() { m.callSteadily(ctx, d, rollouts, config) })
+}
+
+// callSteadily makes 100 calls a second through a daemon. A call takes 50 ms.
+func (m *fakeMesh) callSteadily(ctx context.Context, d *fakeDaemon, rollouts *Rollouts, config *publish.Configuration) {
+	var calls conc.WaitGroup
+	defer calls.Wait()
+	source := rand.New(rand.NewPCG(1, uint64(len(d.name))))
+	for ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+		m.mu.Lock()
+		paused := d.paused
+		m.mu.Unlock()
+		if paused {
+			continue
+		}
+		versioned := rollouts.Pick(config, m.order.Service, "look")
+		if versioned == nil {
+			continue
+		}
+		filter := versioned.Targets(true)
+		isNew := filter != nil && filter.Matches("v2")
+		version := "v1"
+		failed := false
+		if isNew {
+			version = "v2"
+			failed = m.bad && source.IntN(2) == 0
+		}
+		m.countCall(isNew, d, rollouts)
+		versioned.Began(version)
+		calls.Go(func() {
+			time.Sleep(50 * time.Millisecond)
+			versioned.Answered(call.VersionAnswer{Version: version, Failed: failed, Took: 50 * time.Millisecond})
+			versioned.Ended(version)
+		})
+	}
+}
+
+func (m *fakeMesh) countCall(isNew bool, d *fakeDaemon, rollouts *Rollouts) {
+	recorded := m.recorded()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if isNew {
+		m.newCalls++
+		if s := rollouts.find(m.order.Service, m.order.Version); s != nil && s.current.Load().state == Reverted {
+			m.afterRevert++
+		}
+	}
+	if !isNew && recorded == Completed && !d.cut {
+		m.oldAfterCompleted++
+	}
+}
+
+// recorded returns the newest state in the log, 0 for none.
+func (m *fakeMesh) recorded() State {
+	m.log.mu.Lock()
+	defer m.log.mu.Unlock()
+	if len(m.log.records) == 0 {
+		return 0
+	}
+	return m.log.records[len(m.log.records)-1].State
+}
+
+// home returns the home of the rollout in the view of a daemon that is well.
+func (m *fakeMesh) home() *fakeDaemon {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, d := range m.daemons {
+		if !d.dead && !d.paused && !d.cut {
+			return m.find(d.rollouts.homeOf(*m.order).Host)
+		}
+	}
+	return nil
+}
+
+func (m *fakeMesh) change(change func()) {
+	m.mu.Lock()
+	change()
+	m.mu.Unlock()
+	m.updateViews()
+}
+
+func (m *fakeMesh) stop() {
+	for _, d := range m.daemons {
+		d.cancel()
+	}
+	m.tasks.Wait()
+}
+
+// checkHistory checks that no state in the log goes back.
+func (m *fakeMesh) checkHistory(want State) {
+	m.t.Helper()
+	m.log.mu.Lock()
+	defer m.log.mu.Unlock()
+	for i := 1; i < len(m.log.records); i++ {
+		before, after := m.log.records[i-1], m.log.records[i]
+		assert.Check(m.t, before.State == Serving || before == after, "%v follows %v", after, before)
+	}
+	assert.Assert(m.t, len(m.log.records) > 0)
+	assert.Equal(m.t, m.log.records[len(m.log.records)-1].State.String(), want.String())
+}
+
+// faults are what happens to the home, or to the log, at one time of a rollout.
+var faults = map[string]func(*fakeMesh){
+	"none": func(*fakeMesh) {},
+	"home killed": func(m *fakeMesh) {
+		home := m.home()
+		home.cancel()
+		m.change(func() { home.dead = true })
+	},
+	"home killed and restarted": func(m *fakeMesh) {
+		home := m.home()
+		home.cancel()
+		m.change(func() { home.dead = true })
+		time.Sleep(700 * time.Millisecond)
+		m.start(home)
+		m.updateViews()
+	},
+	"home paused for 1.5 s": func(m *fakeMesh) {
+		// Membership does not notice so short a pause.
+		home := m.home()
+		m.mu.Lock()
+		home.paused = true
+		m.mu.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+		m.mu.Lock()
+		home.paused = false
+		m.mu.Unlock()
+	},
+	"home cut off, so that two hosts act as home": func(m *fakeMesh) {
+		home := m.home()
+		m.change(func() { home.cut = true })
+	},
+	"all restarted": func(m *fakeMesh) {
+		for _, d := range m.daemons {
+			d.cancel()
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, d := range m.daemons {
+			m.start(d)
+		}
+	},
+	"answers of the log lost": func(m *fakeMesh) { m.setLog(func() { m.log.loseAnswers = true }) },
+	"log out for 4 s": func(m *fakeMesh) {
+		m.setLog(func() { m.log.out = true })
+		time.Sleep(4 * time.Second)
+		m.setLog(func() { m.log.out = false })
+	},
+}
+
+func (m *fakeMesh) setLog(change func()) {
+	m.log.mu.Lock()
+	defer m.log.mu.Unlock()
+	change()
+}
+
+// TestTransitionsUnderFaults guards, for each transition of a rollout and each fault of
+// the home or the log, against a state that goes back, a good version that is reverted, a
+// bad one that is completed, calls to a reverted version by a daemon that knows it, and
+// calls to old targets after the record of the completion, at which they are stopped.
+func TestTransitionsUnderFaults(t *testing.T) {
+	times := map[string]time.Duration{
+		"order": 50 * time.Millisecond, "canary": 3 * time.Second, "ramp": 8400 * time.Millisecond,
+		"all": 9 * time.Second, "all, later": 9500 * time.Millisecond, "final": 11 * time.Second,
+	}
+	for name, fault := range faults {
+		for step, at := range times {
+			for _, bad := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/bad %v", name, step, bad), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						m := startFakeMesh(t, bad)
+						time.Sleep(at)
+						fault(m)
+						time.Sleep(30*time.Second - at)
+						m.stop()
+						want := Completed
+						if bad {
+							want = Reverted
+						}
+						m.checkHistory(want)
+						assert.Check(t, m.afterRevert == 0, "%d calls to the reverted version", m.afterRevert)
+						assert.Check(t, m.oldAfterCompleted == 0, "%d calls to old targets", m.oldAfterCompleted)
+					})
+				})
+			}
+		}
+	}
+}
