Gate: requests of client workspaces are shared fairly, by priority first

Cause: the gate served client workspaces in turn without regard to priority.

Change: internal/fairqueue orders the waiting requests of client workspaces: by priority, by start-time fair queuing between workspaces, by due time within one. The share of a workspace is its rate relative to the mean; the daemon that accepts a request sends it along in Mulberry-Share, which is left out without client workspaces. A full queue evicts the newest request of the workspace with the most waiting for its share. Requests without a client workspace keep their order; between the two kinds priority comes first, then the due time. Calls without a known key are logged and counted by themselves, so that they do not displace the lines of failures.

--- a/internal/call/admission.go
+++ b/internal/call/admission.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/mulberrybank/mulberrybank/internal/fairqueue"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 )
 
@@ -34,7 +35,11 @@
 // admissionRequest is what an admissionQueue needs to know of a request.
 type admissionRequest struct {
 	workspace string
-	// priority is the priority of the route, 0 the highest.
+	// share is the share of the client workspace relative to the others, 0 for a
+	// request without one.
+	share float64
+	// priority is the priority of the client workspace, else of the route, 0 the
+	// highest.
 	priority int
 	// late says that half of the objective had passed when the call arrived.
 	late     bool
@@ -74,6 +79,8 @@
 	due time.Time
 	// position is the number of waiters ahead on arrival, plus one.
 	position int
+	// entry is set while the waiter is in admissionQueue.clients.
+	entry *fairqueue.Entry[*waiter]
 	// done is closed when the waiter has left the queue; err is the result.
 	done chan struct{}
 	err  error
@@ -91,6 +98,8 @@
 	// closed is set when no request is admitted any more.
 	closed bool
 	queues map[string][]*waiter
+	// clients holds the waiters of client workspaces, queues all others.
+	clients fairqueue.Queue[*waiter]
 	// workspaces holds the workspaces with waiters, the next one to get a slot
 	// first.
 	workspaces []string
@@ -195,8 +204,11 @@
 // waitersAhead counts the waiters that are expected to get a slot before a request
 // that arrives now.
 func (a *admissionQueue) waitersAhead(request admissionRequest) int {
-	count := 0
 	due := request.dueFrom(a.now())
+	count := a.clientsAhead(request, due)
+	if request.isOfClient() {
+		return count
+	}
 	for workspace, queue := range a.queues {
 		for _, other := range queue {
 			if workspace != request.workspace || !other.isBehind(request.queuePriority(), due) {
@@ -211,6 +223,12 @@
 // queue: of another workspace if that queue is longer than the request's own would
 // become, or of the same workspace if that waiter has a lower priority.
 func (a *admissionQueue) evictFor(request admissionRequest) bool {
+	if a.evictClientFor(request) {
+		return true
+	}
+	if request.isOfClient() {
+		return false
+	}
 	longest := ""
 	for name, queue := range a.queues {
 		if longest == "" || len(queue) > len(a.queues[longest]) {
@@ -250,6 +268,10 @@
 
 // enqueue inserts a waiter into the queue of its workspace.
 func (a *admissionQueue) enqueue(w *waiter) {
+	if w.isOfClient() {
+		a.enqueueClient(w)
+		return
+	}
 	if len(a.queues[w.workspace]) == 0 {
 		a.workspaces = append(a.workspaces, w.workspace)
 	}
@@ -264,6 +286,9 @@
 
 // remove takes a waiter out of its queue and reports whether it was there.
 func (a *admissionQueue) remove(w *waiter) bool {
+	if w.isOfClient() {
+		return a.removeClient(w)
+	}
 	queue := a.queues[w.workspace]
 	for i, other := range queue {
 		if other != w {
@@ -378,6 +403,9 @@
 
 // dequeue removes and returns the first waiter of the workspace whose turn it is.
 func (a *admissionQueue) dequeue() *waiter {
+	if w := a.dequeueClient(); w != nil {
+		return w
+	}
 	workspace := a.workspaces[0]
 	a.workspaces = append(a.workspaces[1:len(a.workspaces):len(a.workspaces)], workspace)
 	w := a.queues[workspace][0]
--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -13,6 +13,11 @@
 const (
 	// headerWorkspace names the workspace of the route, between daemons.
 	headerWorkspace = "Mulberry-Workspace"
+	// headerShare is the share of the client workspace at the gate relative to the
+	// others, such as "1.25", between daemons. It is left out for calls without one.
+	headerShare = "Mulberry-Share"
+	// shareDigits is the number of significant digits of headerShare.
+	shareDigits = 3
 	// headerPriority is the priority of the route, between daemons.
 	headerPriority = "Mulberry-Priority"
 	// headerObjective is the objective of the route, such as "400ms".
@@ -90,6 +95,9 @@
 }
 
 func (s *Server) countFailure(failure *Error) {
+	if failure.Status == http.StatusUnauthorized {
+		s.counters.unknownAPIKeys.Inc()
+	}
 	if failure.Outcome == NotRun {
 		s.counters.notRun.Inc()
 		return
--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -41,6 +41,13 @@
 	return a.admission.acquire(ctx, request, admissionLimits{slots: slots, queue: queue, timeout: timeout})
 }
 
+// AcquireForClient takes a slot for a request of a client workspace, or of another
+// workspace if the share is 0.
+func (a *AdmissionQueue) AcquireForClient(ctx context.Context, workspace string, share float64, priority int, objective time.Duration, deadline time.Time, slots, queue int) error {
+	request := admissionRequest{workspace: workspace, share: share, priority: priority, objective: objective, deadline: deadline}
+	return a.admission.acquire(ctx, request, admissionLimits{slots: slots, queue: queue, timeout: time.Until(deadline)})
+}
+
 // SetRateLimit sets the limit that an instance has named.
 func (a *AdmissionQueue) SetRateLimit(instance string, limit RateLimit) {
 	a.admission.setRateLimit(instance, limit)
--- a/internal/call/headers.go
+++ b/internal/call/headers.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/mulberrybank/mulberrybank/internal/publish"
 )
 
 const (
@@ -99,6 +101,22 @@
 	return count, nil
 }
 
+// parseShare parses the share of a client workspace, 0 if none is given.
+func parseShare(text string) (float64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	share, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%s: %w", headerShare, err)
+	}
+	// Negated so that NaN is out of range too.
+	if !(share >= publish.MinShare && share <= publish.MaxShare) {
+		return 0, fmt.Errorf("%s: %g is not between %g and %g", headerShare, share, publish.MinShare, publish.MaxShare)
+	}
+	return share, nil
+}
+
 // parseCallID checks the call id that another daemon sent: visible ASCII
 // characters.
 func parseCallID(text string) (string, error) {
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -150,6 +150,14 @@
 	return workspace, in.Route.Priority
 }
 
+// share returns the share of the call's client workspace, 0 without one.
+func (in InboundCall) share() float64 {
+	if in.Client == nil {
+		return 0
+	}
+	return in.Client.Share
+}
+
 // isLate reports whether half of the objective of a call has already passed
 // because its caller retried after refusals.
 func (s *Server) isLate(in InboundCall) bool {
@@ -179,6 +187,7 @@
 			key:       in.Key,
 			service:   in.Config.Services[service],
 			workspace: workspace,
+			share:     in.share(),
 			priority:  priority,
 			objective: in.Route.Objective,
 			late:      s.isLate(in),
--- a/internal/call/log.go
+++ b/internal/call/log.go
@@ -27,7 +27,7 @@
 
 // ofCall returns the logger for the failure of a call.
 func (l requestLoggers) ofCall(failure *Error) *logrus.Entry {
-	if failure.Step == StepRequest || failure.Step == StepRoute {
+	if failure.Step == StepRequest || failure.Step == StepRoute || failure.Status == http.StatusUnauthorized {
 		return l.rejection
 	}
 	return l.failure
--- a/internal/call/metrics.go
+++ b/internal/call/metrics.go
@@ -9,19 +9,21 @@
 
 // counters holds the metrics of one server.
 type counters struct {
-	answered   *metrics.Counter
-	notRun     *metrics.Counter
-	unknown    *metrics.Counter
-	truncated  *metrics.Counter
-	aborted    *metrics.Counter
-	retries    *metrics.Counter
-	overBudget *metrics.Counter
-	mostFull   *metrics.Counter
-	hedges     *metrics.Counter
-	admitted   *metrics.Counter
-	refused    *metrics.Counter
-	keyed      *metrics.Counter
-	replayed   *metrics.Counter
+	answered *metrics.Counter
+	notRun   *metrics.Counter
+	unknown  *metrics.Counter
+	// unknownAPIKeys counts calls refused because no workspace has their API key.
+	unknownAPIKeys *metrics.Counter
+	truncated      *metrics.Counter
+	aborted        *metrics.Counter
+	retries        *metrics.Counter
+	overBudget     *metrics.Counter
+	mostFull       *metrics.Counter
+	hedges         *metrics.Counter
+	admitted       *metrics.Counter
+	refused        *metrics.Counter
+	keyed          *metrics.Counter
+	replayed       *metrics.Counter
 	// clientsGone counts requests that were not sent on because their clients had left.
 	clientsGone *metrics.Counter
 	// connTimeouts counts attempts that got no connection in time.
@@ -48,25 +50,26 @@
 		return set.GetOrCreateHistogram(fmt.Sprintf(`mulberrybank_call_stage_seconds{stage=%q}`, name))
 	}
 	c := counters{
-		answered:     set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="answered"}`),
-		notRun:       set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="not-run"}`),
-		unknown:      set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="unknown"}`),
-		truncated:    set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="cut"}`),
-		aborted:      set.GetOrCreateCounter(`mulberrybank_calls_aborted_total`),
-		retries:      set.GetOrCreateCounter(`mulberrybank_call_retries_total`),
-		hedges:       set.GetOrCreateCounter(`mulberrybank_call_hedges_total`),
-		mostFull:     set.GetOrCreateCounter(`mulberrybank_call_full_hosts_over_budget_total`),
-		overBudget:   set.GetOrCreateCounter(`mulberrybank_call_retries_over_budget_total`),
-		admitted:     set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="admitted"}`),
-		refused:      set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="refused"}`),
-		keyed:        set.GetOrCreateCounter(`mulberrybank_gate_keyed_requests_total`),
-		replayed:     set.GetOrCreateCounter(`mulberrybank_gate_replays_total`),
-		clientsGone:  set.GetOrCreateCounter(`mulberrybank_call_clients_gone_total`),
-		connTimeouts: set.GetOrCreateCounter(`mulberrybank_call_connection_timeouts_total`),
-		peersGone:    set.GetOrCreateCounter(`mulberrybank_call_peers_gone_total`),
-		queue:        stage("queue"),
-		target:       stage("target"),
-		peer:         stage("peer"),
+		unknownAPIKeys: set.GetOrCreateCounter(`mulberrybank_call_unknown_api_keys_total`),
+		answered:       set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="answered"}`),
+		notRun:         set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="not-run"}`),
+		unknown:        set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="unknown"}`),
+		truncated:      set.GetOrCreateCounter(`mulberrybank_calls_total{outcome="cut"}`),
+		aborted:        set.GetOrCreateCounter(`mulberrybank_calls_aborted_total`),
+		retries:        set.GetOrCreateCounter(`mulberrybank_call_retries_total`),
+		hedges:         set.GetOrCreateCounter(`mulberrybank_call_hedges_total`),
+		mostFull:       set.GetOrCreateCounter(`mulberrybank_call_full_hosts_over_budget_total`),
+		overBudget:     set.GetOrCreateCounter(`mulberrybank_call_retries_over_budget_total`),
+		admitted:       set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="admitted"}`),
+		refused:        set.GetOrCreateCounter(`mulberrybank_gate_requests_total{result="refused"}`),
+		keyed:          set.GetOrCreateCounter(`mulberrybank_gate_keyed_requests_total`),
+		replayed:       set.GetOrCreateCounter(`mulberrybank_gate_replays_total`),
+		clientsGone:    set.GetOrCreateCounter(`mulberrybank_call_clients_gone_total`),
+		connTimeouts:   set.GetOrCreateCounter(`mulberrybank_call_connection_timeouts_total`),
+		peersGone:      set.GetOrCreateCounter(`mulberrybank_call_peers_gone_total`),
+		queue:          stage("queue"),
+		target:         stage("target"),
+		peer:           stage("peer"),
 	}
 	for priority := range c.durations {
 		c.durations[priority] = set.GetOrCreateHistogram(fmt.Sprintf(`mulberrybank_call_duration_seconds{rank="%d"}`, priority))
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -274,6 +274,9 @@
 	header := q.header.Clone()
 	header.Set(HeaderService, q.service.Name)
 	header.Set(headerWorkspace, q.workspace)
+	if q.share > 0 {
+		header.Set(headerShare, strconv.FormatFloat(q.share, 'g', shareDigits, 64))
+	}
 	header.Set(headerPriority, strconv.Itoa(q.priority))
 	if q.objective > 0 {
 		header.Set(headerObjective, q.objective.String())
--- a/internal/call/peer.go
+++ b/internal/call/peer.go
@@ -128,6 +128,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	share, err := parseShare(r.Header.Get(headerShare))
+	if err != nil {
+		return nil, 0, err
+	}
 	objective, err := parseDeadline(r.Header.Get(headerObjective))
 	if err != nil {
 		return nil, 0, err
@@ -143,6 +147,7 @@
 		attempt:      attempt,
 		key:          key,
 		workspace:    r.Header.Get(headerWorkspace),
+		share:        share,
 		priority:     priority,
 		objective:    objective,
 		late:         r.Header.Get(headerLate) != "",
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -27,7 +27,11 @@
 	key       string
 	service   *publish.Service
 	workspace string
-	// priority is the priority of the route, 0 the highest.
+	// share is the share of the client workspace relative to the others, 0 for a call
+	// without one.
+	share float64
+	// priority is the priority of the client workspace, else of the route, 0 the
+	// highest.
 	priority int
 	// objective is the response time up to which a response has its full value, 0
 	// for none.
@@ -61,7 +65,7 @@
 
 // admissionRequest returns what the admission queue needs to know of the request.
 func (q *request) admissionRequest() admissionRequest {
-	return admissionRequest{workspace: q.workspace, priority: q.priority, late: q.late, deadline: q.deadline, objective: q.objective}
+	return admissionRequest{workspace: q.workspace, share: q.share, priority: q.priority, late: q.late, deadline: q.deadline, objective: q.objective}
 }
 
 // limits returns the admission limits for the request to an instance of the local
--- a/internal/publish/client_workspaces.go
+++ b/internal/publish/client_workspaces.go
@@ -28,8 +28,17 @@
 	Rate float64
 	// Burst is the number of requests that may exceed Rate at once.
 	Burst float64
+	// Share is the share of the workspace at a gate relative to the others, from MinShare
+	// to MaxShare: its Rate divided by the mean of those that have one, 1 without a Rate.
+	Share float64
 }
 
+// Limits of ClientWorkspace.Share.
+const (
+	MinShare = 0.01
+	MaxShare = 100.0
+)
+
 // ClientWorkspaces holds the client workspaces of a configuration. It is immutable.
 type ClientWorkspaces struct {
 	byKey  map[KeyHash]*ClientWorkspace
@@ -65,6 +74,7 @@
 	for _, client := range wire {
 		keys += len(client.GetKeyHashes())
 	}
+	mean := meanRate(wire)
 	rendered := &ClientWorkspaces{
 		byKey:  make(map[KeyHash]*ClientWorkspace, keys),
 		byName: make(map[string]*ClientWorkspace, len(wire)),
@@ -75,6 +85,10 @@
 			Priority: int(client.GetPriority()),
 			Rate:     client.GetRate(),
 			Burst:    client.GetBurst(),
+			Share:    1,
+		}
+		if workspace.Rate > 0 {
+			workspace.Share = min(max(workspace.Rate/mean, MinShare), MaxShare)
 		}
 		rendered.byName[workspace.Name] = workspace
 		for _, hash := range client.GetKeyHashes() {
@@ -84,6 +98,18 @@
 	return rendered
 }
 
+// meanRate returns the mean rate of the client workspaces that have one.
+func meanRate(clients []*WholeClient) float64 {
+	sum, count := 0.0, 0.0
+	for _, client := range clients {
+		if client.GetRate() > 0 {
+			sum += client.GetRate()
+			count++
+		}
+	}
+	return sum / max(count, 1)
+}
+
 func equalClients(a, b []*WholeClient) bool { return slices.EqualFunc(a, b, equalClient) }
 
 // equalClient is proto.Equal for client workspaces, without reflection: it runs for each
--- a/internal/publish/client_workspaces_test.go
+++ b/internal/publish/client_workspaces_test.go
@@ -122,7 +122,7 @@
 			assert.Equal(t, holderOf(machine, key), want, "%s, key %q", name, key)
 		}
 		clients := machine.Configuration().Workspaces["fleet"].Clients
-		assert.DeepEqual(t, clients.Named("wren"), &publish.ClientWorkspace{Name: "wren", Priority: 1, Rate: 100, Burst: 50})
+		assert.DeepEqual(t, clients.Named("wren"), &publish.ClientWorkspace{Name: "wren", Priority: 1, Rate: 100, Burst: 50, Share: 1})
 		assert.Assert(t, clients.Named("gone") == nil)
 		assert.DeepEqual(t, machine.Digest(), leader.Digest())
 	}
