--- a/cmd/mulberrybank/platform_test.go
+++ b/cmd/mulberrybank/platform_test.go
@@ -64,6 +64,10 @@
 	tasks    conc.WaitGroup
 	requests int
 	version  int
+	// tenants are the workspaces with API keys of the next configuration, and apiKey is
+	// the key that requests carry, empty for none.
+	tenants []any
+	apiKey  string
 }
 
 // startFleet starts two hosts for each of two services, in three zones.
@@ -171,11 +175,14 @@
 	}
 	longRoute := route("history", "/history/", "idempotent", "ledger")
 	longRoute["timeout_s"] = longCallTimeout.Seconds()
+	nested := route("nested", "/lookup/ledger/", "idempotent", "ledger")
+	nested["public"] = true
 	value, err := json.Marshal(map[string]any{
 		"version": f.version,
+		"tenants": f.tenants,
 		"routes": []any{
 			route("lookup", "/lookup/", "idempotent", lookup),
-			route("nested", "/lookup/ledger/", "idempotent", "ledger"),
+			nested,
 			route("charge", "/charge/", "non_idempotent", "ledger"),
 			longRoute,
 		},
@@ -235,6 +242,10 @@
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Deadline-Ms", "2000")
 	request.Header.Set("Caller-Service", "forged")
+	if f.apiKey != "" {
+		request.Header.Set("Authorization", "Bearer "+f.apiKey)
+		request.Header.Set("Tenant", "forged")
+	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callTimeout}
 	response, err := client.Do(request)
 	if err != nil {
