--- /dev/null
+++ b/internal/pace/compare_test.go
@@ -0,0 +1,76 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+)
+
+// compareSeeds is the number of simulated runs of each case.
+const compareSeeds = 3
+
+// BenchmarkWays prints the figures of docs/design/pace.md. They come from fixed seeds and
+// do not depend on the machine. Run it with -benchtime 1x.
+func BenchmarkWays(b *testing.B) {
+	for b.Loop() {
+		compareWays(b)
+	}
+}
+
+func compareWays(t *testing.B) {
+	ways := []struct {
+		name   string
+		limits func(int, time.Time) limiter
+	}{{"announced", announced}, {"ramp", ramped}, {"additive", additively}, {"gradient", byGradient}, {"found", found}}
+	spells := func(factor float64) func(int, time.Duration) float64 {
+		return func(target int, at time.Duration) float64 {
+			if (int(at/(5*time.Second))+target)%5 == 0 {
+				return factor
+			}
+			return 1
+		}
+	}
+	base := world{targets: 13, slots: 6, mean: 150 * time.Millisecond, objective: 450 * time.Millisecond, deadline: time.Second, duration: 30 * time.Second,
+		speed: func(i int) float64 { return 0.5 + 1.2*float64(i)/12 }}
+	cases := []struct {
+		name string
+		make func(world) world
+	}{
+		{"steady 0.8", func(w world) world { w.load = constant(0.8); return w }},
+		{"cold 0.9, 5 s", func(w world) world { w.load = constant(0.9); w.slowness = cold; w.duration = 5 * time.Second; return w }},
+		{"spells 0.6", func(w world) world { w.load = constant(0.6); w.slowness = spells(7); return w }},
+		{"spells 0.8", func(w world) world { w.load = constant(0.8); w.slowness = spells(7); return w }},
+		{"spells 1.1", func(w world) world { w.load = constant(1.1); w.slowness = spells(7); return w }},
+		{"spells 0.8 long work", func(w world) world {
+			w.load, w.slowness, w.mean, w.objective, w.deadline = constant(0.8), spells(7), 470*time.Millisecond, 1500*time.Millisecond, 2*time.Second
+			return w
+		}},
+		{"spells 1.1 stops", func(w world) world { w.load = constant(1.1); w.slowness = spells(7); w.stops = true; return w }},
+		{"load 2", func(w world) world { w.load = constant(2); return w }},
+		{"load 4", func(w world) world { w.load = constant(4); return w }},
+		{"refusing", func(w world) world {
+			w.load = constant(0.8)
+			w.refuses = func(i int, at time.Duration) bool { return i < 2 }
+			return w
+		}},
+	}
+	for _, c := range cases {
+		for _, way := range ways {
+			var sum result
+			for seed := range uint64(compareSeeds) {
+				w := c.make(base)
+				w.seed, w.limits = seed+1, way.limits
+				r := w.run()
+				sum.arrived += r.arrived
+				sum.inTime += r.inTime
+				sum.late += r.late
+				sum.lost += r.lost
+				sum.refusedByGate += r.refusedByGate
+				sum.refusedByTarget += r.refusedByTarget
+				sum.attempts += r.attempts
+				sum.times = append(sum.times, r.times...)
+			}
+			t.Logf("%-22s %-10s in time %.3f late or lost %.3f gate %.3f refused by targets %5d of %d p99 %.3f", c.name, way.name, sum.inTimeShare(), sum.lateShare(),
+				float64(sum.refusedByGate)/float64(sum.arrived), sum.refusedByTarget, sum.attempts, sum.percentile(0.99))
+		}
+	}
+}
