The gate finds how many requests its target can take (adaptive_concurrency)

Cause: a gate frees the slot of a request when its caller or deadline gives up, while the target may go on with it. In a slow spell such requests fill the queue of the target, which then refuses; each refusal frees its slot at once for the next request.

Change: with the setting on the gate asks pace.Limit before it gives a slot. An abandoned request counts for the rest of its expected time, refusals are followed by pauses of 25 to 400 ms, a target that refuses everything is not asked at all in between, and a request that a busy target cannot answer by its deadline is refused at once. Loads report the limit found as the slots.

Off is the default and keeps no state.

--- a/internal/call/admission.go
+++ b/internal/call/admission.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/mulberrybank/mulberrybank/internal/pace"
 	"github.com/mulberrybank/mulberrybank/internal/route"
 )
 
@@ -108,6 +109,10 @@
 	positionWaits map[waitClass]*positionWait
 	// failures tracks the fraction of requests that the target failed.
 	failures route.FailureTracker
+	// pace is the concurrency limit found for the target, nil if it is not used, and
+	// paceWake the timer that grants slots once it allows another request.
+	pace     *pace.Limit
+	paceWake *time.Timer
 }
 
 func newAdmissionQueue(now func() time.Time) *admissionQueue {
@@ -143,9 +148,12 @@
 	}
 	a.limits = limits
 	a.rate.reset(limits.instance)
+	if err := a.checkPace(request); err != nil {
+		return nil, err
+	}
 	a.grantSlots()
-	if a.busy < limits.slots && a.queued == 0 && a.rate.take(a.now()) {
-		a.busy++
+	if a.hasFreeSlot() && a.queued == 0 && a.rate.take(a.now()) {
+		a.occupySlot()
 		return nil, nil
 	}
 	if limits.queue == 0 {
@@ -346,7 +354,7 @@
 // grantSlots gives free slots to waiters in turn, as the rate limit allows, and refuses
 // those that can no longer meet their deadline.
 func (a *admissionQueue) grantSlots() {
-	for a.busy < a.limits.slots && a.queued > 0 {
+	for a.hasFreeSlot() && a.queued > 0 {
 		if !a.rate.take(a.now()) {
 			a.grantSlotsLater()
 			return
@@ -358,9 +366,10 @@
 			w.finish(errDeadlineTooSoon)
 			continue
 		}
-		a.busy++
+		a.occupySlot()
 		w.finish(nil)
 	}
+	a.grantSlotsAsPaced()
 }
 
 // grantSlotsLater grants slots once the rate limit allows another request.
@@ -390,7 +399,7 @@
 func (a *admissionQueue) load() route.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return route.Load{Busy: a.busy, Slots: a.rate.usableSlots(a.limits.slots, a.serviceTime), Queued: a.queued}
+	return route.Load{Busy: a.busy, Slots: a.rate.usableSlots(a.usableSlots(), a.serviceTime), Queued: a.queued}
 }
 
 // loadFor returns the load that is reported in the response to a call of a rank.
--- a/internal/call/admission_wait.go
+++ b/internal/call/admission_wait.go
@@ -61,7 +61,7 @@
 
 // expectedPositionWait returns the expected wait per position in the queue.
 func (a *admissionQueue) expectedPositionWait(class waitClass) time.Duration {
-	least := max(a.serviceTime/time.Duration(max(a.limits.slots, 1)), a.rate.interval())
+	least := max(a.serviceTime/time.Duration(max(a.usableSlots(), 1)), a.rate.interval())
 	known := a.positionWaits[class]
 	if known == nil {
 		return least
--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/pace"
 )
 
 // Functions exported for the tests in package call_test.
@@ -41,6 +43,18 @@
 	return a.admission.acquire(ctx, request, admissionLimits{slots: slots, queue: queue, timeout: timeout})
 }
 
+// Adapt makes the queue find the concurrency limit of the target.
+func (a *AdmissionQueue) Adapt() { a.admission.adapt() }
+
+// Answer records how a request without an objective of its own ended and frees its slot.
+func (a *AdmissionQueue) Answer(outcome pace.Outcome, held, objective time.Duration) {
+	rank := callRank(0, 0)
+	if a.admission.pace != nil {
+		a.admission.recordAnswer(pace.Answer{Outcome: outcome, Rank: rank, Time: held, Objective: objective})
+	}
+	a.admission.release(rank, held, outcome == pace.Succeeded)
+}
+
 // SetRateLimit sets the limit that an instance has named.
 func (a *AdmissionQueue) SetRateLimit(instance string, limit RateLimit) {
 	a.admission.setRateLimit(instance, limit)
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -82,6 +82,9 @@
 	// LinkMbps is the speed of the host's link in Mbit/s, 0 if it is not known. Long
 	// responses leave a part of it free.
 	LinkMbps float64
+	// AdaptiveConcurrency makes the gate find how many requests the target can take,
+	// up to its announced slots.
+	AdaptiveConcurrency bool
 	// TargetConnections, PeerConnections and MaxCalls are limits; 0 means the
 	// default.
 	TargetConnections int
@@ -153,6 +156,10 @@
 	}
 	s.budgets.RegisterMetrics(options.Metrics)
 	options.Metrics.NewGauge(`mulberrybank_target_rate_limit`, s.targetRateLimit)
+	if options.AdaptiveConcurrency {
+		s.admission.adapt()
+	}
+	options.Metrics.NewGauge(`mulberrybank_target_concurrency_limit`, s.admission.concurrencyLimit)
 	options.Metrics.NewGauge(`mulberrybank_calls_in_progress`, func() float64 { return float64(s.InProgress()) })
 	return s
 }
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mulberrybank/mulberrybank/internal/membership"
+	"github.com/mulberrybank/mulberrybank/internal/pace"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
 
@@ -65,7 +66,13 @@
 	}
 	start := s.now()
 	succeeded := false
-	release := sync.OnceFunc(func() { s.admission.release(q.rank(), s.now().Sub(start), succeeded) })
+	// outcome is what the end of the request shows about the target.
+	outcome, answered := pace.NotSent, time.Duration(0)
+	release := sync.OnceFunc(func() {
+		held := s.now().Sub(start)
+		s.recordPace(outcome, q, held, answered)
+		s.admission.release(q.rank(), held, succeeded)
+	})
 	// The target may have begun to drain while the request was queued.
 	if failure := s.targetError(q, s.directory.View().Self); failure != nil {
 		release()
@@ -81,18 +88,22 @@
 	s.logRequestRan(q, instance, statusOrNone(response), s.now().Sub(start))
 	if err != nil {
 		s.recordSendFailure(ctx, q, failed, instance)
+		outcome = sendFailurePace(ctx, failed)
 		release()
 		return nil, s.fail(sendOutcome(failed.mayHaveSent), StepTarget, statusOf(ctx, err), err), failed.mayHaveSent
 	}
+	answered = s.now().Sub(start)
 	s.breaker.recordResponse()
 	if failure := s.checkTargetResponse(sent, response); failure != nil {
 		s.admission.recordOutcome(true)
+		outcome = refusalPace(response, failure)
 		release()
 		return nil, failure, failure.Outcome != NotRun
 	}
 	result, err := newTargetResponse(response, func(complete bool) {
 		succeeded = complete && response.StatusCode < http.StatusInternalServerError
 		s.admission.recordOutcome(!succeeded && !callerDisconnected(ctx))
+		outcome = responsePace(ctx, succeeded, complete)
 		release()
 	})
 	if err != nil {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -137,6 +137,8 @@
 		DialPeers:       dialPeers,
 		SampleRatio:     eventSampleRatio,
 		LinkMbps:        d.settings.LinkMbps,
+
+		AdaptiveConcurrency: d.settings.AdaptiveConcurrency == settings.SwitchOn,
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,10 +43,13 @@
 	// Memory is the memory limit of the process, 0B for no limit.
 	Memory Size `json:"memory" default:"0B" min:"0B" max:"1TiB"`
 	// LinkMbps is the speed of the host's link in Mbit/s, 0 if it is not known.
-	LinkMbps float64  `json:"link_mbps" default:"0" min:"0" max:"1000000"`
-	Log      Log      `json:"log"`
-	Admin    Admin    `json:"admin"`
-	Timeline Timeline `json:"timeline"`
+	LinkMbps float64 `json:"link_mbps" default:"0" min:"0" max:"1000000"`
+	// AdaptiveConcurrency is "on" when the daemon finds from the answers of its target
+	// how many requests it can take, up to its announced slots.
+	AdaptiveConcurrency string   `json:"adaptive_concurrency" default:"off" form:"switch"`
+	Log                 Log      `json:"log"`
+	Admin               Admin    `json:"admin"`
+	Timeline            Timeline `json:"timeline"`
 	// TLS configures connections between daemons, to the platform and from operators.
 	TLS TLS `json:"tls"`
 	// StopLinger is how long a stopping daemon still accepts calls, because callers
