--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -174,6 +174,8 @@
 		Directory: d.members,
 		Self:      d.identity,
 		Metrics:   d.metrics,
+
+		AdaptiveConcurrency: d.settings.AdaptiveConcurrency == settings.SwitchOn,
 	})
 	d.deduplicator = once.NewDeduplicator(once.Options{
 		Host:        d.identity.Host,
@@ -215,6 +217,8 @@
 		DialPeers:       dialPeers,
 		SampleRatio:     eventSampleRatio,
 		LinkMbps:        d.settings.LinkMbps,
+
+		AdaptiveConcurrency: d.settings.AdaptiveConcurrency == settings.SwitchOn,
 	})
 	return nil
 }
