Limits on what clients may make a daemon hold

Crowds of clients drove a daemon with 96 MB to 871 MB, took all its descriptors, and kept ordinary callers out with bodies that stop short.

internal/clientlimit accounts heads, bodies, unread answers and connections on each accepted HTTP connection against one budget (a sixth of "memory"). When it is short, the connection pays that holds the most and has made no progress for the longest time; one with a running request never does. Each listener has its own share of the descriptors. Bodies and answers must make progress within clients.stall_timeout. A streamed body that stalls is cut when another call is refused, since it may occupy a slot of the target. Heads are limited to 20 KiB.

FailListener of the daemon's tests reaches the TCP listener through the new wrapper; nothing else changed there.

--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -92,6 +92,9 @@
 func (s *Server) countFailure(failure *Error) {
 	if failure.Outcome == NotRun {
 		s.counters.notRun.Inc()
+		if failure.Status == http.StatusServiceUnavailable {
+			s.onRefused()
+		}
 		return
 	}
 	s.counters.unknown.Inc()
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -53,6 +53,9 @@
 	// OnTargetLeaving is called for each response of the target that says that the
 	// instance leaves; nil for nothing to do.
 	OnTargetLeaving func(instance string)
+	// OnRefused is called for each call of a caller that is refused as not run; nil
+	// for nothing to do.
+	OnRefused func()
 	// Keys is nil if calls with idempotency keys are not supported.
 	Keys IdempotencyKeys
 	// Quota is nil if client workspaces have no quotas.
@@ -110,6 +113,7 @@
 	now             func() time.Time
 	sampleThreshold uint64
 	onTargetLeaving func(instance string)
+	onRefused       func()
 
 	admission   *admissionQueue
 	breaker     *targetBreaker
@@ -146,6 +150,7 @@
 		breaker:         &targetBreaker{now: options.Now},
 		pacer:           newPacer(options.LinkMbps),
 		onTargetLeaving: options.OnTargetLeaving,
+		onRefused:       options.OnRefused,
 		inflight:        newInflight(),
 		callLimit:       newCallLimiter(options.MaxCalls),
 		targetConns:     newTargetTransports(options.Dial, options.TargetConnections, options.Now),
@@ -176,6 +181,9 @@
 	if o.OnTargetLeaving == nil {
 		o.OnTargetLeaving = func(string) {}
 	}
+	if o.OnRefused == nil {
+		o.OnRefused = func() {}
+	}
 	if o.TargetConnections <= 0 {
 		o.TargetConnections = DefaultTargetConnections
 	}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -126,6 +126,7 @@
 		Target:          localTarget{d.members},
 		Dialect:         d.dialect(),
 		OnTargetLeaving: d.members.RecordTargetLeaving,
+		OnRefused:       d.clients.NoteRefusal,
 		RetrySlack:      d.settings.Retries.Slack,
 		RetryRatio:      d.settings.Retries.Ratio,
 		Keys:            idempotencyKeys{d.deduplicator},
--- a/internal/daemon/components.go
+++ b/internal/daemon/components.go
@@ -19,6 +19,8 @@
 	// failed is closed when the first component has failed with err.
 	failed chan struct{}
 	err    error
+	// maxHead limits the head of an HTTP request in bytes, 0 for that of net/http.
+	maxHead int
 }
 
 func newComponents() *components { return &components{failed: make(chan struct{})} }
@@ -39,7 +41,7 @@
 // startHTTP serves HTTP on a listener until ctx is cancelled, then closes the
 // listener and its connections.
 func (c *components) startHTTP(ctx context.Context, listener net.Listener, handler http.Handler) {
-	server := newHTTPServer(listener, handler)
+	server := newHTTPServer(listener, handler, c.maxHead)
 	c.start(ctx, func(context.Context) error { return server.serve() })
 	c.start(ctx, func(ctx context.Context) error {
 		<-ctx.Done()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/admin"
 	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/clientlimit"
 	"github.com/mulberrybank/mulberrybank/internal/distribute"
 	"github.com/mulberrybank/mulberrybank/internal/enforce"
 	"github.com/mulberrybank/mulberrybank/internal/logging"
@@ -53,6 +54,7 @@
 	listeners listeners
 	metrics   *metrics.Set
 	traffic   *peer.TrafficCounter
+	clients   *clientlimit.Limiter
 	events    *timeline.Buffer
 
 	server       *peer.Server
@@ -97,6 +99,7 @@
 	if err := d.listeners.open(&d.settings.Listen); err != nil {
 		return nil, fmt.Errorf("start %s: %w", d.identity.Host, err)
 	}
+	d.limitClients()
 	d.wrapListenersInTLS()
 	if err := d.build(options); err != nil {
 		d.listeners.close()
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"syscall"
+
+	"github.com/mulberrybank/mulberrybank/internal/clientlimit"
 )
 
 // Listeners that tests let fail.
@@ -24,6 +26,9 @@
 		AdminListener:   d.listeners.admin,
 		TargetListener:  d.listeners.target,
 	}[name]
+	if limited, ok := listener.(*clientlimit.Listener); ok {
+		listener = limited.Listener
+	}
 	raw, err := listener.(*net.TCPListener).SyscallConn()
 	if err != nil {
 		return fmt.Errorf("fail listener for %s: %w", name, err)
--- a/internal/daemon/http_server.go
+++ b/internal/daemon/http_server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/call"
+	"github.com/mulberrybank/mulberrybank/internal/clientlimit"
 )
 
 const (
@@ -30,14 +31,20 @@
 	served chan struct{}
 }
 
-func newHTTPServer(listener net.Listener, handler http.Handler) *httpServer {
+func newHTTPServer(listener net.Listener, handler http.Handler, maxHead int) *httpServer {
 	requests := &openRequests{conns: make(map[net.Conn]struct{})}
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           clientlimit.Handler(handler),
+		MaxHeaderBytes:    maxHead,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		ConnState:         requests.observe,
-		ConnContext:       call.ConnContext,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			clientlimit.ObserveState(conn, state)
+			requests.observe(conn, state)
+		},
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return call.ConnContext(clientlimit.ConnContext(ctx, conn), conn)
+		},
 	}
 	return &httpServer{server: server, listener: listener, requests: requests, served: make(chan struct{})}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -38,6 +38,7 @@
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	running := newComponents()
+	running.maxHead = int(d.settings.Clients.MaxHead)
 	d.startComponents(runCtx, running)
 	select {
 	case <-ctx.Done():
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,7 @@
 	LinkMbps float64  `json:"link_mbps" default:"0" min:"0" max:"1000000"`
 	Log      Log      `json:"log"`
 	Admin    Admin    `json:"admin"`
+	Clients  Clients  `json:"clients"`
 	Timeline Timeline `json:"timeline"`
 	// TLS configures connections between daemons, to the platform and from operators.
 	TLS TLS `json:"tls"`
@@ -168,6 +169,17 @@
 	PublishBurst int `json:"publish_burst" default:"20" min:"1" max:"10000"`
 }
 
+// Clients limits what the clients of the HTTP listeners may make the daemon hold.
+type Clients struct {
+	// Memory is what all clients together may hold, 0B for a sixth of Settings.Memory.
+	Memory Size `json:"memory" default:"0B" min:"0B" max:"1TiB"`
+	// MaxHead limits the request line and the headers of one request.
+	MaxHead Size `json:"max_head" default:"20KiB" min:"4KiB" max:"1MiB"`
+	// StallTimeout is the time within which a client must send 2 KiB of a body, and
+	// read 32 KiB of a response.
+	StallTimeout Duration `json:"stall_timeout" default:"20s" min:"1s" max:"1h"`
+}
+
 // Timeline limits the events retained in memory.
 type Timeline struct {
 	// Events is the maximum number of events. The oldest are dropped first.
