--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -107,8 +107,6 @@
 		if c.phase == phaseWaiting {
 			cut = l.setHeld(c, c.held+int64(n)*headFactor)
 			c.relist()
-		} else {
-			c.relistSometimes()
 		}
 	}
 	if stalled {
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -51,7 +51,8 @@
 type testServer struct {
 	*pipeListener
 	limiter *Limiter
-	// release lets the requests at /wait be answered.
+	// release lets the requests at /wait be answered, and the bodies of those at /queue
+	// be read.
 	release chan struct{}
 }
 
@@ -59,13 +60,20 @@
 func serve(options Options, test func(*testServer)) {
 	s := &testServer{pipeListener: newPipeListener(), limiter: New(options), release: make(chan struct{})}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/queue" {
+			<-s.release
+		}
 		n, err := io.Copy(io.Discard, r.Body)
 		if err != nil {
 			w.WriteHeader(http.StatusRequestTimeout)
 			return
 		}
 		if r.URL.Path == "/wait" {
-			<-s.release
+			select {
+			case <-s.release:
+			case <-r.Context().Done():
+				w.WriteHeader(http.StatusBadGateway)
+			}
 		}
 		_, _ = fmt.Fprint(w, n)
 	})
@@ -219,6 +227,7 @@
 			code, _ := status(t, bufio.NewReader(conn))
 			assert.Equal(t, code, http.StatusRequestTimeout)
 			assert.Assert(t, time.Since(start) <= DefaultStallTimeout+2*time.Second)
+			assert.Equal(t, s.limiter.cuts[reasonStalled].Get(), uint64(1))
 		})
 	})
 }
@@ -304,9 +313,11 @@
 			late := s.dial()
 			defer func() { _ = late.Close() }()
 			send(late, post(bufferedBody))
+			start := time.Now()
 			code, _ := status(t, bufio.NewReader(short[1]))
 			assert.Equal(t, code, http.StatusRequestTimeout)
-			assert.Assert(t, !closed(short[0]) && !closed(short[2]))
+			assert.Assert(t, time.Since(start) < time.Second, "cut by the stall timeout")
+			assert.Equal(t, s.limiter.cuts[reasonMemory].Get(), uint64(1))
 			close(s.release)
 			code, _ = status(t, bufio.NewReader(running))
 			assert.Equal(t, code, http.StatusOK)
@@ -338,6 +349,48 @@
 	})
 }
 
+// TestRefusalSparesStreamThatIsNotRead guards against cutting a client whose body waits
+// for a slot: the daemon, not the client, makes no progress.
+func TestRefusalSparesStreamThatIsNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		serve(realistic, func(s *testServer) {
+			stream := s.dial()
+			defer func() { _ = stream.Close() }()
+			send(stream, strings.Replace(post(1<<20), "/ ", "/queue ", 1)+strings.Repeat("x", 1<<20))
+			time.Sleep(5 * stalledStream)
+			s.limiter.NoteRefusal()
+			close(s.release)
+			code, _ := status(t, bufio.NewReader(stream))
+			assert.Equal(t, code, http.StatusOK)
+		})
+	})
+}
+
+// TestIdleConnectionIsSparedBeforeSilentOne guards against silent connections that push
+// out those which callers reuse.
+func TestIdleConnectionIsSparedBeforeSilentOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		serve(Options{Descriptors: reservedFiles + 2}, func(s *testServer) {
+			reused := s.dial()
+			defer func() { _ = reused.Close() }()
+			reader := bufio.NewReader(reused)
+			send(reused, get)
+			code, _ := status(t, reader)
+			assert.Equal(t, code, http.StatusOK)
+			for range 10 {
+				time.Sleep(time.Second)
+				conn := s.dial()
+				defer func() { _ = conn.Close() }()
+			}
+			send(reused, get)
+			code, _ = status(t, reader)
+			assert.Equal(t, code, http.StatusOK)
+			synctest.Wait()
+			assert.Equal(t, s.limiter.cuts[reasonConnections].Get(), uint64(9))
+		})
+	})
+}
+
 // TestAccountingEndsAtZero guards against holdings that are not given back.
 func TestAccountingEndsAtZero(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
