--- a/internal/clientlimit/handler.go
+++ b/internal/clientlimit/handler.go
@@ -20,18 +20,21 @@
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
-			c.beginRequest(r)
+			r = c.beginRequest(r)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// beginRequest accounts a request whose head has been read.
-func (c *Conn) beginRequest(r *http.Request) {
+// beginRequest accounts a request whose head has been read, and returns it with a body
+// that is observed. The request itself stays as it is: from the type of its body net/http
+// knows how much was not read. With another type it would read 256 KiB of a refused body
+// before it answers.
+func (c *Conn) beginRequest(r *http.Request) *http.Request {
 	held := baseCost + headCost(r.Header)
 	if r.Body == nil || r.Body == http.NoBody {
 		c.setPhase(phaseRunning, false, held)
-		return
+		return r
 	}
 	streamed := r.ContentLength < 0 || r.ContentLength > bufferedBody
 	bodyCost := r.ContentLength
@@ -39,7 +42,9 @@
 		bodyCost = streamCost
 	}
 	c.setPhase(phaseBody, streamed, held+bodyCost)
-	r.Body = &observedBody{ReadCloser: r.Body, conn: c, held: held + bodyCost}
+	observed := r.WithContext(r.Context())
+	observed.Body = &observedBody{ReadCloser: r.Body, conn: c, held: held + bodyCost}
+	return observed
 }
 
 // headCost returns the memory of a parsed head in bytes.
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -60,6 +60,10 @@
 func serve(options Options, test func(*testServer)) {
 	s := &testServer{pipeListener: newPipeListener(), limiter: New(options), release: make(chan struct{})}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/refuse" {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
 		if r.URL.Path == "/queue" {
 			<-s.release
 		}
@@ -232,6 +236,22 @@
 	})
 }
 
+// TestRefusalDoesNotWaitForBody guards against a refusal that is held back until the client
+// has sent a part of a long body.
+func TestRefusalDoesNotWaitForBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		serve(realistic, func(s *testServer) {
+			conn := s.dial()
+			defer func() { _ = conn.Close() }()
+			start := time.Now()
+			send(conn, strings.Replace(post(1<<20), "/ ", "/refuse ", 1))
+			code, _ := status(t, bufio.NewReader(conn))
+			assert.Equal(t, code, http.StatusRequestEntityTooLarge)
+			assert.Equal(t, time.Since(start), time.Duration(0))
+		})
+	})
+}
+
 // TestUnreadAnswerIsCut guards against a client without reading that occupies a
 // connection for ever.
 func TestUnreadAnswerIsCut(t *testing.T) {
--- a/internal/crowd/host_test.go
+++ b/internal/crowd/host_test.go
@@ -27,11 +27,15 @@
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
+	// The program under test is built by TestMain. Without the imports of its packages,
+	// "go test" would take a cached result after they change.
+	_ "github.com/mulberrybank/mulberrybank/internal/cli"
 	"github.com/mulberrybank/mulberrybank/internal/logging"
 	"github.com/mulberrybank/mulberrybank/internal/standin/logservice"
 	"github.com/mulberrybank/mulberrybank/internal/standin/metastore"
 	"github.com/mulberrybank/mulberrybank/internal/standin/target"
 	"github.com/mulberrybank/mulberrybank/internal/standin/upstream"
+	_ "github.com/mulberrybank/mulberrybank/platform"
 )
 
 const (
