--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -61,6 +61,8 @@
 	received int
 	// readLimit and writeLimit are the deadlines that the server has set.
 	readLimit, writeLimit time.Time
+	// readArmed says that the deadline of a body is in force for reads.
+	readArmed bool
 	// writeArmed is the deadline in force for writes.
 	writeArmed time.Time
 }
@@ -83,7 +85,9 @@
 		l.mu.Unlock()
 		return 0, errCut
 	}
-	body := c.phase == phaseBody
+	// A read of a single byte is that of net/http in the background. It may begin before
+	// the phase of the body has ended.
+	body := c.phase == phaseBody && len(p) > 1
 	if body {
 		c.reading, c.progress = true, start.UnixNano()
 		c.relistSometimes()
@@ -146,7 +150,8 @@
 // applyReadLimit sets the earlier one of the server's deadline and that of a body.
 func (c *Conn) applyReadLimit(now time.Time) {
 	limit := c.readLimit
-	if c.phase == phaseBody {
+	c.readArmed = c.phase == phaseBody && c.reading
+	if c.readArmed {
 		stall := now.Add(c.limiter.stall - c.blocked)
 		if limit.IsZero() || stall.Before(limit) {
 			limit = stall
@@ -284,14 +289,17 @@
 		return
 	}
 	now := time.Now()
-	wasBody := c.phase == phaseBody
 	c.phase, c.streamed, c.progress = next, streamed, now.UnixNano()
 	c.blocked, c.received = 0, 0
-	if wasBody && next != phaseBody {
+	if c.readArmed && next != phaseBody {
 		// The server goes on reading in the background to notice a client that
 		// disconnects. A deadline that passes there would cancel the request.
 		c.applyReadLimit(now)
 	}
+	if next == phaseRunning {
+		// A request that runs is not cut, not for its own holding either.
+		c.unlink()
+	}
 	cut := l.setHeld(c, held)
 	c.relist()
 	l.mu.Unlock()
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -345,6 +345,18 @@
 	})
 }
 
+// TestRequestIsNotCutAsItBegins guards against a request that pays for its own holding at
+// the moment at which it is passed on.
+func TestRequestIsNotCutAsItBegins(t *testing.T) {
+	limiter := New(Options{Budget: 20 << 10, Descriptors: 1000})
+	listener := limiter.Listen(newPipeListener(), "test", 1)
+	client, server := net.Pipe()
+	defer func() { _ = client.Close() }()
+	c := listener.admit(server)
+	c.setPhase(phaseRunning, false, 30<<10)
+	assert.Assert(t, !c.cut)
+}
+
 // TestRefusalCutsOnlyStalledStream guards against a body that makes progress being cut
 // because another call was refused, and against one that keeps a slot without progress.
 func TestRefusalCutsOnlyStalledStream(t *testing.T) {
--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -8,11 +8,11 @@
 )
 
 // Shares of the descriptors for the connections of each HTTP listener. Each has its own,
-// so that a crowd at one port does not keep others out. The rest, an eighth, is left for
+// so that a crowd at one port does not keep others out. The rest, a quarter, is left for
 // the connections between daemons for control, to the target and to other daemons.
 const (
-	callersShare = 3.0 / 8
-	callsShare   = 3.0 / 8
+	callersShare = 5.0 / 16
+	callsShare   = 5.0 / 16
 	otherShare   = 1.0 / 32
 )
 
