--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -100,6 +100,9 @@
 	}
 	if failure.Outcome == NotRun {
 		s.counters.notRun.Inc()
+		if failure.Status == http.StatusServiceUnavailable {
+			s.onRefused()
+		}
 		return
 	}
 	s.counters.unknown.Inc()
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -204,6 +204,7 @@
 		Target:          localTarget{d.members},
 		Dialect:         d.dialect(),
 		OnTargetLeaving: d.members.RecordTargetLeaving,
+		OnRefused:       d.clients.NoteRefusal,
 		RetrySlack:      d.settings.Retries.Slack,
 		RetryRatio:      d.settings.Retries.Ratio,
 		Keys:            idempotencyKeys{d.deduplicator},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,6 +53,7 @@
 	Log                 Log      `json:"log"`
 	Admin               Admin    `json:"admin"`
 	Timeline            Timeline `json:"timeline"`
+	Clients             Clients  `json:"clients"`
 	// TLS configures connections between daemons, to the platform and from operators.
 	TLS TLS `json:"tls"`
 	// StopLinger is how long a stopping daemon still accepts calls, because callers
@@ -204,6 +205,17 @@
 	PublishBurst int `json:"publish_burst" default:"20" min:"1" max:"10000"`
 }
 
+// Clients limits what the clients of the HTTP listeners may make the daemon hold.
+type Clients struct {
+	// Memory is what all clients together may hold, 0B for a sixth of Settings.Memory.
+	Memory Size `json:"memory" default:"0B" min:"0B" max:"1TiB"`
+	// MaxHead limits the request line and the headers of one request.
+	MaxHead Size `json:"max_head" default:"20KiB" min:"4KiB" max:"1MiB"`
+	// StallTimeout is the time within which a client must send 2 KiB of a body, and
+	// read 32 KiB of a response.
+	StallTimeout Duration `json:"stall_timeout" default:"20s" min:"1s" max:"1h"`
+}
+
 // Timeline limits the events retained in memory.
 type Timeline struct {
 	// Events is the maximum number of events. The oldest are dropped first.
