--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,8 +52,8 @@
 	AdaptiveConcurrency string   `json:"adaptive_concurrency" default:"off" form:"switch"`
 	Log                 Log      `json:"log"`
 	Admin               Admin    `json:"admin"`
-	Timeline            Timeline `json:"timeline"`
 	Clients             Clients  `json:"clients"`
+	Timeline            Timeline `json:"timeline"`
 	// TLS configures connections between daemons, to the platform and from operators.
 	TLS TLS `json:"tls"`
 	// StopLinger is how long a stopping daemon still accepts calls, because callers
