--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -94,6 +94,13 @@
 	return &members, err
 }
 
+// Rollouts returns the rollouts that the daemon knows.
+func (c *Client) Rollouts(ctx context.Context) (*Rollouts, error) {
+	var rollouts Rollouts
+	err := c.do(ctx, http.MethodGet, "/v1/rollouts", nil, &rollouts)
+	return &rollouts, err
+}
+
 // Drain takes the target of the daemon's host out of service, or puts it back.
 func (c *Client) Drain(ctx context.Context, drain bool) (*DrainState, error) {
 	method := http.MethodPost
--- a/internal/admin/openapi_test.go
+++ b/internal/admin/openapi_test.go
@@ -89,7 +89,7 @@
 	types := []any{
 		admin.Publication{}, admin.Rollback{}, admin.Fault{}, admin.Verdict{}, admin.History{},
 		admin.Source{}, admin.Change{}, admin.Diff{}, admin.Missing{}, admin.Convergence{}, admin.Status{},
-		admin.Member{}, admin.Members{}, admin.Readiness{}, admin.DrainState{}, admin.Problem{},
+		admin.Member{}, admin.Members{}, admin.Rollout{}, admin.Rollouts{}, admin.Readiness{}, admin.DrainState{}, admin.Problem{},
 	}
 	schemas := readDocument(t).Components.Schemas
 	assert.Equal(t, len(schemas), len(types))
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -56,6 +56,7 @@
 		{http.MethodPost, "/v1/workspaces/:workspace/rollback", publish.Publisher, s.rollback},
 		{http.MethodGet, "/v1/status", publish.Reader, s.status},
 		{http.MethodGet, "/v1/members", publish.Reader, s.members},
+		{http.MethodGet, "/v1/rollouts", publish.Reader, s.rollouts},
 		{http.MethodPost, "/v1/drain", publish.Administrator, s.drain},
 		{http.MethodDelete, "/v1/drain", publish.Administrator, s.resume},
 		{http.MethodGet, "/v1/timeline", publish.Administrator, s.timeline},
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -79,6 +79,8 @@
 	// when it never had.
 	Staleness func() (time.Duration, bool)
 	Drainer   Drainer
+	// Rollouts returns the rollouts that this daemon knows, nil if they are off.
+	Rollouts func() []Rollout
 	// ReadinessChecks are additional conditions of /readyz.
 	ReadinessChecks []ReadinessCheck
 	// Timeline serves the events of this process.
--- a/internal/admin/state.go
+++ b/internal/admin/state.go
@@ -50,6 +50,15 @@
 	return writeJSON(w, http.StatusOK, response)
 }
 
+// rollouts responds with the rollouts known here, sorted by service.
+func (s *Server) rollouts(w http.ResponseWriter, _ *request) error {
+	response := Rollouts{Rollouts: []Rollout{}}
+	if s.Rollouts != nil {
+		response.Rollouts = append(response.Rollouts, s.Rollouts()...)
+	}
+	return writeJSON(w, http.StatusOK, response)
+}
+
 // drain takes the target of this host out of service.
 func (s *Server) drain(w http.ResponseWriter, r *request) error {
 	if s.Drainer == nil {
--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -166,3 +166,33 @@
 	Host     string `json:"host"`
 	Draining bool   `json:"draining"`
 }
+
+// Rollouts lists the rollouts that one daemon knows, by service.
+type Rollouts struct {
+	Rollouts []Rollout `json:"rollouts"`
+}
+
+// Rollout is a rollout as one daemon knows it.
+type Rollout struct {
+	Service       string `json:"service"`
+	TargetVersion string `json:"target_version"`
+	// State is "serving", "completed" or "reverted".
+	State string `json:"state"`
+	// Step is "waiting", "canary", "ramp", "all" or "held".
+	Step string `json:"step"`
+	// SharePermille is the share of calls for the new version in thousandths.
+	SharePermille int `json:"share_permille"`
+	// Reason is why a final state was reached.
+	Reason string `json:"reason,omitempty"`
+	// Recorded says that the state is in the log.
+	Recorded bool `json:"recorded"`
+	// Home is the host that decides.
+	Home       string    `json:"home"`
+	KnownSince time.Time `json:"known_since"`
+	Deadline   time.Time `json:"deadline"`
+	// SentOld and SentNew are the attempts of this daemon.
+	SentOld uint64 `json:"sent_old"`
+	SentNew uint64 `json:"sent_new"`
+	// Counts are the answers that all daemons have counted, given by the home alone.
+	Counts string `json:"counts,omitempty"`
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,6 +29,7 @@
 	Publish  *publishCommand  `arg:"subcommand:publish" help:"publish a workspace directory"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show what is in force and where"`
 	Members  *membersCommand  `arg:"subcommand:members" help:"list daemons and their targets"`
+	Rollouts *rolloutsCommand `arg:"subcommand:rollouts" help:"list the rollouts of new versions"`
 	History  *historyCommand  `arg:"subcommand:history" help:"list the publications of a workspace"`
 	Diff     *diffCommand     `arg:"subcommand:diff" help:"compare two versions of a workspace as rendered"`
 	Rollback *rollbackCommand `arg:"subcommand:rollback" help:"publish the content of an old version again"`
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -66,7 +66,7 @@
 }
 
 func TestEveryCommandHasHelpWithAnExample(t *testing.T) {
-	for _, name := range []string{"validate", "publish", "status", "members", "history", "diff", "rollback", "drain", "token", "timeline"} {
+	for _, name := range []string{"validate", "publish", "status", "members", "rollouts", "history", "diff", "rollback", "drain", "token", "timeline"} {
 		status, stdout, _ := runCommand(t, name, "--help")
 		assert.Equal(t, status, exitOK)
 		assert.Assert(t, strings.Contains(stdout, "Example:\n  mulberrybank "+name), stdout)
--- a/internal/cli/documentation_test.go
+++ b/internal/cli/documentation_test.go
@@ -59,7 +59,7 @@
 }
 
 func TestExamplesParse(t *testing.T) {
-	for _, name := range []string{"daemon", "demo", "validate", "publish", "status", "members", "history", "diff", "rollback", "drain", "token", "timeline", "soak", "story"} {
+	for _, name := range []string{"daemon", "demo", "validate", "publish", "status", "members", "rollouts", "history", "diff", "rollback", "drain", "token", "timeline", "soak", "story"} {
 		parsed := &commands{}
 		parser, err := arg.NewParser(arg.Config{Program: programName, Out: io.Discard}, parsed)
 		assert.NilError(t, err)
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -179,6 +180,7 @@
 		Convergence: d.convergence,
 		Staleness:   d.staleness,
 		Drainer:     drainer{d.members},
+		Rollouts:    d.rolloutList(),
 		Timeline:    d.events.Handler(),
 		Authorizer:  d.authorizer(),
 		Quota:       d.quota(),
@@ -195,3 +197,31 @@
 	}
 	return distribute.DefaultTiming
 }
+
+// rolloutList returns the function that lists the rollouts for the administration API,
+// nil if they are off.
+func (d *Daemon) rolloutList() func() []admin.Rollout {
+	if d.rollouts == nil {
+		return nil
+	}
+	return func() (list []admin.Rollout) {
+		for _, known := range d.rollouts.Snapshots() {
+			list = append(list, admin.Rollout{
+				Service:       known.Order.Service,
+				TargetVersion: known.Order.Version,
+				State:         known.State.String(),
+				Step:          known.Step.String(),
+				SharePermille: int(math.Round(1000 * known.Share)),
+				Reason:        known.Reason,
+				Recorded:      known.Recorded,
+				Home:          known.Home,
+				KnownSince:    known.KnownSince,
+				Deadline:      known.KnownSince.Add(known.Order.Duration),
+				SentOld:       known.SentOld,
+				SentNew:       known.SentNew,
+				Counts:        known.Counts,
+			})
+		}
+		return list
+	}
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -183,36 +183,35 @@
 	return nil
 }
 
-// Status describes one rollout for operators.
-type RolloutStatus struct {
-	Service    string    `json:"service"`
-	Version    string    `json:"target_version"`
-	State      string    `json:"state"`
-	Step       string    `json:"step"`
-	Share      float64   `json:"share"`
-	Reason     string    `json:"reason,omitempty"`
-	Recorded   bool      `json:"recorded"`
-	Home       string    `json:"home"`
-	KnownSince time.Time `json:"known_since"`
-	Deadline   time.Time `json:"deadline"`
+// Snapshot describes one rollout for operators.
+type Snapshot struct {
+	Order publish.Rollout
+	State State
+	Step  Step
+	Share float64
+	// Reason is why a final state was reached.
+	Reason string
+	// Recorded says that the state is in the log.
+	Recorded   bool
+	Home       string
+	KnownSince time.Time
 	// SentOld and SentNew are the attempts of this daemon.
-	SentOld uint64 `json:"sent_old"`
-	SentNew uint64 `json:"sent_new"`
+	SentOld, SentNew uint64
 	// Counts are those of all daemons, given by the home alone.
-	Counts string `json:"counts,omitempty"`
+	Counts string
 }
 
-// Statuses returns the rollouts that this daemon knows, sorted by service.
-func (r *Rollouts) Statuses() []RolloutStatus {
+// Snapshots returns the rollouts that this daemon knows, sorted by service.
+func (r *Rollouts) Snapshots() []Snapshot {
 	r.mu.RLock()
 	services := slices.Collect(maps.Values(r.services))
 	r.mu.RUnlock()
 	slices.SortFunc(services, func(a, b *service) int { return strings.Compare(a.order.Service, b.order.Service) })
-	statuses := make([]RolloutStatus, 0, len(services))
+	snapshots := make([]Snapshot, 0, len(services))
 	for _, s := range services {
-		statuses = append(statuses, s.status())
+		snapshots = append(snapshots, s.snapshot())
 	}
-	return statuses
+	return snapshots
 }
 
 // homeCache holds the candidates for homes of one view.
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -509,22 +509,21 @@
 	s.updateLocked(func(next *inForce) { next.statusKnown = true })
 }
 
-// status describes the rollout for operators.
-func (s *service) status() RolloutStatus {
+// snapshot describes the rollout for operators.
+func (s *service) snapshot() Snapshot {
 	home := s.rollouts.homeOf(s.order).Host
 	now := s.rollouts.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.current.Load()
-	status := RolloutStatus{
-		Service: s.order.Service, Version: s.order.Version, State: current.state.String(), Step: current.step.String(),
-		Share: current.shareAt(now), Reason: current.reason, Recorded: current.recorded, Home: home,
-		KnownSince: s.began, Deadline: s.began.Add(s.order.Duration), SentOld: s.totals.SentOld, SentNew: s.totals.SentNew,
+	snapshot := Snapshot{
+		Order: s.order, State: current.state, Step: current.step, Share: current.shareAt(now), Reason: current.reason,
+		Recorded: current.recorded, Home: home, KnownSince: s.began, SentOld: s.totals.SentOld, SentNew: s.totals.SentNew,
 	}
 	if s.trial != nil && home == s.rollouts.options.Self.Host {
-		status.Counts = s.trial.summary()
+		snapshot.Counts = s.trial.summary()
 	}
-	return status
+	return snapshot
 }
 
 // reportLink sends the reports of one service to its home.
