--- a/internal/crowd/edge_test.go
+++ b/internal/crowd/edge_test.go
@@ -34,7 +34,7 @@
 // at the edge: the longest head, of very short fields, the longest buffered body, the
 // longest body, and the longest body in chunks.
 func TestRequestsAtTheLimitsAreServed(t *testing.T) {
-	h := startHost(t, "platform")
+	h := takeHost(t, "platform")
 	path := h.routePath()
 	start := head(path, 1, "Content-Length: 0")
 	// The limit of the configuration counts ": " in each field, also without the space.
@@ -50,7 +50,7 @@
 // TestRequestsOverTheLimitsAreRefused guards against a limit that is not enforced, or
 // whose refusal is not a true one.
 func TestRequestsOverTheLimitsAreRefused(t *testing.T) {
-	h := startHost(t, "platform")
+	h := takeHost(t, "platform")
 	path := h.routePath()
 	assert.Equal(t, statusOf(t, h, head(path, 1, "Content-Length: 0")+shortFields(maxHeaderBytes+64)+"\r\n"), http.StatusRequestHeaderFieldsTooLarge)
 	assert.Equal(t, statusOf(t, h, withLength(path, 2, maxBodyBytes+1)), http.StatusRequestEntityTooLarge)
--- a/internal/crowd/host_test.go
+++ b/internal/crowd/host_test.go
@@ -21,6 +21,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,13 +69,16 @@
 		panic(err)
 	}
 	code := m.Run()
+	if next != nil {
+		next.end()
+	}
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
 }
 
 // host is a daemon process with a stand-in log and a stand-in target.
 type host struct {
-	t       *testing.T
+	t       hostT
 	adapter string
 	listen  map[string]string
 	process *exec.Cmd
@@ -85,12 +89,12 @@
 
 // startHost starts the stand-ins and the daemon, and returns once an ordinary request
 // is answered.
-func startHost(t *testing.T, adapter string) *host {
+func startHost(t hostT, adapter string) *host {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
 	t.Cleanup(func() { cancel(); tasks.Wait() })
-	h := &host{t: t, adapter: adapter, listen: freeAddresses(t), exited: make(chan struct{})}
+	h := &host{t: t, adapter: adapter, listen: newAddresses(), exited: make(chan struct{})}
 	h.logs = filepath.Join(t.TempDir(), "daemon.log")
 	var store http.Handler
 	if adapter == "platform" {
@@ -111,18 +115,24 @@
 	return h
 }
 
-func freeAddresses(t *testing.T) map[string]string {
+// firstPort is the first port of each daemon, which has an IP address of its own. The
+// connections of a crowd take ports of other addresses.
+const firstPort = 17411
+
+// hosts counts the hosts of this process.
+var hosts atomic.Int32
+
+func newAddresses() map[string]string {
+	number := int(hosts.Add(1))
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, number/250, 2+number%250)
 	addresses := make(map[string]string)
-	for _, name := range []string{"callers", "calls", "target", "ready", "control", "admin", "metrics"} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer func() { _ = listener.Close() }()
-		addresses[name] = listener.Addr().String()
+	for i, name := range []string{"callers", "calls", "target", "ready", "control", "admin", "metrics"} {
+		addresses[name] = fmt.Sprintf("%s:%d", ip, firstPort+i)
 	}
 	return addresses
 }
 
-func platformConfiguration(t *testing.T) []byte {
+func platformConfiguration(t hostT) []byte {
 	value, err := json.Marshal(map[string]any{
 		"version": 1,
 		"routes": []map[string]any{{
@@ -283,7 +293,7 @@
 	if testing.Short() {
 		c.clients = max(c.clients/10, 1)
 	}
-	h := startHost(t, adapter)
+	h := takeHost(t, adapter)
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
 	stopped := sync.OnceFunc(func() { cancel(); tasks.Wait() })
