--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -91,6 +91,9 @@
 	// missingAfter is the age of a report after which its daemon may be cut off: daemons
 	// with demand for a watched or limited workspace report every busyInterval.
 	missingAfter = 600 * time.Millisecond
+	// recentReport is the age up to which a daemon that reported a free workspace is
+	// expected to report again once it is watched. It is below idleAccount.
+	recentReport = 8 * time.Second
 	// forgetDemand is when the membership view must know of a cut.
 	forgetDemand = 12 * time.Second
 	// tickInterval is the time between two runs of Tick.
@@ -128,8 +131,11 @@
 	// known and reachable count hosts of the mesh.
 	known, reachable int
 	lastTick         time.Time
-	bound            Bound
-	onChange         func(Change)
+	// steadySince is since when this host is the home of the same workspaces and was not
+	// paused, zero before the first tick.
+	steadySince time.Time
+	bound       Bound
+	onChange    func(Change)
 }
 
 // Change describes that a workspace became limited, or is no longer limited.
@@ -154,6 +160,8 @@
 	flow      float64
 	mode      Mode
 	calmSince time.Time
+	// watchedAt is when the workspace was last free.
+	watchedAt time.Time
 	demands   map[string]demand
 	// total is the sum of demands at the last tick, changed by later reports.
 	total float64
@@ -179,6 +187,9 @@
 	l.known, l.reachable = max(known, 1), min(max(reachable, 1), max(known, 1))
 }
 
+// HomesChanged records that this host may have become the home of further workspaces.
+func (l *Ledger) HomesChanged(now time.Time) { l.steadySince = now }
+
 // Len returns the number of workspaces in the ledger.
 func (l *Ledger) Len() int { return len(l.entries) }
 
@@ -187,8 +198,12 @@
 func (l *Ledger) Report(daemon string, u Usage, limit Limit, now time.Time) (grant Grant, changed bool) {
 	e := l.entries[u.Workspace]
 	if e == nil {
-		// The bucket of a new home is empty: what was admitted before is unknown.
+		// The bucket of a new home is empty: what was admitted before is unknown. Once it
+		// has been the home for a window, no report means that nothing was admitted.
 		e = &entry{name: u.Workspace, mode: Watched, at: now, calmSince: now, demands: make(map[string]demand)}
+		if !l.steadySince.IsZero() && now.Sub(l.steadySince) >= l.bound.Window {
+			e.level, e.limit, e.detector = limit.Burst, limit, limit.Burst
+		}
 		l.entries[u.Workspace] = e
 	}
 	if e.limit != limit {
@@ -208,6 +223,9 @@
 	e.demands[daemon] = demand{rate: u.Demand, at: now, granted: e.demands[daemon].granted}
 	e.reported = now
 	before := e.mode
+	if e.mode == Free && u.Demand > limit.Rate {
+		e.detector = 0
+	}
 	l.decide(e, now)
 	return l.grant(e, daemon, now), e.mode != before
 }
@@ -229,6 +247,9 @@
 		l.Reset(now)
 	}
 	l.lastTick = now
+	if l.steadySince.IsZero() {
+		l.steadySince = now
+	}
 	var changed []string
 	for name, e := range l.entries {
 		if now.Sub(e.reported) > idleEntry {
@@ -250,6 +271,7 @@
 
 // Reset empties all buckets, after a pause in which other homes may have granted.
 func (l *Ledger) Reset(now time.Time) {
+	l.steadySince = now
 	for _, e := range l.entries {
 		e.level, e.at = min(e.level, 0), now
 		e.mode, e.calmSince = Watched, now
@@ -320,6 +342,19 @@
 	return d.rate
 }
 
+// watch begins to sum the demands of the daemons that reported lately. Those that do not
+// report again are cut off, or their grant is late.
+func (e *entry) watch(now time.Time) {
+	e.watchedAt = now
+	for daemon, d := range e.demands {
+		if now.Sub(d.at) > recentReport {
+			delete(e.demands, daemon)
+			continue
+		}
+		e.demands[daemon] = demand{rate: d.rate, at: d.at}
+	}
+}
+
 // sumDemands sets the total of the demands, and what must be reserved for daemons that
 // no longer report. These may be cut off and admit by their own rules: the rate that they
 // used for lostAfter and holdTime, then their floor.
@@ -327,8 +362,12 @@
 	e.total, e.reserved = 0, 0
 	for daemon, d := range e.demands {
 		age := now.Sub(d.at)
+		silent := d.at.Before(e.watchedAt)
+		if silent {
+			age = now.Sub(e.watchedAt)
+		}
 		switch {
-		case age > forgetDemand || d.rate < endedDemand && age > demandHold:
+		case age > forgetDemand || !silent && d.rate < endedDemand && age > demandHold:
 			delete(e.demands, daemon)
 			continue
 		case age > missingAfter+lostAfter+holdTime:
@@ -348,6 +387,7 @@
 			return
 		}
 		e.mode, e.calmSince = Watched, now
+		e.watch(now)
 	}
 	total, allowance := e.total, l.allowance(e)
 	if calm := (l.bound.watchDemand(e.limit) - freeMargin) * rate; e.level < freeAbove*e.limit.Burst || total > calm || e.flow > calm {
@@ -362,7 +402,6 @@
 		l.notify(e, total, allowance, now)
 	case e.mode == Watched && now.Sub(e.calmSince) >= calmTime:
 		e.mode, e.detector = Free, e.limit.Burst
-		clear(e.demands)
 		e.total, e.reserved = 0, 0
 	}
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -29,11 +29,20 @@
 	// holdTime is how long a daemon without a home keeps the rate that it used.
 	holdTime = time.Second
 	// suspectRoom is the room above the rate used while the home is suspect.
-	suspectRoom = 1.5
+	suspectRoom = 1.25
+	// surgeFactor and surgeMargin define a surge at one daemon: a demand of surgeMargin
+	// per second above surgeFactor times the rate used. It is reported at once, and bound
+	// after surgeSuspectAfter without an answer, which is more than a round trip.
+	surgeFactor       = 3
+	surgeMargin       = 10
+	surgeSuspectAfter = 120 * time.Millisecond
+	// maxFairDebt is the longest time for which the floor is withheld after a daemon
+	// admitted more than its share.
+	maxFairDebt = 4 * time.Second
 	// demandTime is the time constant of the demand that is reported, usedTime that of
 	// the rate that is kept without a home.
 	demandTime = 300 * time.Millisecond
-	usedTime   = 2 * time.Second
+	usedTime   = 5 * time.Second
 	// bucketTime is the time in which a local bucket fills. It absorbs the variation of
 	// arrivals between two reports.
 	bucketTime = 250 * time.Millisecond
@@ -119,12 +128,18 @@
 	// demand and used are smoothed rates of requests made and admitted.
 	demand, used float64
 	countedAt    time.Time
-	// whole is a bucket of the whole limit, tokens the bucket of the rate to which the
-	// account is bound.
-	whole, tokens float64
-	tokensAt      time.Time
-	bound         bool
-	lastUse       time.Time
+	// held is the value of used when the account was last bound for lack of a home, so
+	// that what is admitted then does not raise the rate. without is set while it is.
+	held    float64
+	without bool
+	// whole is a bucket of the whole limit, fair one of this daemon's share of the limit,
+	// tokens the bucket of the rate to which the account is bound.
+	whole, fair, tokens float64
+	// surging is set while the demand is a surge that the home does not limit yet.
+	surging  bool
+	tokensAt time.Time
+	bound    bool
+	lastUse  time.Time
 	// giveBack returns a request. It is made once, so that a request allocates nothing.
 	giveBack func()
 }
@@ -151,9 +166,14 @@
 	}
 	a.count(now)
 	a.demand += 1 / demandTime.Seconds()
+	a.surging = a.demand > surgeFactor*a.used+surgeMargin && !(a.answered && a.grant.Mode == Limited)
 	a.lastUse = now
 	h := l.link(a.home)
 	rate, bound, without := l.localRate(a, h, now)
+	if without && !a.without {
+		a.held = a.used
+	}
+	a.without = without
 	l.refill(a, rate, bound, without, now)
 	switch {
 	case a.whole < 1:
@@ -167,12 +187,13 @@
 		}
 	default:
 		a.whole--
+		a.fair--
 		if bound {
 			a.tokens--
 		}
 		a.used += 1 / usedTime.Seconds()
 		a.pending++
-		a.blind = a.blind || without
+		a.blind = a.blind || without && a.homed
 	}
 	return a, retryAfter, decision, l.noteUse(a, h, decision, now)
 }
@@ -193,7 +214,7 @@
 func (l *Limiter) newAccount(name string, limit Limit, now time.Time) *account {
 	a := &account{
 		name: name, limit: limit, home: l.homeOf(name),
-		countedAt: now, tokensAt: now, whole: max(limit.Burst, 1),
+		countedAt: now, tokensAt: now, whole: max(limit.Burst, 1), fair: max(limit.Burst/l.hosts(now), 1),
 	}
 	if w, ok := l.watched[name]; ok && w.home == a.home {
 		a.answered, a.homed, a.grant = true, true, w.grant
@@ -225,13 +246,17 @@
 // is for lack of a home.
 func (l *Limiter) localRate(a *account, h *homeLink, now time.Time) (rate float64, bound, without bool) {
 	floor := a.limit.Rate / l.hosts(now)
-	room := min(a.limit.Rate, max(suspectRoom*a.used, floor))
+	used := a.used
+	if a.without {
+		used = a.held
+	}
+	room := min(a.limit.Rate, max(suspectRoom*used, floor))
 	switch {
 	case !h.connected && !h.lostAt.IsZero() && now.Sub(h.lostAt) < holdTime:
-		return min(a.limit.Rate, max(a.used, floor)), true, true
+		return min(a.limit.Rate, max(used, floor)), true, true
 	case !h.connected:
 		return floor, true, true
-	case h.silence(now) > suspectAfter:
+	case h.silence(now) > suspectAfter, a.surging && h.silence(now) > surgeSuspectAfter:
 		if a.answered && a.grant.Mode == Limited {
 			return min(room, a.grant.Rate), true, true
 		}
@@ -267,6 +292,8 @@
 	a.tokensAt = now
 	a.whole = min(max(a.limit.Burst, 1), a.whole+elapsed*a.limit.Rate)
 	share := a.limit.Burst / l.hosts(now)
+	floor := a.limit.Rate / l.hosts(now)
+	a.fair = max(min(max(share, 1), a.fair+elapsed*floor), -floor*maxFairDebt.Seconds())
 	switch {
 	case !bound:
 	case !a.bound:
@@ -281,6 +308,9 @@
 	default:
 		a.tokens = l.fill(a.tokens+elapsed*rate, max(rate*bucketTime.Seconds(), share), share)
 	}
+	if without && rate <= floor {
+		a.tokens = min(a.tokens, 1+a.fair)
+	}
 	a.bound = bound
 }
 
@@ -311,6 +341,8 @@
 		wake = h.makeUrgent(now) || wake
 	case a.answered && a.grant.Mode != Free && h.busyAt.IsZero():
 		h.busyAt, wake = now, true
+	case a.surging && len(h.sent) == 0:
+		wake = h.makeUrgent(now) || wake
 	case a.answered && a.grant.Mode == Free && decision == Admitted:
 		if l.random.Float64()*samplePeriod(a.limit) < 1 {
 			a.samples++
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -182,14 +182,14 @@
 		q.limiter.Sweep(now)
 		q.inUse = q.limiter.Len() > 0
 	}
-	if q.inUse || q.ledger.Len() > 0 {
+	if q.inUse || q.ledger.Len() > 0 || len(q.followers) > 0 {
 		q.refreshHosts(now)
 	}
 	q.reconcileLinks(ctx, tasks)
 	for _, workspace := range q.ledger.Tick(now) {
 		q.pushToAll(workspace)
 	}
-	if q.ledger.Len() > 0 {
+	if q.ledger.Len() > 0 || len(q.followers) > 0 {
 		return tickInterval, false
 	}
 	if !q.inUse {
@@ -213,6 +213,7 @@
 	if before.equal(q.homes) {
 		return
 	}
+	q.ledger.HomesChanged(now)
 	q.log.WithFields(logrus.Fields{
 		"homes": q.homes.hosts, "before": before.hosts, "known": q.homes.Known, "reachable": q.homes.Reachable,
 	}).Info("homes of quotas changed")
--- a/internal/quota/schedule.go
+++ b/internal/quota/schedule.go
@@ -50,7 +50,7 @@
 	for name, a := range h.dirty {
 		a.count(now)
 		watched := a.answered && a.grant.Mode != Free
-		if !full && a.answered && a.samples == 0 && (!watched || !busy) {
+		if !full && a.answered && a.samples == 0 && !a.surging && (!watched || !busy) {
 			keepBusy = keepBusy || watched
 			continue
 		}
--- a/internal/quota/server.go
+++ b/internal/quota/server.go
@@ -88,6 +88,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.followers[f] = true
+	if len(q.followers) == 1 {
+		notify(q.wake)
+	}
 	for _, workspace := range q.ledger.Watched() {
 		f.pending[workspace] = true
 	}
