--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -190,6 +190,14 @@
 // HomesChanged records that this host may have become the home of further workspaces.
 func (l *Ledger) HomesChanged(now time.Time) { l.steadySince = now }
 
+// LimitOf returns the limit last reported of a workspace, 0 if there is none.
+func (l *Ledger) LimitOf(workspace string) Limit {
+	if e := l.entries[workspace]; e != nil {
+		return e.limit
+	}
+	return Limit{}
+}
+
 // Len returns the number of workspaces in the ledger.
 func (l *Ledger) Len() int { return len(l.entries) }
 
--- a/internal/quota/server.go
+++ b/internal/quota/server.go
@@ -115,6 +115,9 @@
 		if !ok {
 			limit = u.Limit
 		}
+		if !ok && limit.Rate <= 0 {
+			limit = q.ledger.LimitOf(u.Workspace)
+		}
 		if limit.Rate <= 0 {
 			continue
 		}
