--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -363,14 +363,6 @@
 	return maxWindow(missing)
 }
 
-func total(counts []int) int {
-	sum := 0
-	for _, n := range counts {
-		sum += n
-	}
-	return sum
-}
-
 func poisson(random *rand.Rand, mean float64) int {
 	if mean <= 0 {
 		return 0
