--- a/internal/quota/server.go
+++ b/internal/quota/server.go
@@ -88,6 +88,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.followers[f] = true
+	if len(q.followers) == 1 {
+		notify(q.wake)
+	}
 	for _, workspace := range q.ledger.Watched() {
 		f.pending[workspace] = true
 	}
@@ -112,6 +115,9 @@
 		if !ok {
 			limit = u.Limit
 		}
+		if !ok && limit.Rate <= 0 {
+			limit = q.ledger.LimitOf(u.Workspace)
+		}
 		if limit.Rate <= 0 {
 			continue
 		}
