--- a/internal/call/admission_pace.go
+++ b/internal/call/admission_pace.go
@@ -20,7 +20,7 @@
 
 // checkPace returns why a request must be refused at once, nil if it need not be: the
 // target refuses or fails everything, or what it works on shows that it cannot answer by the
-// deadline. A target without work gets a request in any case, so that an estimate that
+// deadline. A target that is not known to have work gets a request in any case, so that an estimate that
 // is too high is corrected.
 func (a *admissionQueue) checkPace(request admissionRequest) error {
 	if a.pace == nil {
@@ -31,7 +31,7 @@
 	switch {
 	case a.pace.Refusing(now):
 		return errTargetRefuses
-	case a.pace.AtTarget() > 0 && now.Add(a.pace.Expected(request.rank())).After(request.deadline):
+	case a.pace.Working(now) && now.Add(a.pace.Expected(request.rank())).After(request.deadline):
 		return errDeadlineTooSoon
 	default:
 		return nil
--- a/internal/pace/limit.go
+++ b/internal/pace/limit.go
@@ -23,8 +23,10 @@
 	// slowdownWeight is the least weight of a sample in the slowdown. At a low limit
 	// answers are rare, so that each counts more.
 	slowdownWeight = 0.25
-	// maxSlowdown bounds one sample, so that a few ordinary answers outweigh it.
-	maxSlowdown = 4
+	// maxSlowdown bounds one sample: noisy spells are up to 8 times slower.
+	maxSlowdown = 8
+	// abandonedFactor multiplies the time of an abandoned request, which had not ended.
+	abandonedFactor = 1.5
 	// slowSlowdown is the slowdown from which late answers shrink the limit: usual
 	// answers spread by less, noisy spells by more.
 	slowSlowdown = 2
@@ -33,10 +35,10 @@
 	// slowFactor multiplies the limit for each late answer of a slow target, and for
 	// each failure of a failing one.
 	slowFactor = 0.7
-	// slowDivisor gives the least limit of a slow target as a part of its slots. With
-	// less, the end of a spell was found later and the target stood idle after it: of a
-	// service at 0.8 of capacity 0.82 was answered in time in place of 0.85.
-	slowDivisor = 3
+	// slowDivisor gives the least limit of a slow target as a part of its slots. With a
+	// third the end of a spell was found later and the target stood idle after it: of a
+	// service at 0.8 of capacity 0.874 was answered in time in place of 0.900.
+	slowDivisor = 2
 	// silenceFactor is how many usual times may pass without an answer, while requests
 	// are at the target, before only one may be there.
 	silenceFactor = 4
@@ -181,6 +183,9 @@
 // AtTarget returns the number of requests that have begun and not ended.
 func (l *Limit) AtTarget() int { return l.atTarget }
 
+// Working reports whether the target is known to have work, abandoned requests included.
+func (l *Limit) Working(now time.Time) bool { return l.atTarget+l.occupied(now) > 0 }
+
 // Expected returns the time that a request of a rank is expected to take, 0 when
 // unknown.
 func (l *Limit) Expected(rank int) time.Duration {
@@ -250,7 +255,9 @@
 func (l *Limit) abandon(answer Answer, now time.Time) {
 	usual := l.usual[answer.Rank]
 	if usual > 0 && answer.Time > usual {
-		l.recordSlowdown(answer)
+		whole := answer
+		whole.Time = time.Duration(abandonedFactor * float64(answer.Time))
+		l.recordSlowdown(whole)
 		l.judge(answer, now)
 	}
 	remaining := max(l.Expected(answer.Rank)-answer.Time, answer.Time/2)
@@ -326,7 +333,7 @@
 
 func (l *Limit) shrink(factor float64, reason Reason, now time.Time) {
 	l.value = max(l.value*factor, 1)
-	if !l.low && l.value < float64(l.slots)/2 {
+	if !l.low && l.value <= float64(l.slots)/2 {
 		l.low = true
 		l.recordChange(reason, now)
 	}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -48,7 +48,7 @@
 	ReasonFailed  Reason = "failed"
 )
 
-// Change is a fall of the limit below half of the announced slots, or its return to
+// Change is a fall of the limit to half of the announced slots or less, or its return to
 // all of them, with the inputs.
 type Change struct {
 	Instance string
