A daemon that knows no other host decides on no rollout

A daemon that started beside a new target saw itself as the only host, found no old target and could have recorded a completion. As home it now answers that it does not know, and records nothing, in its first 3 s and while it knows no other host; daemons keep their share for 1 s as without a home. TestLoneDaemonDecidesNothing fails without it. The test over daemons read a daemon that a restart replaced (found by -race): it now keeps the address for callers.

--- a/internal/rollout/daemons_test.go
+++ b/internal/rollout/daemons_test.go
@@ -46,12 +46,14 @@
 
 type meshHost struct {
 	name, version string
-	index         int
-	daemon        *daemon.Daemon
-	upstream      *upstream.Upstream
-	stop          context.CancelFunc
-	ended         chan struct{}
-	runs          atomic.Int64
+	// callers is the address for callers, the same after a restart.
+	callers  string
+	index    int
+	daemon   *daemon.Daemon
+	upstream *upstream.Upstream
+	stop     context.CancelFunc
+	ended    chan struct{}
+	runs     atomic.Int64
 }
 
 type safeBuffer struct {
@@ -107,6 +109,7 @@
 func (m *mesh) addHost(name, version string, behaviour upstream.Behaviour) *meshHost {
 	h := &meshHost{name: name, version: version, index: len(m.hosts)}
 	m.startDaemon(h)
+	h.callers = h.daemon.Addresses().Callers
 	var err error
 	h.upstream, err = upstream.New(upstream.Options{
 		ID: "i-" + name, Service: "huts", Version: version, Slots: 20, DaemonAddress: h.daemon.Addresses().Target, StartedUnixMs: 1,
@@ -165,7 +168,7 @@
 
 // call sends one request and returns the status, 0 for none.
 func (m *mesh) call(h *meshHost) int {
-	request, err := http.NewRequestWithContext(m.ctx, http.MethodGet, "http://"+h.daemon.Addresses().Callers+"/x", http.NoBody)
+	request, err := http.NewRequestWithContext(m.ctx, http.MethodGet, "http://"+h.callers+"/x", http.NoBody)
 	assert.NilError(m.t, err)
 	request.Host = "huts.example"
 	request.Header.Set("Request-Id", fmt.Sprintf("%s-%d", h.name, m.calls.Add(1)))
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -26,6 +26,8 @@
 	// settleTime is how long the share must be 1 before a daemon reports that it has
 	// moved, so that calls that chose their target before have begun.
 	settleTime = 100 * time.Millisecond
+	// membersGrace is how long after its start a daemon may not know all hosts yet.
+	membersGrace = 3 * time.Second
 	// readGrace is how long the home of a new order waits for the log.
 	readGrace = time.Second
 	// oldGoneTime is how long no old target must have been known before calls go to the
@@ -372,7 +374,11 @@
 		s.trial.adopt(current.state, current.reason)
 	}
 	s.trial.Merge(host, report, now)
-	if s.mayDecide(now) {
+	if !s.mayDecide(now, reach) {
+		if current.state == Serving {
+			return answer{unknown: true, state: Serving}
+		}
+	} else {
 		s.trial.Decide(now, reach)
 	}
 	s.logChange(now, reach)
@@ -394,9 +400,13 @@
 	return answer{share: share, step: step, state: state, reason: s.trial.Reason(), age: now.Sub(s.trial.began), recorded: recorded && state != Serving}
 }
 
-// mayDecide reports whether this home may send calls to the new version: not before it
-// has read the log, unless the order is new to all and the log does not answer.
-func (s *service) mayDecide(now time.Time) bool {
+// mayDecide reports whether this home may decide: not while it knows few other hosts,
+// and not before it has read the log, unless the order is new to all and the log does
+// not answer.
+func (s *service) mayDecide(now time.Time, reach Reach) bool {
+	if len(reach.Hosts) < 2 || now.Sub(s.rollouts.started) < membersGrace {
+		return false
+	}
 	return s.rollouts.options.Log == nil || s.statusRead || s.fresh && now.Sub(s.began) >= readGrace
 }
 
@@ -450,7 +460,7 @@
 	isHome := s.trial != nil && s.rollouts.homeOf(s.order).Host == s.rollouts.options.Self.Host
 	needsRead := !s.statusRead && (isHome || !s.fresh)
 	wanted := State(0)
-	if isHome && s.statusRead && !s.superseded {
+	if isHome && s.statusRead && !s.superseded && s.mayDecide(s.rollouts.now(), s.rollouts.reachOf(s.order)) {
 		if _, _, state := s.trial.Step(); state != s.recordedState {
 			wanted = state
 		}
--- a/internal/rollout/transition_test.go
+++ b/internal/rollout/transition_test.go
@@ -396,3 +396,30 @@
 		}
 	}
 }
+
+// TestLoneDaemonDecidesNothing guards against a daemon that starts beside a new target,
+// knows no other host yet and takes its target for all there are.
+func TestLoneDaemonDecidesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := startFakeMesh(t, false)
+		lone := m.daemons[fakeDaemons-1]
+		for _, d := range m.daemons {
+			d.cancel()
+		}
+		m.tasks.Wait()
+		m.setLog(func() { m.log.records = nil })
+		self := lone.directory.View().Members.At(lone.name)
+		members := map[string]membership.Member{lone.name: self}
+		lone.directory.mu.Lock()
+		lone.directory.view = &membership.View{
+			Self: self, Members: membership.NewMap(members),
+			ByService: membership.NewMap(map[string][]membership.Member{"mesh/huts": {self}}),
+		}
+		lone.directory.mu.Unlock()
+		m.start(lone)
+		time.Sleep(20 * time.Second)
+		lone.cancel()
+		m.tasks.Wait()
+		assert.Equal(t, m.recorded(), State(0))
+	})
+}
