Quota: the home's bucket holds a quarter of the tolerance besides the burst

Cause: a workspace near a small limit was refused requests within it, since granted rates are split over daemons. With 0.4 of the tolerance TestDemandStaysWithinBoundAndIsServed was exceeded by 3 requests. The log field level was renamed to tokens, since it hid the level of the line.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -116,6 +116,22 @@
 	return (l.Rate*b.Window.Seconds()+l.Burst)*(1+b.Overage) + b.Slack
 }
 
+// toleranceUse is the part of what a window may exceed rate x Window + burst by that is
+// granted on purpose. Granted rates are split over daemons, so a workspace near a small
+// limit would otherwise be refused requests that are within it. The rest covers the delay
+// of reports.
+const toleranceUse = 0.25
+
+// enforced returns the limit that the bucket of a workspace enforces: its burst is larger
+// by a part of the tolerance of the bound.
+func (b Bound) enforced(l Limit) Limit {
+	if l.Rate <= 0 {
+		return l
+	}
+	tolerance := b.Of(l) - (l.Rate*b.Window.Seconds() + l.Burst)
+	return Limit{Rate: l.Rate, Burst: l.Burst + toleranceUse*tolerance}
+}
+
 // watchDemand returns the flow, as a part of the rate, up to which a workspace may be
 // free. With it, a window stays within its bound that ends with a surge of surgeDemand
 // for surgeTime.
@@ -149,8 +165,9 @@
 }
 
 type entry struct {
-	name  string
-	limit Limit
+	name string
+	// stated is the limit of the configuration, limit what the bucket enforces.
+	stated, limit Limit
 	// level is the level of the bucket at time at, in requests; it is negative in debt.
 	level float64
 	at    time.Time
@@ -193,7 +210,7 @@
 // LimitOf returns the limit last reported of a workspace, 0 if there is none.
 func (l *Ledger) LimitOf(workspace string) Limit {
 	if e := l.entries[workspace]; e != nil {
-		return e.limit
+		return e.stated
 	}
 	return Limit{}
 }
@@ -204,6 +221,8 @@
 // Report takes the usage of one workspace from a daemon and returns the daemon's grant.
 // changed reports that the other daemons need a grant now.
 func (l *Ledger) Report(daemon string, u Usage, limit Limit, now time.Time) (grant Grant, changed bool) {
+	stated := limit
+	limit = l.bound.enforced(stated)
 	e := l.entries[u.Workspace]
 	if e == nil {
 		// The bucket of a new home is empty: what was admitted before is unknown. Once it
@@ -219,6 +238,7 @@
 		e.level = min(e.level, limit.Burst)
 		e.detector = limit.Burst
 	}
+	e.stated = stated
 	e.advance(now, l.share())
 	e.deduct(u)
 	e.detector -= float64(u.Samples) * samplePeriod(limit)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -259,7 +259,7 @@
 		message = "workspace is within its quota again"
 	}
 	q.log.WithFields(logrus.Fields{
-		"workspace": c.Workspace, "level": int(c.Level), "demand": int(c.Demand), "allowed": int(c.Allowance),
+		"workspace": c.Workspace, "tokens": int(c.Level), "demand": int(c.Demand), "allowed": int(c.Allowance),
 		"reporters": c.Reporters, "oldest_report_ms": c.OldestReportMs,
 	}).Info(message)
 }
