--- a/cmd/mulberrybank/platform_test.go
+++ b/cmd/mulberrybank/platform_test.go
@@ -118,12 +118,22 @@
 // placeholderPattern matches a placeholder of the template.
 var placeholderPattern = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
 
-// These patterns match the sections of the template for the first start of all
-// daemons and for any other start.
-var (
-	bootstrapSectionPattern  = regexp.MustCompile(`\{\{#bootstrap\}\}.*?\{\{/bootstrap\}\}`)
-	bootstrapInvertedPattern = regexp.MustCompile(`\{\{\^bootstrap\}\}(.*?)\{\{/bootstrap\}\}`)
-)
+// sectionPattern matches a section of the template, {{#a}}..{{/a}}, or an inverted one,
+// {{^a}}..{{/a}}.
+var sectionPattern = regexp.MustCompile(`(?s)\{\{([#^])([a-z_.0-9]+)\}\}(.*?)\{\{/([a-z_.0-9]+)\}\}`)
+
+// renderSections keeps the sections whose name has a value and the inverted ones whose
+// name has none.
+func renderSections(template string, values map[string]string) string {
+	return sectionPattern.ReplaceAllStringFunc(template, func(section string) string {
+		parts := sectionPattern.FindStringSubmatch(section)
+		_, present := values[parts[2]]
+		if present == (parts[1] == "#") {
+			return parts[3]
+		}
+		return ""
+	})
+}
 
 // render renders the template that is deployed.
 func (f *fleet) render(h *platformHost) string {
@@ -137,11 +147,9 @@
 		"cloud_platform.address": f.address, "bounds.budget_slack": "40", "bounds.retry_budget_ratio": "0.2", "limits.memory_mb": "284", "limits.link_mbps": "1000.0",
 		"bounds.grace_s": "6",
 	}
-	// In these tests, a daemon never starts together with all others for the
-	// first time.
-	template = bootstrapSectionPattern.ReplaceAll(template, nil)
-	template = bootstrapInvertedPattern.ReplaceAll(template, []byte("$1"))
-	return placeholderPattern.ReplaceAllStringFunc(string(template), func(placeholder string) string {
+	// There is no value for bootstrap: a daemon never starts together with all others
+	// for the first time in these tests. Neither are there bounds of quotas and rollouts.
+	return placeholderPattern.ReplaceAllStringFunc(renderSections(string(template), values), func(placeholder string) string {
 		value, ok := values[strings.Trim(placeholder, "{}")]
 		assert.Assert(f.t, ok, "the test has no value for the placeholder %s", placeholder)
 		return value
