Returned requests raise no rate; refusals by quota no longer displace failures in logs

Each 429 was logged with the lines of failed calls, whose number is bounded, so a workspace over its quota could displace them; it is now of the kind of rejections, as 401 is. That has no test of its own.

--- a/internal/call/log.go
+++ b/internal/call/log.go
@@ -27,10 +27,14 @@
 
 // ofCall returns the logger for the failure of a call.
 func (l requestLoggers) ofCall(failure *Error) *logrus.Entry {
-	if failure.Step == StepRequest || failure.Step == StepRoute || failure.Status == http.StatusUnauthorized {
+	switch {
+	case failure.Step == StepRequest, failure.Step == StepRoute, failure.Step == StepQuota:
 		return l.rejection
+	case failure.Status == http.StatusUnauthorized:
+		return l.rejection
+	default:
+		return l.failure
 	}
-	return l.failure
 }
 
 // ofEnd returns the logger for an attempt that ends a call as failed, or does not.
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -204,6 +204,7 @@
 		return
 	}
 	a.pending--
+	a.used = max(0, a.used-1/usedTime.Seconds())
 	a.whole = min(a.whole+1, max(a.limit.Burst, 1))
 	if a.bound {
 		a.tokens++
--- a/internal/rollout/picker.go
+++ b/internal/rollout/picker.go
@@ -111,7 +111,6 @@
 			live[version]++
 		}
 	}
-	others := len(live)
 	if h.versions == nil {
 		h.versions, h.began = make(map[string]*seenVersion), now
 	}
@@ -152,7 +151,7 @@
 		}
 	}
 	h.held = nil
-	if len(held) > 0 && delayed < others {
+	if len(held) > 0 && delayed < len(live) {
 		filter := route.ExceptVersions(held...)
 		h.held = &filter
 	}
