--- a/review/standin-2/rollout.go
+++ b/review/standin-2/rollout.go
@@ -131,6 +131,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	f.note("v2 gets all requests %.2f s after the order", (now() - ordered).Seconds())
+	time.Sleep(150 * time.Millisecond)
 	for _, u := range v2 {
 		u.bad.Store(true)
 	}
