Stop: responses on their way are not aborted with calls that wait

Cause: the abort of callers' calls counts time only.

Change: once the head of its response has arrived, a call belongs to a group of its own, which is aborted 0.3 s before the end of the stop timeout. Related limits: a stopping daemon sends long responses at the speed of its link, and the last bytes of a response may be written until 0.1 s before the end.

Before: TestResponseOnItsWayOutlastsAbortOfCallers, unexpected EOF after 36,744 of 600,000 bytes; TestSlowReaderGetsTheEndOfItsResponse, unexpected EOF; TestStopSendsLongResponsesAtSpeedOfLink, 5.2 s in place of 4.2 s.

--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -114,6 +114,9 @@
 // NewPacer returns a pacer for a link of a speed.
 func NewPacer(linkMbps float64) *pacer { return newPacer(linkMbps) }
 
+// UseWholeLink makes a pacer send at the speed of the link.
+func UseWholeLink(p *pacer) { p.useWholeLink() }
+
 // RelayBody relays a response with a body of a length.
 func RelayBody(ctx context.Context, pace *pacer, length int64) error {
 	response := &targetResponse{
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -81,8 +81,9 @@
 	c := s.newOutboundCall(r, in, deadline, body)
 	c.giveBackQuota = giveBack
 	defer setConnDeadlines(w, deadline, body)()
-	ctx, cancel := s.inflight.callContext(r.Context(), s.inflight.callers, deadline)
-	defer cancel()
+	ctx, inProgress := s.inflight.abortableCall(r.Context(), s.inflight.callers, deadline)
+	defer inProgress.end()
+	c.request.onHead = inProgress.answer
 	s.respondToCaller(ctx, w, c, writeErr)
 }
 
--- a/internal/call/inflight.go
+++ b/internal/call/inflight.go
@@ -22,8 +22,11 @@
 	idle         chan struct{}
 	// shutdownEnd is when the shutdown ends at the latest, zero if it has no limit.
 	shutdownEnd time.Time
-	// callers and peers are the requests in progress by where they came from.
-	callers, peers abortable
+	// callers and peers are the requests in progress by where they came from. Calls of
+	// callers whose response has begun to arrive belong to answering in place of callers.
+	callers, peers, answering abortable
+	// answeringCount is the number of calls that belong to answering.
+	answeringCount int
 }
 
 // abortable are requests in progress that are aborted together.
@@ -39,20 +42,80 @@
 }
 
 func newInflight() *inflight {
-	return &inflight{idle: make(chan struct{}), callers: newAbortable(), peers: newAbortable()}
+	return &inflight{idle: make(chan struct{}), callers: newAbortable(), peers: newAbortable(), answering: newAbortable()}
 }
 
 // callContext returns the context of a request, which ends at its deadline or, with
 // the cause errStopTimeout, when the requests of its origin are aborted.
 func (f *inflight) callContext(parent context.Context, origin abortable, deadline time.Time) (ctx context.Context, cancel func()) {
+	ctx, call := f.abortableCall(parent, origin, deadline)
+	return ctx, call.end
+}
+
+// abortableCall is callContext for a request that may move from its origin to answering.
+func (f *inflight) abortableCall(parent context.Context, origin abortable, deadline time.Time) (context.Context, *abortableCall) {
 	ctx, cancelCause := context.WithCancelCause(parent)
 	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
-	stop := context.AfterFunc(origin.aborted, func() { cancelCause(f.stopError(phaseAbort, errStopTimeout)) })
-	return ctx, func() {
-		stop()
-		cancelDeadline()
-		cancelCause(nil)
+	call := &abortableCall{inflight: f, cancelCause: cancelCause, cancelDeadline: cancelDeadline}
+	call.follow(origin)
+	return ctx, call
+}
+
+// abortableCall is one request in progress.
+type abortableCall struct {
+	inflight       *inflight
+	cancelCause    context.CancelCauseFunc
+	cancelDeadline context.CancelFunc
+
+	mu sync.Mutex
+	// unfollow ends the relation to the abortable that the request belongs to. It
+	// reports false if that was aborted.
+	unfollow  func() bool
+	answering bool
+}
+
+// follow makes the request end when a group of requests is aborted.
+func (c *abortableCall) follow(group abortable) {
+	c.unfollow = context.AfterFunc(group.aborted, func() {
+		c.cancelCause(c.inflight.stopError(phaseAbort, errStopTimeout))
+	})
+}
+
+// answer moves the request to answering once its response has begun to arrive: it is not
+// broken off with the calls that still wait for theirs.
+func (c *abortableCall) answer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answering || !c.unfollow() {
+		return
 	}
+	c.answering = true
+	c.inflight.countAnswering(1)
+	c.follow(c.inflight.answering)
+}
+
+func (c *abortableCall) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answering {
+		c.inflight.countAnswering(-1)
+	}
+	c.unfollow()
+	c.cancelDeadline()
+	c.cancelCause(nil)
+}
+
+func (f *inflight) countAnswering(change int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answeringCount += change
+}
+
+// inAnswering returns the number of calls whose response has begun to arrive.
+func (f *inflight) inAnswering() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answeringCount
 }
 
 // begin counts a call and returns the function that ends it.
--- a/internal/call/pacer.go
+++ b/internal/call/pacer.go
@@ -20,17 +20,25 @@
 )
 
 // pacer limits the rate at which long response bodies leave this host.
-type pacer struct{ limiter *rate.Limiter }
+type pacer struct {
+	limiter *rate.Limiter
+	// link is the speed of the link in bytes a second, rate.Inf if it is not known.
+	link rate.Limit
+}
 
 // newPacer returns a pacer for a link of a number of Mbit/s, 0 for one of unknown speed,
 // which is not paced.
 func newPacer(linkMbps float64) *pacer {
 	if linkMbps <= 0 {
-		return &pacer{limiter: rate.NewLimiter(rate.Inf, pacedBurst)}
+		return &pacer{limiter: rate.NewLimiter(rate.Inf, pacedBurst), link: rate.Inf}
 	}
-	return &pacer{limiter: rate.NewLimiter(rate.Limit(pacedShare*linkMbps*bytesPerMegabit), pacedBurst)}
+	link := rate.Limit(linkMbps * bytesPerMegabit)
+	return &pacer{limiter: rate.NewLimiter(pacedShare*link, pacedBurst), link: link}
 }
 
+// useWholeLink ends the limit to a share of the link.
+func (p *pacer) useWholeLink() { p.limiter.SetLimit(p.link) }
+
 // wait returns when a number of bytes, at most copyBufferSize, of a body may be sent, or
 // fails if that is later than the deadline of ctx.
 func (p *pacer) wait(ctx context.Context, bytes int) error {
--- a/internal/call/pacer_test.go
+++ b/internal/call/pacer_test.go
@@ -46,3 +46,22 @@
 		assert.Equal(t, time.Since(start), time.Duration(0))
 	})
 }
+
+// Guards against: a stopping daemon left a quarter of its link unused and ended before its
+// long responses did (review case 6).
+func TestStopSendsLongResponsesAtSpeedOfLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const length, burst = 4_000_000, 64 << 10
+		pacer := call.NewPacer(8) // 1 MB/s
+		start := time.Now()
+		var task conc.WaitGroup
+		task.Go(func() { assert.Check(t, call.RelayBody(t.Context(), pacer, length)) })
+		time.Sleep(time.Second)
+		call.UseWholeLink(pacer)
+		task.Wait()
+		const sentBefore = 750_000 + burst
+		least := time.Second + (length-sentBefore)*time.Second/1_000_000
+		took := time.Since(start)
+		assert.Assert(t, took > least-least/10 && took < least+least/10, "%s, about %s", took, least)
+	})
+}
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -54,12 +54,22 @@
 	// attempt may have run, and takes that from the retry budget. It is nil if the
 	// attempt waits for its response until its deadline.
 	takeRetry func() bool
-	method    string
-	host      string
-	path      string
-	query     string
-	header    http.Header
-	body      *body
+	// onHead is called when the head of a response that is passed on has arrived; nil for
+	// nothing to do.
+	onHead func()
+	method string
+	host   string
+	path   string
+	query  string
+	header http.Header
+	body   *body
+}
+
+// headArrived notes that the head of a response that is passed on has arrived.
+func (q *request) headArrived() {
+	if q.onHead != nil {
+		q.onHead()
+	}
 }
 
 // rank is the rank of the request among all.
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -223,8 +223,12 @@
 
 // BeginStop makes the server ask callers to open a new connection for their next
 // call. Calls are still accepted. Errors of calls that the stop refuses or aborts
-// name the time at which it began.
-func (s *Server) BeginStop(began time.Time) { s.inflight.beginStop(began) }
+// name the time at which it began. Long responses may use the whole link from now on, so
+// that they end before the process does.
+func (s *Server) BeginStop(began time.Time) {
+	s.inflight.beginStop(began)
+	s.pacer.useWholeLink()
+}
 
 // Shutdown makes the server refuse all further calls as not run, and returns once
 // none is in progress. The error says how many were in progress when ctx ended.
@@ -242,15 +246,21 @@
 // in progress when ctx ended.
 func (s *Server) Abort(ctx context.Context) error {
 	s.inflight.peers.abort()
-	return s.AbortCallers(ctx)
+	s.inflight.answering.abort()
+	return s.abortCallers(ctx, 0)
 }
 
-// AbortCallers is Abort for the calls of callers alone. Requests of other daemons go on,
-// since their callers know nothing of the stop of this daemon.
+// AbortCallers is Abort for the calls of callers that still wait for a response. Responses
+// on their way to callers go on, and so do requests of other daemons, since their callers
+// know nothing of the stop of this daemon.
 func (s *Server) AbortCallers(ctx context.Context) error {
+	return s.abortCallers(ctx, s.inflight.inAnswering())
+}
+
+func (s *Server) abortCallers(ctx context.Context, answering int) error {
 	count := s.inflight.inProgress()
-	s.log.WithField("in_progress", count).Warn("calls in progress are aborted")
-	s.counters.aborted.Add(count)
+	s.log.WithFields(logrus.Fields{"in_progress": count, "answering": answering}).Warn("calls in progress are aborted, but for those whose response is on its way")
+	s.counters.aborted.Add(count - answering)
 	s.inflight.callers.abort()
 	return s.inflight.shutdown(ctx)
 }
--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -210,6 +212,60 @@
 	assert.Equal(t, len(n.target.Runs()), 0)
 }
 
+// serveBody makes the target of a node answer with a body of a length, at the address of a
+// server of its own.
+func (n *node) serveBody(t *testing.T, length int) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		_, _ = w.Write(make([]byte, length))
+	}))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	n.address.Store(&address)
+}
+
+// Guards against: at five sixths of its stop timeout a daemon cut the responses that it was
+// passing on over a slow link, though their targets had answered whole (review case 6, LOST).
+func TestResponseOnItsWayOutlastsAbortOfCallers(t *testing.T) {
+	const length = 600_000
+	for _, remote := range []bool{false, true} {
+		slowLink := func(_ int, o *call.Options) { o.LinkMbps = 8 }
+		m := newMesh(t, 2, config(withoutRetries), slowLink)
+		stopping, at := m.nodes[0], m.nodes[0]
+		if remote {
+			at = m.nodes[1]
+		}
+		stopping.routeOnlyTo(at)
+		at.serveBody(t, length)
+		response, err := stopping.callers.Client().Get(stopping.callers.URL + "/" + lookups)
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		assert.ErrorContains(t, stopping.server.Shutdown(expired(t)), "1 calls in progress")
+		var tasks conc.WaitGroup
+		tasks.Go(func() { assert.Check(t, stopping.server.AbortCallers(t.Context())) })
+		read, err := io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err, "%d of %d bytes, target at another daemon: %v", read, length, remote)
+		assert.Equal(t, read, int64(length))
+		tasks.Wait()
+	}
+}
+
+// The end of the stop still ends a response that no client reads.
+func TestAbortEndsResponseOnItsWay(t *testing.T) {
+	m := newMesh(t, 1, config(withoutRetries), nil)
+	n := m.nodes[0]
+	n.serveBody(t, 64<<20)
+	response, err := n.callers.Client().Get(n.callers.URL + "/" + lookups)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.ErrorContains(t, n.server.AbortCallers(expired(t)), "1 calls in progress")
+	var tasks conc.WaitGroup
+	tasks.Go(func() { assert.Check(t, n.server.Abort(t.Context())) })
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.ErrorContains(t, err, "unexpected EOF")
+	tasks.Wait()
+}
+
 // Guards against: a stop broke off runs for other daemons that would have ended within its
 // time, and the daemon of the caller answered 502 (review case 3, LOST).
 func TestRequestOfAnotherDaemonOutlastsAbortOfCallers(t *testing.T) {
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -102,6 +102,7 @@
 		release()
 		return nil, failure, failure.Outcome != NotRun
 	}
+	q.headArrived()
 	result, err := newTargetResponse(response, func(complete bool) {
 		succeeded = complete && response.StatusCode < http.StatusInternalServerError
 		s.admission.recordOutcome(!succeeded && !callerDisconnected(ctx))
--- a/internal/daemon/components.go
+++ b/internal/daemon/components.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/panics"
@@ -21,6 +22,9 @@
 	err    error
 	// maxHead limits the head of an HTTP request in bytes, 0 for that of net/http.
 	maxHead int
+	// answerUntil is when responses to calls that are being written are cut at the latest,
+	// zero for closeTimeout after the end of the context. It is set before that ends.
+	answerUntil time.Time
 }
 
 func newComponents() *components { return &components{failed: make(chan struct{})} }
@@ -41,11 +45,20 @@
 // startHTTP serves HTTP on a listener until ctx is cancelled, then closes the
 // listener and its connections.
 func (c *components) startHTTP(ctx context.Context, listener net.Listener, handler http.Handler) {
+	c.serveHTTP(ctx, listener, handler, func() time.Time { return time.Time{} })
+}
+
+// startCalls is startHTTP for calls: their responses may be written until answerUntil.
+func (c *components) startCalls(ctx context.Context, listener net.Listener, handler http.Handler) {
+	c.serveHTTP(ctx, listener, handler, func() time.Time { return c.answerUntil })
+}
+
+func (c *components) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, answerUntil func() time.Time) {
 	server := newHTTPServer(listener, handler, c.maxHead)
 	c.start(ctx, func(context.Context) error { return server.serve() })
 	c.start(ctx, func(ctx context.Context) error {
 		<-ctx.Done()
-		server.close()
+		server.close(answerUntil())
 		return nil
 	})
 }
--- a/internal/daemon/http_server.go
+++ b/internal/daemon/http_server.go
@@ -18,7 +18,7 @@
 	// idleTimeout is how long an HTTP connection without requests stays open.
 	idleTimeout = 2 * time.Minute
 	// closeTimeout limits how long responses may still be written when the server
-	// closes.
+	// closes, unless the process has more time.
 	closeTimeout = 100 * time.Millisecond
 )
 
@@ -32,9 +32,9 @@
 }
 
 func newHTTPServer(listener net.Listener, handler http.Handler, maxHead int) *httpServer {
-	requests := &openRequests{conns: make(map[net.Conn]struct{})}
+	requests := newOpenRequests()
 	server := &http.Server{
-		Handler:           clientlimit.Handler(handler),
+		Handler:           clientlimit.Handler(requests.handler(handler)),
 		MaxHeaderBytes:    maxHead,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -43,7 +43,7 @@
 			requests.observe(conn, state)
 		},
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return call.ConnContext(clientlimit.ConnContext(ctx, conn), conn)
+			return requests.connContext(call.ConnContext(clientlimit.ConnContext(ctx, conn), conn), conn)
 		},
 	}
 	return &httpServer{server: server, listener: listener, requests: requests, served: make(chan struct{})}
@@ -63,13 +63,16 @@
 // close closes the listener and then the connections. Requests on connections that
 // were accepted before get closeTimeout for their responses: once its shutdown has
 // begun, net/http closes a connection without a response even if it then reads a
-// request on it.
-func (s *httpServer) close() {
+// request on it. Responses that are being written have until a later time, if it is one.
+func (s *httpServer) close(until time.Time) {
 	_ = s.listener.Close()
 	<-s.served
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	s.requests.waitNone(ctx)
+	answering, cancelAnswering := context.WithDeadline(context.Background(), until)
+	defer cancelAnswering()
+	s.requests.waitAnswered(answering)
 	if s.server.Shutdown(ctx) != nil {
 		_ = s.server.Close()
 	}
--- a/internal/daemon/http_server_test.go
+++ b/internal/daemon/http_server_test.go
@@ -136,3 +136,43 @@
 		assert.Equal(t, string(body), "answer")
 	})
 }
+
+// Guards against: the last bytes of a response were cut at the end of a stop, with time left,
+// because its client reads slowly (review case 6, LOST). A client that reads nothing ends
+// the server late, but in time.
+func TestSlowReaderGetsTheEndOfItsResponse(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			const left = time.Second
+			var tasks conc.WaitGroup
+			listener := newPipeListener(func() {})
+			ctx, cancel := context.WithCancel(t.Context())
+			running := newComponents()
+			running.answerUntil = time.Now().Add(left)
+			running.startCalls(ctx, listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "answer")
+			}))
+			tasks.Go(func() { assert.Check(t, running.wait()) })
+			client, accepted := net.Pipe()
+			defer client.Close()
+			listener.conns <- accepted
+			_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: huts\r\nConnection: close\r\n\r\n")
+			assert.NilError(t, err)
+			synctest.Wait()
+			start := time.Now()
+			cancel()
+			time.Sleep(5 * closeTimeout)
+			if reads {
+				response, err := http.ReadResponse(bufio.NewReader(client), nil)
+				assert.NilError(t, err)
+				body, err := io.ReadAll(response.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, string(body), "answer")
+			}
+			tasks.Wait()
+			if !reads {
+				assert.Equal(t, time.Since(start), left)
+			}
+		})
+	}
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -45,7 +45,7 @@
 	case <-running.failed:
 		d.log.WithError(running.err).Error("component failed, stopping daemon")
 	}
-	d.stop()
+	running.answerUntil = d.stop()
 	cancel()
 	if err := running.wait(); err != nil {
 		return fmt.Errorf("run %s: %w", d.identity.Host, err)
@@ -57,8 +57,8 @@
 // startComponents starts the listeners and the other components.
 func (d *Daemon) startComponents(ctx context.Context, c *components) {
 	c.start(ctx, func(ctx context.Context) error { return d.server.Serve(ctx, d.listeners.control) })
-	c.startHTTP(ctx, d.listeners.callers, d.callerHandler())
-	c.startHTTP(ctx, d.listeners.calls, d.calls.PeerHandler())
+	c.startCalls(ctx, d.listeners.callers, d.callerHandler())
+	c.startCalls(ctx, d.listeners.calls, d.calls.PeerHandler())
 	c.startHTTP(ctx, d.listeners.admin, d.admin.Handler())
 	c.startHTTP(ctx, d.listeners.target, d.announceHandler())
 	if d.listeners.ready != nil {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -34,6 +34,9 @@
 	// peerAbortTimeout of that.
 	peerAbortLead    = 300 * time.Millisecond
 	peerAbortTimeout = 100 * time.Millisecond
+	// answerLead is how long before the end of the stop timeout the last bytes of
+	// responses must have left.
+	answerLead = 100 * time.Millisecond
 )
 
 // stopSchedule holds the times at which the phases of a graceful stop begin. A
@@ -43,13 +46,15 @@
 	drain time.Time
 	// refuse is when new calls of callers are refused.
 	refuse time.Time
-	// finish is when the calls of callers that are still in progress are aborted.
+	// finish is when the calls of callers that still wait for a response are aborted.
 	finish time.Time
-	// abortPeers is when the requests of other daemons are aborted. Other daemons may
-	// still have time to wait for them.
+	// abortPeers is when the requests of other daemons are aborted, and responses on their
+	// way to callers. Other daemons may still have time to wait for them.
 	abortPeers time.Time
 	// abortTimeout and finishLeaveTimeout limit what happens after finish.
 	abortTimeout, finishLeaveTimeout time.Duration
+	// answered is when responses that are still being written are cut.
+	answered time.Time
 }
 
 // newStopSchedule returns the schedule of a stop that begins at start and has to
@@ -66,11 +71,14 @@
 		abortPeers:         start.Add(max(finish, timeout-peerAbortLead)),
 		abortTimeout:       min(maxAbortTimeout, exit*2/5),
 		finishLeaveTimeout: min(maxFinishLeaveTimeout, exit*2/5),
+
+		answered: start.Add(timeout - min(answerLead, exit/2)),
 	}
 }
 
-// stop stops the daemon gracefully within the stop timeout.
-func (d *Daemon) stop() {
+// stop stops the daemon gracefully within the stop timeout. It returns until when
+// responses that are being written may go on.
+func (d *Daemon) stop() (answered time.Time) {
 	began := time.Now()
 	d.log.WithField("stop", call.FormatStop(began)).Infof("stopping daemon on host %s", d.identity.Host)
 	schedule := newStopSchedule(began, time.Duration(d.settings.StopLinger), time.Duration(d.settings.StopTimeout))
@@ -103,6 +111,7 @@
 	end.Go(func() { d.finishLeave(schedule.finishLeaveTimeout) })
 	end.Wait()
 	d.events.Record(timeline.Event{Kind: timeline.Stopped})
+	return schedule.answered
 }
 
 // announceLeave tells the peers that this daemon takes no new work.
@@ -114,8 +123,9 @@
 	}
 }
 
-// finishPeerRequests ends the calls of callers, so that each still gets a response, and
-// waits until a time for the requests of other daemons. The error says how many are left.
+// finishPeerRequests ends the calls of callers that wait for a response, so that each still
+// gets one, and waits until a time for the responses on their way and the requests of other
+// daemons. The error says how many are left.
 func (d *Daemon) finishPeerRequests(until time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -55,3 +55,13 @@
 		assert.Assert(t, schedule.abortPeers.Add(peerAbortTimeout+closeTimeout).Before(start.Add(timeout)), "timeout %s", timeout)
 	}
 }
+
+// Responses may be written until after the last abort, and the process still ends in time.
+func TestResponsesMayBeWrittenUntilNearTheEndOfTheStop(t *testing.T) {
+	start := time.Now()
+	for _, timeout := range []time.Duration{1200 * time.Millisecond, 3 * time.Second, 6 * time.Second, 10 * time.Second} {
+		schedule := newStopSchedule(start, 2700*time.Millisecond, timeout)
+		assert.Assert(t, schedule.answered.After(schedule.abortPeers), "timeout %s", timeout)
+		assert.Assert(t, schedule.answered.Before(start.Add(timeout)), "timeout %s", timeout)
+	}
+}
