--- a/internal/membership/client.go
+++ b/internal/membership/client.go
@@ -49,7 +49,7 @@
 	n.failures = 0
 	m.recordContact(remote, answer.GetOffset(), answer.GetDigest(), now)
 	if answer.GetInformed() {
-		m.notePeerAnswer()
+		m.notePeerAnswer(remote.Host, answer.GetWitness())
 	}
 	m.raiseOffsetFloor(m.options.Self.Host, answer.GetFloor())
 	m.updateComparison(n, request, answer, merged, now)
@@ -80,7 +80,7 @@
 	progress := n.sendProgress
 	rows := progress.pending(m.table, m.table.sequence, remote.Host)
 	rows = append(rows, m.takeBacklog(n, maxEntries-len(rows))...)
-	rows, informed := m.informPeer(&progress, rows, remote.Host)
+	rows, informed, witness := m.informPeer(&progress, rows, remote)
 	n.lastEntryCount = len(rows)
 	request := &HeartbeatRequest{
 		First:   first,
@@ -88,6 +88,7 @@
 		Summary: m.table.summary(),
 
 		Informed: informed,
+		Witness:  witness,
 	}
 	request.Offset, request.Digest = progress.positionToSend(offset, digest)
 	if m.comparisonDue(n, peer.ScopeOf(m.options.Identity, remote), now) {
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -100,16 +100,18 @@
 // informPeer adds the row of a peer to those that are sent to it, once on each
 // connection: it holds the history that the peer may have forgotten by a restart. It
 // waits until this daemon has compared its table, and reports whether the row was added
-// or is known to be missing. The caller holds the mutex.
-func (m *Membership) informPeer(progress *sendProgress, rows []*row, host string) ([]*row, bool) {
+// or is known to be missing, and whether this daemon knew an earlier process of the peer. The
+// caller holds the mutex.
+func (m *Membership) informPeer(progress *sendProgress, rows []*row, remote peer.Identity) (_ []*row, informed, witness bool) {
 	if progress.informed || !m.tableCompared {
-		return rows, false
+		return rows, false, false
 	}
 	progress.informed = true
-	if r, ok := m.table.rows[host]; ok {
+	if r, ok := m.table.rows[remote.Host]; ok {
 		rows = append(rows, r)
+		witness = r.replaced || r.version.Incarnation < remote.Incarnation
 	}
-	return rows, true
+	return rows, true, witness
 }
 
 // recordContact records a heartbeat from a peer. The peer leaves out its
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -52,8 +52,10 @@
 	// history holds what also binds a later process beside this target.
 	history targetHistory
 	// recovering is set until this daemon knows what its predecessor on this host
-	// acknowledged. Until then the target takes no work.
-	recovering bool
+	// acknowledged. Until then the target takes no work, unless it started after
+	// processStarted, when no predecessor can have heard of it.
+	recovering     bool
+	processStarted time.Time
 	// lastChecked is when expire was last called.
 	lastChecked time.Time
 	// stopping is set when the daemon shuts down.
@@ -212,9 +214,14 @@
 	return expired
 }
 
+// startedAfterProcess reports whether the announced instance started after this process.
+func (l *lease) startedAfterProcess() bool {
+	return time.UnixMilli(l.announcement.StartedUnixMs).After(l.processStarted)
+}
+
 // effectiveState returns the target state to publish.
 func (l *lease) effectiveState() TargetState {
-	if l.state == NoTarget || l.recovering {
+	if l.state == NoTarget || l.recovering && !l.startedAfterProcess() {
 		return NoTarget
 	}
 	if l.stopping || l.history.drain.drained || !l.withdrawnAt.IsZero() {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -108,6 +108,7 @@
 	now := time.Now()
 	m.startedAt = now
 	m.lease.configuredDuration = options.LeaseDuration
+	m.lease.processStarted = now
 	m.lease.recovering = !m.isAlone()
 	self := newEntry(options.Self, options.Identity.Incarnation)
 	m.table.merge(self, "", now)
--- a/internal/membership/recovery.go
+++ b/internal/membership/recovery.go
@@ -9,10 +9,11 @@
 
 const (
 	// recoveryTimeout is how long a daemon waits for both the log and a peer to say
-	// what its predecessor acknowledged. After that one of them suffices.
+	// what its predecessor acknowledged. After that the log suffices, which holds all of it,
+	// or wantedHistoryHolders peers that knew the predecessor.
 	recoveryTimeout = time.Second
-	// isolatedRecoveryTimeout is how long a daemon whose log holds no history
-	// waits for a peer.
+	// isolatedRecoveryTimeout is how long a daemon whose log does not answer waits for more
+	// than one peer that knew its predecessor, and one without a log for any peer.
 	isolatedRecoveryTimeout = 3 * time.Second
 )
 
@@ -22,6 +23,9 @@
 	// logRead is set once the history was read from the log, peerAnswered once
 	// a peer that knows the mesh has sent what it knows of this host.
 	logRead, peerAnswered bool
+	// witnesses are the peers among these that knew the predecessor of this process. Others
+	// may have lost their memory together with it.
+	witnesses map[string]bool
 	// stored holds the records that the log has acknowledged or returned, by key.
 	stored map[string]targetRecord
 	// publishedAt is the table's sequence number at which the history was last
@@ -68,7 +72,7 @@
 	history := m.lease.history
 	m.mu.Unlock()
 	if ended {
-		m.log.WithFields(logrus.Fields{"log": r.logRead, "peers": r.peerAnswered, "departures": len(history.departures), "drained": history.drain.drained, "after_ms": elapsed.Milliseconds()}).
+		m.log.WithFields(logrus.Fields{"log": r.logRead, "peers": r.peerAnswered, "witnesses": len(r.witnesses), "departures": len(history.departures), "drained": history.drain.drained, "after_ms": elapsed.Milliseconds()}).
 			Info("history of this host's target recovered; the target may take work")
 		m.updateSelf(nil)
 	}
@@ -79,22 +83,30 @@
 }
 
 // notePeerAnswer records that a peer that knows the mesh has sent what it knows of this
-// host. The caller holds the mutex.
-func (m *Membership) notePeerAnswer() {
+// host, and whether it knew the predecessor of this process. The caller holds the mutex.
+func (m *Membership) notePeerAnswer(host string, witness bool) {
 	m.recovery.peerAnswered = true
+	if witness {
+		if m.recovery.witnesses == nil {
+			m.recovery.witnesses = make(map[string]bool)
+		}
+		m.recovery.witnesses[host] = true
+	}
 	m.recoveryAnswered.Notify()
 }
 
 // suffices reports whether a daemon that started elapsed ago may let its target take
-// work. A daemon that heard neither from a log that holds histories nor from a peer
-// may not, however long it waits.
+// work. While a log that holds histories does not answer, the word of peers counts only if
+// they knew the predecessor, and that of a single one only after a while.
 func (r *recovery) suffices(hasLog bool, elapsed time.Duration) bool {
+	witnesses := len(r.witnesses)
 	switch {
 	case !hasLog:
 		return r.peerAnswered || elapsed >= isolatedRecoveryTimeout
-	case r.logRead && r.peerAnswered:
-		return true
+	case r.logRead:
+		return r.peerAnswered || elapsed >= recoveryTimeout
 	default:
-		return (r.logRead || r.peerAnswered) && elapsed >= recoveryTimeout
+		return witnesses >= wantedHistoryHolders && elapsed >= recoveryTimeout ||
+			witnesses >= minHistoryHolders && elapsed >= isolatedRecoveryTimeout
 	}
 }
--- a/internal/membership/server.go
+++ b/internal/membership/server.go
@@ -51,7 +51,7 @@
 	if r, ok := m.table.rows[remote.Host]; ok && containsOlder(request.GetEntries(), r) {
 		rows = append(rows, r)
 	}
-	rows, answer.Informed = m.informPeer(&conn.progress, rows, remote.Host)
+	rows, answer.Informed, answer.Witness = m.informPeer(&conn.progress, rows, remote)
 	if len(request.GetBuckets()) > 0 {
 		rows = append(rows, m.answerComparison(remote.Zone, request.GetBuckets(), answer)...)
 	}
@@ -59,7 +59,7 @@
 	answer.Offset, answer.Digest = conn.progress.positionToSend(offset, digest)
 	answer.Summary = m.table.summary()
 	if request.GetInformed() {
-		m.notePeerAnswer()
+		m.notePeerAnswer(remote.Host, request.GetWitness())
 	}
 	m.metrics.entriesSent.Add(len(rows))
 	return answer
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -22,6 +22,9 @@
 	targetStateSince time.Time
 	// lastHeard is when the entry was received.
 	lastHeard time.Time
+	// replaced says that this daemon knew an earlier process of the host, of which it still
+	// holds the history.
+	replaced bool
 	// goneSince is when the daemon was found to have left or to be unreachable,
 	// zero while it is neither.
 	goneSince time.Time
@@ -97,6 +100,7 @@
 	next := &row{entry: e, entryKey: e.key(), learnedFrom: from, targetStateSince: now, lastHeard: now}
 	next.history = e.history.merge(current.knownHistory(), now)
 	if ok {
+		next.replaced = current.replaced || current.version.Incarnation < e.version.Incarnation
 		t.buckets[bucketOf(e.host)] ^= current.entryKey
 		if current.targetState == e.targetState && current.version.Incarnation == e.version.Incarnation {
 			next.targetStateSince = current.targetStateSince
