Membership: a daemon that the log does not serve has a peer store its history

Cause: since only the log can hold an acknowledged departure, a daemon that the log refuses, or that is cut off from it alone, could acknowledge none, though the log serves all others.

Change: a write that fails, or has no response after 0.25 s, is made again by another daemon in contact, chosen at random (StoreRecord). It writes records of the asking host only. An outage for all costs one refused call more for each attempt.

Before: TestDepartureIsStoredThroughAnotherDaemon gets ErrHistoryNotHeld, with a log that refuses and one that is silent. After: acknowledged in 0.75 s.

--- a/internal/membership/history_log.go
+++ b/internal/membership/history_log.go
@@ -22,7 +22,7 @@
 	// each failure the next one may take twice as long, up to logCallTimeout.
 	historyCallTimeout = 500 * time.Millisecond
 	// writeAgainDelay is how long a write of a record is waited for before it is made again
-	// beside it, up to maxWrites times: its response may be lost, or only be slow.
+	// beside it, up to maxWrites times.
 	writeAgainDelay = 250 * time.Millisecond
 	maxWrites       = 3
 	// historyRetryInterval and maxHistoryRetryInterval are the limits of the
@@ -259,22 +259,27 @@
 	return nil
 }
 
-// putRecord writes a record of the history to the log, and again while there is no response.
-// Writes that take effect more than once change nothing.
+// putRecord writes a record of the history to the log. Once that fails, or gives no response
+// for a while, another daemon is asked to write it too, and then it is written once more: each
+// response may be lost, or only be slow. Writes that take effect more than once change nothing.
 func (m *Membership) putRecord(ctx context.Context, key string, payload []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, logCallTimeout)
 	var writes conc.WaitGroup
 	defer writes.Wait()
 	defer cancel()
 	results := make(chan error, maxWrites)
-	write := func() {
-		writes.Go(func() { results <- m.options.HostLog.Put(ctx, platform.TargetHistoryStream, key, payload) })
+	begun := 0
+	begin := func(write func() error) {
+		begun++
+		writes.Go(func() { results <- write() })
 	}
+	direct := func() error { return m.options.HostLog.Put(ctx, platform.TargetHistoryStream, key, payload) }
+	relayed := func() error { return m.relayRecord(ctx, key, payload) }
 	again := time.NewTicker(writeAgainDelay)
 	defer again.Stop()
-	write()
+	begin(direct)
 	var failed error
-	for begun, ended := 1, 0; ended < begun; {
+	for ended := 0; ended < begun; {
 		select {
 		case err := <-results:
 			if err == nil {
@@ -282,10 +287,15 @@
 			}
 			failed = errors.Join(failed, err)
 			ended++
+			if begun == 1 {
+				begin(relayed)
+			}
 		case <-again.C:
-			if begun < maxWrites {
-				write()
-				begun++
+			switch {
+			case begun == 1:
+				begin(relayed)
+			case begun < maxWrites:
+				begin(direct)
 			}
 		}
 	}
--- a/internal/membership/metrics.go
+++ b/internal/membership/metrics.go
@@ -16,6 +16,7 @@
 	leaseExpirations   *metrics.Counter
 	historyStored      *metrics.Counter
 	historyNotHeld     *metrics.Counter
+	historyRelayed     *metrics.Counter
 }
 
 func newMetrics(set *metrics.Set, m *Membership) *membershipMetrics {
@@ -37,6 +38,7 @@
 		refutations:        set.NewCounter("mulberrybank_membership_disputes_total"),
 		leaseExpirations:   set.NewCounter("mulberrybank_membership_announcement_lapses_total"),
 		historyStored:      set.NewCounter("mulberrybank_membership_history_stored_total"),
+		historyRelayed:     set.NewCounter("mulberrybank_membership_history_relayed_total"),
 		historyNotHeld:     set.NewCounter("mulberrybank_membership_history_unacknowledged_total"),
 	}
 }
--- a/internal/membership/target_history_test.go
+++ b/internal/membership/target_history_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -197,6 +198,61 @@
 	})
 }
 
+// refusingLog is the log as one host sees it that the log does not serve: it refuses each
+// call or gives no response.
+type refusingLog struct {
+	*hostLog
+	silent bool
+}
+
+func (l refusingLog) Put(ctx context.Context, _, _ string, _ []byte) error {
+	if l.silent {
+		<-ctx.Done()
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, ctx.Err())
+	}
+	return fmt.Errorf("%w: %w", platform.ErrRefused, errLogFault)
+}
+
+// TestDepartureIsStoredThroughAnotherDaemon has a target leave on a host that the log does not
+// serve. Guards against: a departure that is never acknowledged though the log serves all
+// other hosts.
+func TestDepartureIsStoredThroughAnotherDaemon(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent %v", silent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t)
+				defer m.killAll()
+				log := &hostLog{delay: 4 * time.Millisecond}
+				startOthers(m, log, 1)
+				id := peer.Identity{Host: departingHost, Zone: "a", Region: "r", Incarnation: 1}
+				d := m.startWith(Options{Identity: id, HostLog: refusingLog{hostLog: log, silent: silent}})
+				m.waitUntil(20*time.Second, "complete", knowsAll(5))
+				assert.NilError(t, d.Announce(readyHeartbeat(1)))
+				assert.NilError(t, d.WithdrawInstance("i-1", 1000))
+				assert.NilError(t, d.AwaitHistoryHeld(t.Context()))
+				assert.Equal(t, len(log.records[platform.TargetHistoryStream]), 1)
+			})
+		})
+	}
+}
+
+// A daemon writes records to the log only for the host that asks.
+func TestRecordOfAnotherHostIsNotStored(t *testing.T) {
+	log := &hostLog{}
+	s := &server{membership: New(Options{Self: Member{Host: "h"}, Identity: peer.Identity{Host: "h"}, HostLog: log})}
+	ctx := peer.WithIdentity(t.Context(), peer.Identity{Host: "a"})
+	for _, request := range []*StoreRecordRequest{
+		{Key: "b/1", Payload: []byte{1}}, {Key: "a", Payload: []byte{1}}, {Key: "a/1"}, {Key: "a/1", Payload: make([]byte, maxRelayedRecordBytes+1)},
+	} {
+		_, err := s.StoreRecord(ctx, request)
+		assert.ErrorIs(t, err, errRelayRefused)
+	}
+	assert.Equal(t, len(log.records), 0)
+	_, err := s.StoreRecord(ctx, &StoreRecordRequest{Key: "a/1", Payload: []byte{1}})
+	assert.NilError(t, err)
+	assert.Equal(t, len(log.records[platform.TargetHistoryStream]), 1)
+}
+
 // TestPeersThatRestartedAreNoWitnesses kills all daemons after an acknowledged departure. The
 // others find each other again before the log is out, and then the daemon starts again.
 // Guards against: the word of peers that forgot the departure as well opened the gate.
