Membership: a departure covers the earlier starts of its instance

Cause: a departure closed the gate only if it named the announced start. A start that leaves shows that the earlier ones of its name have ended.

Change: departures cover earlier starts of the name, for the lease held and for late announcements, and so in the next process. Related: a draining announcement counts whatever its sequence; a response that says that its instance leaves covers all starts until now, since it names none; the departure of an earlier start than the one in work is answered 409, as it was acknowledged without effect; a start whose clock was set back is served after a lease.

TestInstanceThatLeavesDoesNotBecomeReadyAgain used starts of 1970 beside responses of today; it now orders them as clocks do, with the same checks.

Before: TestDepartureBeforeFirstAnnouncementOfStart, TestAcknowledgedDepartureClosesTheGate and TestResponseThatLeavesCoversUnannouncedStart fail.

--- a/internal/membership/departures.go
+++ b/internal/membership/departures.go
@@ -42,20 +42,37 @@
 	leftUnixMs int64
 }
 
-// matches reports whether an instance is the one that departed. An instance of
-// the same name that started after the departure, by the target's clock, is
-// another one. One that does not say when it started can't show that.
-func (d departedInstance) matches(id instanceID) bool {
-	if d.instance != id.instance {
-		return false
-	}
-	if id.startedUnixMs == 0 {
-		return true
-	}
-	if d.startedUnixMs > 0 {
-		return d.startedUnixMs == id.startedUnixMs
+// match says what a departure shows of an instance.
+type match int
+
+const (
+	// another instance departed.
+	another match = iota
+	// earlierStart says that the instance is an earlier start of the one that departed: it
+	// has ended, unless the clock of the target was set back between the two.
+	earlierStart
+	// sameStart says that the instance is the one that departed.
+	sameStart
+)
+
+// match compares an instance with the one that departed. An instance of the same name that
+// started after the departure, by the target's clock, is another one. One that does not say
+// when it started can't show that.
+func (d departedInstance) match(id instanceID) match {
+	switch {
+	case d.instance != id.instance:
+		return another
+	case id.startedUnixMs == 0 || d.startedUnixMs == id.startedUnixMs:
+		return sameStart
+	case d.startedUnixMs > id.startedUnixMs:
+		return earlierStart
+	case d.startedUnixMs > 0:
+		return another
+	case time.UnixMilli(id.startedUnixMs).After(time.UnixMilli(d.leftUnixMs).Add(-clockTolerance)):
+		return another
+	default:
+		return sameStart
 	}
-	return !time.UnixMilli(id.startedUnixMs).After(time.UnixMilli(d.leftUnixMs).Add(-clockTolerance))
 }
 
 // compare orders departures by their time, and those of one time by instance.
@@ -91,6 +108,15 @@
 	return merged[max(0, len(merged)-maxDepartures):]
 }
 
+// match returns the most that any of the departures shows of an instance.
+func (ds departures) match(id instanceID) match {
+	result := another
+	for _, d := range ds {
+		result = max(result, d.match(id))
+	}
+	return result
+}
+
 // holdsRecent reports whether the departure of an instance is held and does not expire
 // soon.
 func (ds departures) holdsRecent(id instanceID, now time.Time) bool {
--- a/internal/membership/http.go
+++ b/internal/membership/http.go
@@ -36,6 +36,8 @@
 	switch {
 	case errors.Is(err, ErrHistoryNotHeld):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case errors.Is(err, ErrLaterStartServed):
+		http.Error(w, err.Error(), http.StatusConflict)
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	default:
@@ -66,19 +68,17 @@
 	departed := !m.lease.history.equal(known)
 	m.mu.Unlock()
 	switch {
-	case err != nil:
-		return err
 	case departed:
 		m.publishHistory()
-	default:
+	case err == nil:
 		m.updateSelf(nil)
 	}
-	return nil
+	return err
 }
 
-// WithdrawInstance ends the lease of one instance of the target, which does not
-// become ready again. An instance that holds no lease is only remembered as
-// departed. The error wraps ErrAnnouncementRefused.
+// WithdrawInstance ends the lease of one instance of the target, and of earlier starts of
+// it, which do not become ready again. An instance that holds no lease is only remembered as
+// departed. The error wraps ErrAnnouncementRefused or ErrLaterStartServed.
 func (m *Membership) WithdrawInstance(instance string, startedUnixMs int64) error {
 	if err := validateInstance(instance); err != nil {
 		return err
@@ -90,12 +90,16 @@
 	}
 	leaving := instanceID{instance: instance, startedUnixMs: startedUnixMs}
 	m.lease.recordDeparture(leaving, time.Now())
-	current := last.instanceID() == leaving
+	current := departedInstance{instanceID: leaving}.match(last.instanceID()) != another
+	inDoubt := !current && m.lease.servesLaterStart(leaving)
 	m.mu.Unlock()
 	if current {
 		m.Withdraw()
 	}
 	m.publishHistory()
+	if inDoubt {
+		return fmt.Errorf("%w: instance %q started at %d", ErrLaterStartServed, instance, startedUnixMs)
+	}
 	return nil
 }
 
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 )
@@ -32,6 +31,11 @@
 // superseded by a later one.
 var ErrStaleAnnouncement = errors.New("announcement is out of date")
 
+// ErrLaterStartServed is wrapped by the error for the departure of an earlier start of an
+// instance than the one that takes work. Whether it comes late or the target's clock was set
+// back can't be told, so it is not acknowledged.
+var ErrLaterStartServed = errors.New("a later start of the instance takes work")
+
 func (a Announcement) instanceID() instanceID {
 	return instanceID{instance: a.Instance, startedUnixMs: a.StartedUnixMs}
 }
@@ -51,6 +55,8 @@
 	withdrawnAt time.Time
 	// history holds what also binds a later process beside this target.
 	history targetHistory
+	// persistent is the start that last announced itself although a later one was known.
+	persistent persistentStart
 	// recovering is set until this daemon knows what its predecessor on this host
 	// acknowledged. Until then the target takes no work, unless it started after
 	// processStarted, when no predecessor can have heard of it.
@@ -84,21 +90,25 @@
 	return state, nil
 }
 
-// renew applies an announcement. The error wraps ErrAnnouncementRefused.
+// renew applies an announcement. The error wraps ErrAnnouncementRefused. A departure is
+// remembered whatever the order of arrival.
 func (l *lease) renew(a Announcement, now time.Time) error {
 	state, err := validateAnnouncement(a)
 	if err != nil {
 		return err
 	}
-	if l.isSuperseded(a) {
-		return fmt.Errorf("%w: %w: instance %q sequence %d", ErrAnnouncementRefused, ErrStaleAnnouncement, a.Instance, a.Sequence)
-	}
-	if state == Draining {
+	if state == Draining && !l.lacksKnownStart(a) {
 		l.recordDeparture(a.instanceID(), now)
+		l.closeIfDeparted()
+	}
+	if l.isSuperseded(a) && !l.supersedes(a, now) {
+		if state == Draining && l.servesLaterStart(a.instanceID()) {
+			return fmt.Errorf("%w: instance %q started at %d", ErrLaterStartServed, a.Instance, a.StartedUnixMs)
+		}
+		return fmt.Errorf("%w: %w: instance %q sequence %d", ErrAnnouncementRefused, ErrStaleAnnouncement, a.Instance, a.Sequence)
 	}
-	if l.hasDeparted(a.instanceID()) {
+	if l.departed(a, now) {
 		state = Draining
-		l.recordDeparture(a.instanceID(), now)
 	}
 	l.announcement = a
 	l.lastAnnouncement = a
@@ -110,19 +120,93 @@
 
 // isSuperseded reports whether an announcement was superseded: by a later one of
 // the same instance, or by one of a later instance. The order of arrival does
-// not count. One that bears the name of an instance without its known start comes from
-// somebody else.
+// not count.
 func (l *lease) isSuperseded(a Announcement) bool {
 	last := l.lastAnnouncement
 	if a.instanceID() == last.instanceID() {
 		return a.Sequence > 0 && a.Sequence <= last.Sequence
 	}
 	if a.StartedUnixMs == 0 {
-		return a.Instance == last.Instance && last.StartedUnixMs > 0
+		return l.lacksKnownStart(a)
 	}
 	return a.StartedUnixMs < last.StartedUnixMs
 }
 
+// lacksKnownStart reports whether an announcement bears the name of the last instance without
+// its known start, so that it comes from somebody else.
+func (l *lease) lacksKnownStart(a Announcement) bool {
+	last := l.lastAnnouncement
+	return a.StartedUnixMs == 0 && a.Instance == last.Instance && last.StartedUnixMs > 0
+}
+
+// supersedes reports whether an announcement of an earlier start takes the place of the
+// later one, since the clock of the target was set back between them: the earlier one has
+// gone on announcing itself while nothing was heard of the later one.
+func (l *lease) supersedes(a Announcement, now time.Time) bool {
+	if a.instanceID() == l.lastAnnouncement.instanceID() || a.StartedUnixMs == 0 {
+		return false
+	}
+	if l.renewedAt.After(l.persistent.since) {
+		l.persistent = persistentStart{}
+	}
+	return l.persistent.persists(a, now, l.duration())
+}
+
+// departed reports whether the instance of an announcement has left, and remembers that for
+// longer. An earlier start of an instance that left has ended too, unless it goes on
+// announcing itself.
+func (l *lease) departed(a Announcement, now time.Time) bool {
+	switch l.history.departures.match(a.instanceID()) {
+	case sameStart:
+		l.recordDeparture(a.instanceID(), now)
+		return true
+	case earlierStart:
+		return !l.persistent.persists(a, now, l.duration())
+	default:
+		return false
+	}
+}
+
+// closeIfDeparted sets the announced instance to draining if it has left.
+func (l *lease) closeIfDeparted() {
+	if l.state == NoTarget {
+		return
+	}
+	id := l.announcement.instanceID()
+	known := l.history.departures.match(id)
+	if known == sameStart || known == earlierStart && l.persistent.id != id {
+		l.state = Draining
+	}
+}
+
+// servesLaterStart reports whether a later start of an instance takes work. Whether it or the
+// given one runs can't be told then.
+func (l *lease) servesLaterStart(id instanceID) bool {
+	serves := (l.state == Ready || l.state == Cold) && l.withdrawnAt.IsZero()
+	return serves && l.announcement.Instance == id.instance && l.announcement.StartedUnixMs > id.startedUnixMs
+}
+
+// persistentStart is a start of an instance that goes on announcing itself although a later
+// one is known. Late announcements arrive for seconds only.
+type persistentStart struct {
+	id           instanceID
+	since, heard time.Time
+	sequence     uint64
+}
+
+// persists notes an announcement and reports whether its start has announced itself for some
+// time, without a pause as long as that.
+func (p *persistentStart) persists(a Announcement, now time.Time, span time.Duration) bool {
+	if p.id != a.instanceID() || now.Sub(p.heard) >= span {
+		*p = persistentStart{id: a.instanceID(), since: now, heard: now, sequence: a.Sequence}
+		return false
+	}
+	if a.Sequence > p.sequence {
+		p.sequence, p.heard = a.Sequence, now
+	}
+	return p.heard.Sub(p.since) >= span
+}
+
 // recordDeparture remembers an instance as departed. An instance without a
 // name is not remembered and may become ready again. An instance that still announces
 // itself is recorded anew before its departure expires.
@@ -148,9 +232,7 @@
 		return false
 	}
 	l.history = merged
-	if l.state != NoTarget && l.hasDeparted(l.announcement.instanceID()) {
-		l.state = Draining
-	}
+	l.closeIfDeparted()
 	return true
 }
 
@@ -159,18 +241,15 @@
 	l.history = l.history.merge(targetHistory{}, now)
 }
 
-// hasDeparted reports whether an instance announced its departure.
-func (l *lease) hasDeparted(id instanceID) bool {
-	return slices.ContainsFunc(l.history.departures, func(d departedInstance) bool { return d.matches(id) })
-}
-
-// leave records that an instance leaves. It reports whether that is news of the
-// announced one.
+// leave records that an instance leaves, as its response says. It reports whether that is
+// news of the announced one. The response does not say which start gave it: one that has not
+// announced itself yet may have, so all starts until now have left.
 func (l *lease) leave(instance string, now time.Time) bool {
 	if l.state == NoTarget || l.state == Draining || l.announcement.Instance != instance {
 		return false
 	}
 	l.recordDeparture(l.announcement.instanceID(), now)
+	l.recordDeparture(instanceID{instance: instance, startedUnixMs: max(l.announcement.StartedUnixMs, now.UnixMilli())}, now)
 	l.state = Draining
 	return true
 }
--- a/internal/membership/lease_test.go
+++ b/internal/membership/lease_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -125,10 +126,12 @@
 	assert.Equal(t, l.effectiveState(), Draining)
 }
 
+// The starts of this test have times as clocks give them: a later start begins after the
+// response that said that the one before leaves.
 func TestInstanceThatLeavesDoesNotBecomeReadyAgain(t *testing.T) {
 	now := time.Now()
 	announce := func(instance string, sequence uint64) Announcement {
-		return Announcement{Service: "railway/status", Address: "10.0.0.1:1", Slots: 1, State: "ready", Instance: instance, StartedUnixMs: 1, Sequence: sequence}
+		return Announcement{Service: "railway/status", Address: "10.0.0.1:1", Slots: 1, State: "ready", Instance: instance, StartedUnixMs: now.Add(-time.Minute).UnixMilli(), Sequence: sequence}
 	}
 	var l lease
 	assert.Assert(t, !l.leave("i-1", now), "an instance left before it was announced")
@@ -144,9 +147,132 @@
 
 	// A later start under the name that it had leaves by itself.
 	again := announce("i-1", 1)
-	again.StartedUnixMs = 2
+	again.StartedUnixMs = now.UnixMilli() + 1
 	assert.NilError(t, l.renew(again, now))
 	assert.Equal(t, l.effectiveState(), Ready)
 	assert.Assert(t, l.leave("i-1", now))
 	assert.Equal(t, l.effectiveState(), Draining)
 }
+
+// departureCase is a way in which a departure is first heard of. depart tells the lease of
+// the departure of a start and reports whether that may be acknowledged.
+type departureCase struct {
+	name   string
+	depart func(l *lease, a Announcement, now time.Time) (acknowledged bool)
+}
+
+func withdrawal(l *lease, a Announcement, now time.Time) bool {
+	l.recordDeparture(a.instanceID(), now)
+	l.closeIfDeparted()
+	return !l.servesLaterStart(a.instanceID())
+}
+
+func drainingAnnouncement(l *lease, a Announcement, now time.Time) bool {
+	a.State = "draining"
+	a.Sequence += 10
+	return !errors.Is(l.renew(a, now), ErrLaterStartServed)
+}
+
+// TestAcknowledgedDepartureClosesTheGate draws starts of one instance, of which one leaves:
+// the announced one, a later one that has not announced itself, or an earlier one. Late and
+// repeated announcements follow. Guards against: the departure of an instance that started
+// again was acknowledged and ignored, and its earlier lease went on (review case 7, DRAIN).
+func TestAcknowledgedDepartureClosesTheGate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.UnixMilli(1_000_000_000)
+		start := func(ms int64) Announcement {
+			return Announcement{Service: "w/s", Address: "127.0.0.1:1", Slots: 4, State: "ready", Instance: "i-1", StartedUnixMs: now.UnixMilli() + ms}
+		}
+		drawn := func(label string) Announcement {
+			a := start(rapid.SampledFrom([]int64{-60_000, -3_000, -1_000}).Draw(t, label))
+			a.Sequence = rapid.Uint64Range(1, 9).Draw(t, label+" sequence")
+			return a
+		}
+		l := lease{configuredDuration: 10 * time.Second}
+		assert.NilError(t, l.renew(drawn("announced"), now))
+		leaving := drawn("leaving")
+		tell := rapid.SampledFrom([]departureCase{{"withdrawal", withdrawal}, {"announcement", drainingAnnouncement}}).Draw(t, "told by")
+		if !tell.depart(&l, leaving, now) {
+			return
+		}
+		// Late announcements arrive for seconds.
+		for range rapid.IntRange(0, 12).Draw(t, "late announcements") {
+			assert.Assert(t, l.effectiveState() != Ready || l.announcement.StartedUnixMs > leaving.StartedUnixMs, "an instance that left takes work")
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond)
+			late := leaving
+			late.StartedUnixMs -= rapid.SampledFrom([]int64{0, 2_000}).Draw(t, "earlier by")
+			late.Sequence = rapid.Uint64Range(1, 30).Draw(t, "sequence")
+			_ = l.renew(late, now)
+		}
+		assert.Assert(t, l.effectiveState() != Ready || l.announcement.StartedUnixMs > leaving.StartedUnixMs, "an instance that left takes work")
+		next := start(60_000)
+		next.Sequence = 1
+		assert.NilError(t, l.renew(next, now))
+		assert.Equal(t, l.effectiveState(), Ready, "a later start is served at once")
+	})
+}
+
+// TestDepartureOfEarlierStartInDoubtIsNotAcknowledged checks that the departure of a start
+// before the one that takes work neither closes the gate nor is acknowledged: it may come
+// late, or the clock of the target was set back.
+func TestDepartureOfEarlierStartInDoubtIsNotAcknowledged(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	later := Announcement{Service: "w/s", Address: "127.0.0.1:1", Slots: 4, State: "ready", Instance: "i-1", StartedUnixMs: 2_000, Sequence: 1}
+	earlier := later
+	earlier.StartedUnixMs, earlier.Sequence, earlier.State = 1_000, 40, "draining"
+	var l lease
+	assert.NilError(t, l.renew(later, now))
+	assert.ErrorIs(t, l.renew(earlier, now), ErrLaterStartServed)
+	assert.Equal(t, l.effectiveState(), Ready)
+	// With the gate closed the promise is kept.
+	l.withdraw(now)
+	assert.ErrorIs(t, l.renew(earlier, now), ErrStaleAnnouncement)
+}
+
+// TestStartWithEarlierClockIsServedInTheEnd sets the clock of a target back between two
+// starts. Guards against: the later one got no work, since its announcements counted as late.
+func TestStartWithEarlierClockIsServedInTheEnd(t *testing.T) {
+	const interval, span = 1500 * time.Millisecond, 10 * time.Second
+	for name, departed := range map[string]bool{"the one before crashed": false, "the one before left": true} {
+		t.Run(name, func(t *testing.T) {
+			now := time.UnixMilli(1_000_000)
+			before := Announcement{Service: "w/s", Address: "127.0.0.1:1", Slots: 4, State: "ready", Instance: "i-1", StartedUnixMs: 900_000, Sequence: 7}
+			after := before
+			after.StartedUnixMs, after.Sequence = 898_000, 0
+			l := lease{configuredDuration: span}
+			assert.NilError(t, l.renew(before, now))
+			if departed {
+				l.recordDeparture(before.instanceID(), now)
+				l.closeIfDeparted()
+			}
+			for passed := time.Duration(0); passed < span+2*interval; passed += maintenanceInterval {
+				l.expire(now.Add(passed))
+				if passed%interval == 0 {
+					after.Sequence++
+					_ = l.renew(after, now.Add(passed))
+				}
+				assert.Assert(t, passed >= span || l.effectiveState() != Ready || l.announcement == before)
+			}
+			assert.Equal(t, l.effectiveState(), Ready)
+			assert.Equal(t, l.announcement, after)
+		})
+	}
+}
+
+// TestResponseThatLeavesCoversUnannouncedStart has a response say that its instance leaves
+// before the start that gave it has announced itself.
+func TestResponseThatLeavesCoversUnannouncedStart(t *testing.T) {
+	now := time.Now()
+	announced := Announcement{Service: "w/s", Address: "127.0.0.1:1", Slots: 4, State: "ready", Instance: "i-1", StartedUnixMs: now.Add(-time.Minute).UnixMilli(), Sequence: 9}
+	l := lease{configuredDuration: 10 * time.Second}
+	assert.NilError(t, l.renew(announced, now))
+	assert.Assert(t, l.leave("i-1", now))
+	later := announced
+	later.StartedUnixMs, later.Sequence = now.Add(-time.Second).UnixMilli(), 1
+	assert.NilError(t, l.renew(later, now.Add(time.Second)))
+	assert.Equal(t, l.effectiveState(), Draining)
+	next := announced
+	next.StartedUnixMs, next.Sequence = now.Add(time.Second).UnixMilli(), 1
+	assert.NilError(t, l.renew(next, now.Add(2*time.Second)))
+	assert.Equal(t, l.effectiveState(), Ready)
+}
--- a/internal/membership/target_history_test.go
+++ b/internal/membership/target_history_test.go
@@ -198,6 +198,46 @@
 	})
 }
 
+// TestDepartureBeforeFirstAnnouncementOfStart has a target that crashed and started again
+// under its name leave before it announces itself, and restarts the daemon after that.
+// Guards against: the departure was acknowledged, and the lease of the earlier start went on
+// (review case 7, DRAIN).
+func TestDepartureBeforeFirstAnnouncementOfStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.killAll()
+		log := &hostLog{delay: 4 * time.Millisecond}
+		d := startDeparting(m, log, 1)
+		startOthers(m, log, 1)
+		m.waitUntil(10*time.Second, "complete", knowsAll(5))
+		assert.NilError(t, d.Announce(readyHeartbeat(5)))
+		assert.NilError(t, d.WithdrawInstance("i-1", 2000))
+		assert.Equal(t, d.View().Self.TargetState, Draining)
+		assert.NilError(t, d.AwaitHistoryHeld(t.Context()))
+		late := func(started int64, sequence uint64) {
+			a := readyHeartbeat(sequence)
+			a.StartedUnixMs = started
+			_ = d.Announce(a)
+			synctest.Wait()
+			state := d.View().Self.TargetState
+			assert.Assert(t, state != Ready && state != Cold, "a departed start takes work")
+		}
+		late(1000, 6)
+		late(2000, 1)
+		m.kill(departingHost)
+		time.Sleep(500 * time.Millisecond)
+		d = startDeparting(m, log, 2)
+		time.Sleep(5 * time.Second)
+		late(1000, 7)
+		late(2000, 2)
+		next := readyHeartbeat(1)
+		next.StartedUnixMs = 3000
+		assert.NilError(t, d.Announce(next))
+		synctest.Wait()
+		assert.Equal(t, d.View().Self.TargetState, Ready)
+	})
+}
+
 // refusingLog is the log as one host sees it that the log does not serve: it refuses each
 // call or gives no response.
 type refusingLog struct {
