Calls: a reset while a request is being sent is no end of a response

What callers saw (MIXED): a target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection; the caller got that part as a complete response.

Cause: the kernel tells of a reset once. If the write of the upload is told, the next read finds what looks like an orderly end, which completes a body that ends with its connection.

Change: such an end counts only if no write on the connection has failed and the socket can still be written to. Of a response to a long request 64 KiB at most are read before it is passed on, so that the failure is a 502. Callers of HTTP/1.0 see a response that is cut as a reset.

--- a/internal/call/body.go
+++ b/internal/call/body.go
@@ -105,6 +105,9 @@
 	}
 }
 
+// streamed reports whether the body is not held in memory.
+func (b *body) streamed() bool { return b.stream != nil }
+
 // unfinished reports whether the body is streamed and its end has not been
 // reached.
 func (b *body) unfinished() bool { return b.stream != nil && !b.atEOF.Load() }
--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -81,6 +81,9 @@
 	if err := result.relay(ctx, w, s.pacer); err != nil {
 		c.trace.failed(s.fail(Unknown, StepAnswer, statusOf(ctx, err), err))
 		s.counters.truncated.Inc()
+		if c.resetIfCut {
+			resetAtClose(ctx)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	c.trace.answered(result)
--- a/internal/call/gone_client.go
+++ b/internal/call/gone_client.go
@@ -42,6 +42,17 @@
 	return err == nil && gone
 }
 
+// resetAtClose makes the connection of a client end by a reset when it is closed.
+func resetAtClose(ctx context.Context) {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapped.NetConn()
+	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // hasEnded reports whether a socket was closed or reset by its peer and has no bytes
 // left. It takes no bytes and does not wait.
 func hasEnded(fd int) bool {
--- a/internal/call/inbound.go
+++ b/internal/call/inbound.go
@@ -180,6 +180,7 @@
 	service := s.splits.Pick(in.Route)
 	workspace, priority := in.payer()
 	c := &outboundCall{
+		resetIfCut:  !r.ProtoAtLeast(1, 1),
 		route:       in.Route,
 		versioned:   s.pickVersion(in, service),
 		retriesLeft: min(in.Retries, in.Route.Retries),
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -27,6 +27,8 @@
 	// before it reached a target.
 	refusals int
 	trace    *trace
+	// resetIfCut says that the caller takes the end of its connection for that of a response.
+	resetIfCut bool
 	// giveBackQuota returns the call to the quota of its workspace if it has not run.
 	giveBackQuota func()
 	// failedHosts holds the hosts on which an attempt failed.
@@ -250,7 +252,7 @@
 func (s *Server) acceptPeerResponse(ctx context.Context, q *request, host string, response *http.Response, load *route.Load) (*targetResponse, *Error) {
 	status := response.StatusCode
 	q.headArrived()
-	result, err := newTargetResponse(response, func(complete bool) {
+	result, err := newTargetResponse(response, q.body.streamed(), func(complete bool) {
 		s.router.Done(host, route.Result{Outcome: routeOutcomeOfStatus(status, complete), Priority: q.rank(), Load: load})
 	})
 	if err != nil {
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // copyBufferSize is the size in bytes of the buffer that copies a body to the
@@ -43,8 +46,10 @@
 
 // newTargetResponse wraps a response. A body of at most maxBufferedBody bytes is
 // read in full, so that a truncated one can still be reported to the caller as an
-// error; release is then called before newTargetResponse returns.
-func newTargetResponse(response *http.Response, release func(complete bool)) (*targetResponse, error) {
+// error; release is then called before newTargetResponse returns. upload says that the request
+// has a long body: the start of a response that ends with the connection is read too then,
+// since a target that fails as it is sent a request resets its connection.
+func newTargetResponse(response *http.Response, upload bool, release func(complete bool)) (*targetResponse, error) {
 	result := &targetResponse{
 		status:  response.StatusCode,
 		header:  endToEndHeaders(response.Header),
@@ -53,10 +58,15 @@
 		trailer: response.Trailer,
 		release: release,
 	}
-	if response.ContentLength < 0 || response.ContentLength > maxBufferedBody {
+	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	if response.ContentLength > maxBufferedBody || response.ContentLength < 0 && !(upload && endsWithConnection) {
+		return result, nil
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
+	if err == nil && len(content) > maxBufferedBody {
+		result.body = prefixedBody{Reader: io.MultiReader(bytes.NewReader(content), response.Body), Closer: response.Body}
 		return result, nil
 	}
-	content, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	release(err == nil)
 	if err != nil {
@@ -67,6 +77,12 @@
 	return result, nil
 }
 
+// prefixedBody is a body of which a part has been read.
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // discard closes a response that is not passed on.
 func (r *targetResponse) discard() {
 	_ = r.body.Close()
@@ -96,8 +112,7 @@
 	if err := r.copyBody(ctx, w, pace); err != nil {
 		return err
 	}
-	r.writeTrailer(w, declared)
-	return nil
+	return r.writeTrailer(w, declared)
 }
 
 func (r *targetResponse) copyBody(ctx context.Context, w http.ResponseWriter, pace *pacer) error {
@@ -132,7 +147,16 @@
 	}
 }
 
-func (r *targetResponse) writeTrailer(w http.ResponseWriter, declared int) {
+// errInvalidTrailer is the error of a response whose trailer cannot be passed on.
+var errInvalidTrailer = errors.New("invalid trailer of a response")
+
+func (r *targetResponse) writeTrailer(w http.ResponseWriter, declared int) error {
+	for name, values := range r.trailer {
+		valid := httpguts.ValidHeaderFieldName(name) && httpguts.ValidTrailerHeader(name)
+		if !valid || slices.ContainsFunc(values, func(value string) bool { return !httpguts.ValidHeaderFieldValue(value) }) {
+			return fmt.Errorf("%w: field %.40q", errInvalidTrailer, name)
+		}
+	}
 	prefix := ""
 	if len(r.trailer) != declared {
 		prefix = http.TrailerPrefix
@@ -140,4 +164,5 @@
 	for name, values := range r.trailer {
 		w.Header()[prefix+name] = values
 	}
+	return nil
 }
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -13,6 +13,7 @@
 
 	"github.com/mulberrybank/mulberrybank/internal/membership"
 	"github.com/mulberrybank/mulberrybank/internal/pace"
+	"github.com/mulberrybank/mulberrybank/internal/responsehead"
 	"github.com/mulberrybank/mulberrybank/internal/timeline"
 )
 
@@ -103,7 +104,7 @@
 		return nil, failure, failure.Outcome != NotRun
 	}
 	q.headArrived()
-	result, err := newTargetResponse(response, func(complete bool) {
+	result, err := newTargetResponse(response, q.body.streamed(), func(complete bool) {
 		succeeded = complete && response.StatusCode < http.StatusInternalServerError
 		s.admission.recordOutcome(!succeeded && !callerDisconnected(ctx))
 		outcome = responsePace(ctx, succeeded, complete)
@@ -276,6 +277,9 @@
 	if err == nil {
 		return response, sendFailure{}, nil
 	}
+	if errors.Is(err, responsehead.ErrInvalid) {
+		s.counters.invalidResponses.Inc()
+	}
 	failed := tracker.failure()
 	if failed.mayHaveSent {
 		onWrite()
@@ -293,7 +297,6 @@
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		closeConnection(response)
 		return errProtocolSwitched
-	default:
-		return nil
 	}
+	return nil
 }
--- a/internal/call/transport.go
+++ b/internal/call/transport.go
@@ -9,7 +9,10 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/mulberrybank/mulberrybank/internal/responsehead"
 )
 
 const (
@@ -109,6 +112,10 @@
 	requestPending bool
 	// lastRead is when bytes were last read, at first when the connection was opened.
 	lastRead time.Time
+	// head checks the head of the response that comes next, or came last.
+	head responsehead.Checker
+	// writing is set during a write, writeFailed once one has failed.
+	writing, writeFailed bool
 }
 
 func newTrackedConn(conn net.Conn, address string, silent *silentAddresses) *trackedConn {
@@ -131,9 +138,17 @@
 		c.writesBlocked = true
 	}
 	c.readBefore, c.requestPending = c.bytesRead, true
+	c.head.Reset()
 	return c.bytesWritten
 }
 
+// headError returns what is wrong with the head of the response that came last.
+func (c *trackedConn) headError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.Err()
+}
+
 // readNothing reports whether nothing was read since the last request began.
 func (c *trackedConn) readNothing() bool {
 	c.mu.Lock()
@@ -150,6 +165,10 @@
 	if n > 0 {
 		c.bytesRead += uint64(n)
 		c.lastRead = time.Now()
+		c.head.Consume(p[:n])
+	}
+	if err == io.EOF && c.head.EndsWithConnection() && c.wasReset() {
+		return n, syscall.ECONNRESET
 	}
 	return n, err
 }
@@ -174,7 +193,13 @@
 	if err := c.count(len(p)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	c.writeFailed = c.writeFailed || err != nil
+	c.changed.Broadcast()
+	return n, err
 }
 
 func (c *trackedConn) count(n int) error {
@@ -189,6 +214,7 @@
 	}
 	c.requestPending = false
 	c.bytesWritten += uint64(n)
+	c.writing = true
 	return nil
 }
 
@@ -219,6 +245,16 @@
 	_ = response.Body.Close()
 }
 
+// headError returns what is wrong with the head of the response to the request.
+func (t *writeTracker) headError() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.conns) == 0 {
+		return nil
+	}
+	return t.conns[len(t.conns)-1].headError()
+}
+
 // closeConns closes the connections that the request was given.
 func (t *writeTracker) closeConns() {
 	t.mu.Lock()
