Calls: heads of responses are checked against the protocol

Here the status 000 ended in a panic that cut the caller's connection, 600 and 999 were passed on, and "Content-Length : 2" hid the length.

Cause: net/http's lenient reading was taken for a check.

Change: the bytes of each head from targets and other daemons are checked as they arrive (internal/responsehead); what is not valid is a 502 on a connection that is closed.

Before: TestInvalidResponseOfTargetIsItsFailure gets an EOF, FuzzTargetResponse fails on its seeds with 600 and 999.

--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -298,5 +298,9 @@
 		closeConnection(response)
 		return errProtocolSwitched
 	}
+	if err := tracker.headError(); err != nil {
+		closeConnection(response)
+		return err
+	}
 	return nil
 }
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mulberrybank/mulberrybank/internal/idle"
+	"github.com/mulberrybank/mulberrybank/internal/responsehead"
 )
 
 // maxHeadBytes limits the head of a response of the log.
@@ -39,9 +40,13 @@
 }
 
 // ReadBody reads the body of a response of the log, which may have at most limit
-// bytes. ctx is that of the request.
+// bytes. ctx is that of the request. A response whose head is not valid is an error, since a
+// status of 200 in it would acknowledge a record.
 func ReadBody(ctx context.Context, response *http.Response, limit int64) ([]byte, error) {
 	idle.Progress(ctx)
+	if err := responsehead.CheckParsed(response); err != nil {
+		return nil, err
+	}
 	body, err := io.ReadAll(idle.NewReader(ctx, io.LimitReader(response.Body, limit+1)))
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", idle.Error(ctx, err))
