Calls: short responses of unknown length are not paced with long ones

Cause: responses of unknown length were paced as long ones. The inner calls are answered in chunks of 600 bytes, which waited for three quarters of the link behind downloads of 90 KB until their 400 ms were over.

Change: the first 16 KiB of a body of unknown length are not paced.

--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -128,6 +128,17 @@
 	return response.relay(ctx, discardWriter{}, pace)
 }
 
+// RelayStream is RelayBody for a body of which the response does not state the length.
+func RelayStream(ctx context.Context, pace *pacer, length int64) error {
+	response := &targetResponse{
+		status:  http.StatusOK,
+		length:  -1,
+		body:    io.NopCloser(io.LimitReader(zeros{}, length)),
+		release: func(bool) {},
+	}
+	return response.relay(ctx, discardWriter{}, pace)
+}
+
 // zeros is an endless body.
 type zeros struct{}
 
--- a/internal/call/pacer.go
+++ b/internal/call/pacer.go
@@ -48,5 +48,6 @@
 	return nil
 }
 
-// paced reports whether a body of a length, -1 if unknown, is paced.
-func paced(length int64) bool { return length < 0 || length > longBody }
+// paced reports whether a body of a length is paced. One of unknown length is as long as what
+// has been read of it.
+func paced(length int64) bool { return length > longBody }
--- a/internal/call/pacer_test.go
+++ b/internal/call/pacer_test.go
@@ -38,6 +38,27 @@
 	})
 }
 
+// Guards against: short responses that do not state their length waited for the link behind long
+// ones until their deadlines, so that the work of their callers was in vain (SHORT on
+// ammersee-charts-grown). A long one does not pass as short.
+func TestShortResponseOfUnknownLengthIsNotPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pacer := call.NewPacer(8) // 0.75 MB/s for long responses
+		var tasks conc.WaitGroup
+		start := time.Now()
+		for range 4 {
+			tasks.Go(func() { assert.Check(t, call.RelayBody(t.Context(), pacer, 500_000)) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		asked := time.Now()
+		assert.NilError(t, call.RelayStream(t.Context(), pacer, 600))
+		assert.Equal(t, time.Since(asked), time.Duration(0))
+		tasks.Go(func() { assert.Check(t, call.RelayStream(t.Context(), pacer, 500_000)) })
+		tasks.Wait()
+		assert.Assert(t, time.Since(start) > 3*time.Second, "%s for 2.5 MB", time.Since(start))
+	})
+}
+
 // Without a known speed of the link nothing waits.
 func TestUnknownLinkIsNotPaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -123,9 +123,10 @@
 	}
 	pooled := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(pooled)
-	for {
+	for sent := int64(0); ; {
 		n, err := r.body.Read(*pooled)
-		if n > 0 && paced(r.length) {
+		sent += int64(n)
+		if n > 0 && paced(max(r.length, sent)) {
 			if paceErr := pace.wait(ctx, n); paceErr != nil {
 				return paceErr
 			}
