Calls: long responses hold no slot while they wait for the link

Cause: a response of more than 64 KiB kept its slot until it had left, and requests ran though the link could not carry their responses in time.

Change: the daemon beside a target reads long responses of known length whole (1 MiB each, 8 MiB together) and frees the slot. A request of a rank whose responses are long is refused as not run if those before it would take more than half of the time that its objective and deadline leave.

Before: TestLongResponseOnItsWayHoldsNoSlot (1 busy slot), TestRequestsBeyondTheLinkAreRefused (8 of 8 admitted). After: they pass.

--- a/internal/call/export_test.go
+++ b/internal/call/export_test.go
@@ -128,6 +128,32 @@
 	return response.relay(ctx, discardWriter{}, pace)
 }
 
+// LinkQueue exports a linkQueue to tests.
+type LinkQueue struct{ queue linkQueue }
+
+// Limits on responses that are held, in bytes.
+const (
+	MaxHeldBody  = maxHeldBody
+	MaxHeldBytes = maxHeldBytes
+)
+
+// NewLinkQueue returns a queue for a link of a number of bytes a second.
+func NewLinkQueue(rate float64) *LinkQueue {
+	return &LinkQueue{linkQueue{rate: rate, lengths: make(map[int]float64)}}
+}
+
+func (l *LinkQueue) Hold(length int64) bool { return l.queue.hold(length) }
+
+func (l *LinkQueue) Drop(length int64) { l.queue.drop(length) }
+
+func (l *LinkQueue) Add(change int64) { l.queue.add(change) }
+
+func (l *LinkQueue) Observe(rank int, length int64) { l.queue.observe(rank, length) }
+
+func (l *LinkQueue) Admit(rank int, within time.Duration) (reserved int64, admitted bool) {
+	return l.queue.admit(rank, within)
+}
+
 // RelayStream is RelayBody for a body of which the response does not state the length.
 func RelayStream(ctx context.Context, pace *pacer, length int64) error {
 	response := &targetResponse{
--- a/internal/call/outbound.go
+++ b/internal/call/outbound.go
@@ -252,7 +252,7 @@
 func (s *Server) acceptPeerResponse(ctx context.Context, q *request, host string, response *http.Response, load *route.Load) (*targetResponse, *Error) {
 	status := response.StatusCode
 	q.headArrived()
-	result, err := newTargetResponse(response, q.body.streamed(), func(complete bool) {
+	result, err := newTargetResponse(response, q.body.streamed(), maxBufferedBody, func(complete bool) {
 		s.router.Done(host, route.Result{Outcome: routeOutcomeOfStatus(status, complete), Priority: q.rank(), Load: load})
 	})
 	if err != nil {
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -49,7 +49,7 @@
 // error; release is then called before newTargetResponse returns. upload says that the request
 // has a long body: the start of a response that ends with the connection is read too then,
 // since a target that fails as it is sent a request resets its connection.
-func newTargetResponse(response *http.Response, upload bool, release func(complete bool)) (*targetResponse, error) {
+func newTargetResponse(response *http.Response, upload bool, wholeUpTo int64, release func(complete bool)) (*targetResponse, error) {
 	result := &targetResponse{
 		status:  response.StatusCode,
 		header:  endToEndHeaders(response.Header),
@@ -59,11 +59,11 @@
 		release: release,
 	}
 	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if response.ContentLength > maxBufferedBody || response.ContentLength < 0 && !(upload && endsWithConnection) {
+	if response.ContentLength > wholeUpTo || response.ContentLength < 0 && !(upload && endsWithConnection) {
 		return result, nil
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
-	if err == nil && len(content) > maxBufferedBody {
+	content, err := io.ReadAll(io.LimitReader(response.Body, wholeUpTo+1))
+	if err == nil && int64(len(content)) > wholeUpTo {
 		result.body = prefixedBody{Reader: io.MultiReader(bytes.NewReader(content), response.Body), Closer: response.Body}
 		return result, nil
 	}
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -124,6 +124,7 @@
 	admission   *admissionQueue
 	breaker     *targetBreaker
 	pacer       *pacer
+	link        linkQueue
 	inflight    *inflight
 	callLimit   *callLimiter
 	targetConns *targetTransports
@@ -156,6 +157,7 @@
 		admission:       newAdmissionQueue(options.Now),
 		breaker:         &targetBreaker{now: options.Now},
 		pacer:           newPacer(options.LinkMbps),
+		link:            linkQueue{rate: pacedShare * options.LinkMbps * bytesPerMegabit, lengths: make(map[int]float64)},
 		onTargetLeaving: options.OnTargetLeaving,
 		onRefused:       options.OnRefused,
 		inflight:        newInflight(),
--- a/internal/call/stop_test.go
+++ b/internal/call/stop_test.go
@@ -229,7 +229,6 @@
 func TestResponseOnItsWayOutlastsAbortOfCallers(t *testing.T) {
 	const length = 600_000
 	for _, remote := range []bool{false, true} {
-		slowLink := func(_ int, o *call.Options) { o.LinkMbps = 8 }
 		m := newMesh(t, 2, config(withoutRetries), slowLink)
 		stopping, at := m.nodes[0], m.nodes[0]
 		if remote {
