--- a/internal/call/link_queue.go
+++ b/internal/call/link_queue.go
@@ -47,7 +47,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	length := int64(l.lengths[rank])
-	if l.rate == 0 || !paced(length) || length == 0 {
+	if l.rate == 0 || !paced(length) {
 		return 0, true
 	}
 	if float64(l.expected+length)/l.rate > within.Seconds()/linkWaitDivisor {
@@ -114,5 +114,47 @@
 	return b.ReadCloser.Close()
 }
 
-// knownLength returns the length of a response's body, 0 if it is not known.
-func knownLength(response *http.Response) int64 { return max(response.ContentLength, 0) }
+// receive wraps the response of the target to a request. A long one is read whole, if it may
+// be held, and release is called then; otherwise when it has been passed on.
+func (l *linkQueue) receive(q *request, response *http.Response, release func(complete bool)) (*targetResponse, error) {
+	length := bodyLength(response)
+	l.observe(q.rank(), length)
+	wholeUpTo, held := int64(maxBufferedBody), int64(0)
+	if length > wholeUpTo && l.hold(length) {
+		wholeUpTo, held = length, length
+	}
+	result, err := newTargetResponse(response, q.body.streamed(), wholeUpTo, release)
+	if err != nil {
+		l.drop(held)
+		return nil, err
+	}
+	result.onRelease(func(bool) { l.drop(held) })
+	if paced(length) {
+		l.add(length)
+		result.body = &sendingBody{ReadCloser: result.body, queue: l, left: length}
+	}
+	return result, nil
+}
+
+// bodyLength returns the length of a response's body in bytes, 0 if it is not known.
+func bodyLength(response *http.Response) int64 {
+	if response.Request != nil && response.Request.Method == http.MethodHead {
+		return 0
+	}
+	return max(response.ContentLength, 0)
+}
+
+// admitToLink refuses a request whose response would wait for the link until its objective has
+// passed. It returns the bytes that were reserved for the response.
+func (s *Server) admitToLink(q *request) (reserved int64, failure *Error) {
+	within := q.deadline.Sub(s.now())
+	if q.objective > 0 {
+		within = min(within, q.objective)
+	}
+	reserved, admitted := s.link.admit(q.rank(), within)
+	if !admitted {
+		s.counters.refused.Inc()
+		return 0, s.fail(NotRun, StepAdmit, http.StatusServiceUnavailable, errLinkBusy)
+	}
+	return reserved, nil
+}
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -44,7 +44,7 @@
 	release func(complete bool)
 }
 
-// newTargetResponse wraps a response. A body of at most maxBufferedBody bytes is
+// newTargetResponse wraps a response. A body of at most wholeUpTo bytes is
 // read in full, so that a truncated one can still be reported to the caller as an
 // error; release is then called before newTargetResponse returns. upload says that the request
 // has a long body: the start of a response that ends with the connection is read too then,
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -109,46 +109,19 @@
 		return nil, failure, failure.Outcome != NotRun
 	}
 	q.headArrived()
-	length := knownLength(response)
-	s.link.observe(q.rank(), length)
-	wholeUpTo, held := int64(maxBufferedBody), int64(0)
-	if length > wholeUpTo && s.link.hold(length) {
-		wholeUpTo, held = length, length
-	}
-	result, err := newTargetResponse(response, q.body.streamed(), wholeUpTo, func(complete bool) {
+	result, err := s.link.receive(q, response, func(complete bool) {
 		succeeded = complete && response.StatusCode < http.StatusInternalServerError
 		s.admission.recordOutcome(!succeeded && !callerDisconnected(ctx))
 		outcome = responsePace(ctx, succeeded, complete)
 		release()
 	})
 	if err != nil {
-		s.link.drop(held)
 		return nil, s.fail(Unknown, StepAnswer, statusOf(ctx, err), err), true
 	}
-	result.onRelease(func(bool) { s.link.drop(held) })
-	if paced(length) && length > 0 {
-		s.link.add(length)
-		result.body = &sendingBody{ReadCloser: result.body, queue: &s.link, left: length}
-	}
 	result.targetTime = took
 	return result, nil, true
 }
 
-// admitToLink refuses a request whose response would wait for the link until its objective has
-// passed. It returns the bytes that were reserved for the response.
-func (s *Server) admitToLink(q *request) (reserved int64, failure *Error) {
-	within := q.deadline.Sub(s.now())
-	if q.objective > 0 {
-		within = min(within, q.objective)
-	}
-	reserved, admitted := s.link.admit(q.rank(), within)
-	if !admitted {
-		s.counters.refused.Inc()
-		return 0, s.fail(NotRun, StepAdmit, http.StatusServiceUnavailable, errLinkBusy)
-	}
-	return reserved, nil
-}
-
 // recordSendFailure counts a request that got no response as failed by the target,
 // unless the caller disconnected or the target had dropped an idle connection.
 func (s *Server) recordSendFailure(ctx context.Context, q *request, failed sendFailure, instance string) {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -36,7 +36,7 @@
 	peerAbortTimeout = 100 * time.Millisecond
 	// answerLead is how long before the end of the stop timeout the last bytes of
 	// responses must have left.
-	answerLead = 100 * time.Millisecond
+	answerLead = 200 * time.Millisecond
 )
 
 // stopSchedule holds the times at which the phases of a graceful stop begin. A
