--- a/internal/rollout/transition_test.go
+++ b/internal/rollout/transition_test.go
@@ -132,13 +132,14 @@
 	m := l.from.mesh
 	m.mu.Lock()
 	to := m.find(home.Host)
-	broken := to == nil || to.dead || to.paused || to.cut != l.from.cut || l.from.paused
+	dead := to != nil && to.dead
+	broken := to == nil || dead || to.paused || to.cut != l.from.cut || l.from.paused
 	var rollouts *Rollouts
 	if !broken {
 		rollouts = to.rollouts
 	}
 	m.mu.Unlock()
-	if to != nil && to.dead {
+	if dead {
 		return answer{}, errFault
 	}
 	if broken {
