Membership: who answered during the recovery is read under the mutex

Cause: checkRecovered copied the recovery and logged, after it had released the mutex, how many witnesses there were. The copy shares its map with the original, to which an answer of another peer may be added meanwhile. The log line came with the witnesses.

--- a/internal/membership/recovery.go
+++ b/internal/membership/recovery.go
@@ -65,14 +65,14 @@
 func (m *Membership) checkRecovered() (recovered bool, next time.Duration) {
 	elapsed := time.Since(m.startedAt)
 	m.mu.Lock()
-	r := m.recovery
+	r, history := &m.recovery, m.lease.history
 	recovered = !m.lease.recovering || r.suffices(m.options.HostLog != nil, elapsed)
 	ended := recovered && m.lease.recovering
 	m.lease.recovering = !recovered
-	history := m.lease.history
+	heard := logrus.Fields{"log": r.logRead, "peers": r.peerAnswered, "witnesses": len(r.witnesses)}
 	m.mu.Unlock()
 	if ended {
-		m.log.WithFields(logrus.Fields{"log": r.logRead, "peers": r.peerAnswered, "witnesses": len(r.witnesses), "departures": len(history.departures), "drained": history.drain.drained, "after_ms": elapsed.Milliseconds()}).
+		m.log.WithFields(heard).WithFields(logrus.Fields{"departures": len(history.departures), "drained": history.drain.drained, "after_ms": elapsed.Milliseconds()}).
 			Info("history of this host's target recovered; the target may take work")
 		m.updateSelf(nil)
 	}
